--- /dev/null
+++ b/internal/status/status.go
@@ -0,0 +1,123 @@
+// Package status holds the typed failures of peardrift: a stable Code that
+// callers, operators and metrics may rely on, the Outcome that may truthfully
+// be claimed, and how long to wait before coming back.
+//
+// Each failure that can reach a caller or an operator is an *Error. Codes are
+// part of the product's interface: they are added, never renamed.
+package status
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/zeebo/errs/v2"
+
+	"peardrift/internal/core/request"
+)
+
+// Code names a kind of failure; it is the last part of the problem type URI.
+type Code string
+
+// The codes, grouped by what the receiver can do about them.
+const (
+	// The request itself is at fault; sending it again unchanged won't help.
+	CodeMalformed      Code = "malformed-request"
+	CodeTooLarge       Code = "request-too-large"
+	CodeUnknownService Code = "unknown-service"
+	CodeUnknownClass   Code = "unknown-class"
+	CodeKeyMissing     Code = "idempotency-key-missing"
+	CodeKeyReused      Code = "idempotency-key-reused"
+	CodeForbidden      Code = "tenant-not-allowed"
+
+	// Refused for now, run nowhere; come back after RetryAfter.
+	CodeOverloaded       Code = "overloaded"
+	CodeOverShare        Code = "over-share"
+	CodeDeadline         Code = "deadline-too-short"
+	CodeNoTarget         Code = "no-target"
+	CodeDraining         Code = "draining"
+	CodeNotReady         Code = "not-ready"
+	CodeRetriesExhausted Code = "retries-exhausted"
+	CodeSuspect          Code = "suspected-of-crashing-targets"
+	CodePlatformDown     Code = "platform-unavailable"
+	CodeInProgress       Code = "in-progress"
+
+	// Something ran, or may have run.
+	CodeDeadlineExceeded Code = "deadline-exceeded"
+	CodeCanceled         Code = "canceled"
+	CodeConnectionLost   Code = "connection-lost"
+	CodeOutcomeUnknown   Code = "outcome-unknown"
+	CodeTargetFailed     Code = "target-failed"
+
+	// Operators and settings.
+	CodeInvalidSet      Code = "invalid-set"
+	CodeConflict        Code = "version-conflict"
+	CodeInvalidSettings Code = "invalid-settings"
+	CodeListen          Code = "cannot-listen"
+	CodeProtocol        Code = "protocol"
+	CodeInternal        Code = "internal"
+)
+
+// class marks errors of this module in wrapped chains.
+const class = errs.Tag("peardrift")
+
+// Error is a typed failure. The zero Outcome is Unknown, so that a failure
+// claims "not run" only where the code says so on purpose.
+type Error struct {
+	Code       Code
+	Outcome    request.Outcome
+	Detail     string
+	RetryAfter time.Duration // 0: no advice
+	Cause      error         // may be nil
+}
+
+// New returns a failure of the given kind whose outcome is unknown.
+func New(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Refuse returns a failure that claims that nothing ran, with advice on when to
+// come back. Call it only where no attempt passed the point at which some
+// target could have begun.
+func Refuse(code Code, retryAfter time.Duration, format string, args ...any) *Error {
+	e := New(code, format, args...)
+	e.Outcome = request.Refused
+	e.RetryAfter = retryAfter
+	return e
+}
+
+// Wrap returns a failure of the given kind with a cause.
+func Wrap(code Code, cause error, format string, args ...any) *Error {
+	e := New(code, format, args...)
+	e.Cause = class.Wrap(cause)
+	return e
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("%s: %s: %v", e.Code, e.Detail, e.Cause)
+	}
+	return fmt.Sprintf("%s: %s", e.Code, e.Detail)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Is makes errors.Is match on the code alone.
+func (e *Error) Is(target error) bool {
+	var t *Error
+	return errors.As(target, &t) && t.Code == e.Code
+}
+
+// From returns err as an *Error, wrapping a foreign error as internal.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return Wrap(CodeInternal, err, "unexpected failure")
+}
+
+// CodeOf returns the code of err, CodeInternal for a foreign error.
+func CodeOf(err error) Code { return From(err).Code }
