Model a tenant's configuration set and compile it for traffic

A path that a target may resolve to another one matches no class: else a caller could have an at-most-once request classed as a plain one.

--- /dev/null
+++ b/internal/core/confset/index.go
@@ -0,0 +1,197 @@
+package confset
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+
+	"peardrift/internal/core/request"
+)
+
+// Index holds the sets of all tenants in the form in which traffic asks for
+// them. It is immutable; the zero value and nil are empty indexes.
+type Index struct {
+	services map[request.Service]*ServiceInfo
+	tenants  map[request.Tenant]tenantInfo
+}
+
+type tenantInfo struct {
+	version int64
+	share   float64
+}
+
+// NewIndex compiles validated sets, at most one for each tenant.
+func NewIndex(sets ...Set) *Index {
+	idx := &Index{}
+	for _, s := range sets {
+		idx = idx.With(s)
+	}
+	return idx
+}
+
+// With returns an index in which the tenant's set is replaced by s; the
+// receiver is not changed. Services that stay the same are compiled anew, so
+// counters must be kept by name and not by *ServiceInfo.
+func (x *Index) With(s Set) *Index {
+	next := &Index{
+		services: make(map[request.Service]*ServiceInfo, len(s.Services)),
+		tenants:  make(map[request.Tenant]tenantInfo),
+	}
+	if x != nil {
+		maps.Copy(next.tenants, x.tenants)
+		for name, info := range x.services {
+			if info.Tenant != s.Tenant {
+				next.services[name] = info
+			}
+		}
+	}
+	next.tenants[s.Tenant] = tenantInfo{version: s.Version, share: s.Share}
+	for _, svc := range s.Services {
+		info := newServiceInfo(s.Tenant, svc)
+		next.services[info.Name] = info
+	}
+	return next
+}
+
+// Service looks up a service by the name that callers address, for example
+// "feed.khaosan". It does not allocate.
+func (x *Index) Service(name request.Service) (*ServiceInfo, bool) {
+	if x == nil {
+		return nil, false
+	}
+	info, ok := x.services[name]
+	return info, ok
+}
+
+// Share returns the tenant's share of contended capacity, 0 if it has no set.
+func (x *Index) Share(t request.Tenant) float64 {
+	if x == nil {
+		return 0
+	}
+	return x.tenants[t].share
+}
+
+// Version returns the version of the tenant's set, 0 if it has none.
+func (x *Index) Version(t request.Tenant) int64 {
+	if x == nil {
+		return 0
+	}
+	return x.tenants[t].version
+}
+
+// Tenants returns the tenants that have a set, sorted.
+func (x *Index) Tenants() []request.Tenant {
+	if x == nil {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(x.tenants))
+}
+
+// Services returns the names of all services, sorted.
+func (x *Index) Services() []request.Service {
+	if x == nil {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(x.services))
+}
+
+// ServiceInfo is one compiled service. Its fields are read only.
+type ServiceInfo struct {
+	Name        request.Service
+	Tenant      request.Tenant
+	Slots       int
+	Connections int
+	Calls       []request.Service
+	Allow       []request.Tenant
+	Classes     []Class // longest path first
+}
+
+func newServiceInfo(t request.Tenant, s Service) *ServiceInfo {
+	info := &ServiceInfo{
+		Name:        FullName(s.Name, t),
+		Tenant:      t,
+		Slots:       s.Slots,
+		Connections: s.Connections,
+		Calls:       slices.Clone(s.Calls),
+		Allow:       slices.Clone(s.Allow),
+		Classes:     slices.Clone(s.Classes),
+	}
+	slices.SortStableFunc(info.Classes, byPrecedence)
+	return info
+}
+
+// byPrecedence puts longer paths first, then classes that name a method.
+func byPrecedence(a, b Class) int {
+	return cmp.Or(
+		cmp.Compare(len(b.Path), len(a.Path)),
+		cmp.Compare(a.Path, b.Path),
+		cmp.Compare(b.Method, a.Method),
+	)
+}
+
+// Match returns the class of a request by its method and its decoded path
+// without the query. It does not allocate.
+//
+// A path that a target may resolve to another one ("//", "/./", "/../", no
+// leading slash) matches nothing. Otherwise a caller could send an
+// at-most-once request as "/feed/../payouts", have it classed as a plain read,
+// and run it twice; nobody would notice before the second payout.
+func (s *ServiceInfo) Match(method, path string) (*Class, bool) {
+	if !isClean(path) {
+		return nil, false
+	}
+	for i := range s.Classes {
+		c := &s.Classes[i]
+		if (c.Method == "" || c.Method == method) && hasPathPrefix(path, c.Path) {
+			return c, true
+		}
+	}
+	return nil, false
+}
+
+// Class looks up a class by its name. It does not allocate.
+func (s *ServiceInfo) Class(name request.Class) (*Class, bool) {
+	for i := range s.Classes {
+		if s.Classes[i].Name == name {
+			return &s.Classes[i], true
+		}
+	}
+	return nil, false
+}
+
+// Accepts reports whether requests of tenant t may call this service.
+func (s *ServiceInfo) Accepts(t request.Tenant) bool {
+	return t == s.Tenant || slices.Contains(s.Allow, t)
+}
+
+// MayCall reports whether this service declares calls to the named one.
+func (s *ServiceInfo) MayCall(name request.Service) bool {
+	return slices.Contains(s.Calls, name)
+}
+
+// hasPathPrefix reports whether prefix covers whole segments of path.
+func hasPathPrefix(path, prefix string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
+}
+
+// isClean reports whether path starts with a slash and has no empty, "." or
+// ".." segment except an empty last one.
+func isClean(path string) bool {
+	if path == "" || path[0] != '/' {
+		return false
+	}
+	for rest := path[1:]; ; {
+		segment, tail, more := strings.Cut(rest, "/")
+		if segment == "." || segment == ".." || (segment == "" && more) {
+			return false
+		}
+		if !more {
+			return true
+		}
+		rest = tail
+	}
+}
--- /dev/null
+++ b/internal/core/confset/set.go
@@ -0,0 +1,93 @@
+package confset
+
+import (
+	"time"
+
+	"peardrift/internal/core/request"
+)
+
+// Set is the complete configuration of one tenant.
+type Set struct {
+	Tenant request.Tenant `msgpack:"tenant"`
+
+	// Version is given by the acceptance of the set, 1 for a tenant's first
+	// one, and only rises. It is not part of the encoded set, so that the same
+	// content has the same digest whichever version it is accepted as.
+	Version int64 `msgpack:"-"`
+
+	// Share is the fraction of the shared capacity that the tenant may draw on
+	// while there is contention, above 0 and at most 1. Idle capacity is lent.
+	Share float64 `msgpack:"share"`
+
+	Services []Service `msgpack:"services"`
+}
+
+// Service declares one service and the requests it receives.
+type Service struct {
+	// Name is the service's name inside its tenant, a DNS label.
+	Name string `msgpack:"name"`
+
+	// Slots is how many requests one target runs at the same time.
+	Slots int `msgpack:"slots"`
+
+	// Connections is how many connections one target accepts.
+	Connections int `msgpack:"connections"`
+
+	// Calls names the services that this one calls, as "service.tenant".
+	Calls []request.Service `msgpack:"calls,omitempty"`
+
+	// Allow names the other tenants whose requests this service accepts.
+	Allow []request.Tenant `msgpack:"allow,omitempty"`
+
+	// Classes says what a request is by its method and path.
+	Classes []Class `msgpack:"classes"`
+}
+
+// Class declares one kind of request.
+type Class struct {
+	// Name is unique in its service.
+	Name request.Class `msgpack:"name"`
+
+	// Method is the HTTP method; empty matches any.
+	Method string `msgpack:"method,omitempty"`
+
+	// Path is a prefix of whole path segments: "/a" matches "/a" and "/a/b",
+	// not "/ab". The longest matching prefix wins, and among equally long ones
+	// the class that names a method.
+	Path string `msgpack:"path"`
+
+	// Importance orders refusal: a lower one is refused earlier.
+	Importance request.Importance `msgpack:"importance"`
+
+	// Deadline is how long a request of this class may take when it enters
+	// without a shorter deadline of its own. DefaultDeadline if not declared.
+	Deadline time.Duration `msgpack:"deadline"`
+
+	// Attempts is how many attempts the whole request may spend beyond the
+	// first ones, over its whole chain and not for each hop. DefaultAttempts if
+	// not declared; 0 declares that nothing is tried again.
+	Attempts int `msgpack:"attempts"`
+
+	// AtMostOnce requests carry an idempotency key and never run twice.
+	AtMostOnce bool `msgpack:"at_most_once,omitempty"`
+
+	// Remember is how long the key of an at-most-once request is kept.
+	// DefaultRemember if not declared; 0 for other classes.
+	Remember time.Duration `msgpack:"remember,omitempty"`
+
+	// MaxBody bounds a request's body in bytes. DefaultMaxBody if not declared.
+	MaxBody int64 `msgpack:"max_body"`
+}
+
+// What a class has where its operators declare nothing.
+const (
+	DefaultDeadline       = 2 * time.Second
+	DefaultAttempts       = 1
+	DefaultRemember       = 24 * time.Hour
+	DefaultMaxBody  int64 = 1 << 20
+)
+
+// FullName returns the name by which callers address a service.
+func FullName(service string, tenant request.Tenant) request.Service {
+	return request.Service(service + "." + string(tenant))
+}
