--- /dev/null
+++ b/internal/adapter/hertzhttp/server.go
@@ -0,0 +1,152 @@
+package hertzhttp
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+
+	"peardrift/internal/status"
+)
+
+// ServerConfig bounds a Server.
+type ServerConfig struct {
+	// IdleTimeout closes a connection with no request for that long (default
+	// 60 s). It must stay above the clients' idle timeouts; see
+	// ClientConfig.IdleTimeout.
+	IdleTimeout time.Duration
+	// ReadTimeout bounds the wait for the next bytes of a request (default
+	// 30 s). Lower frees connections of stuck senders sooner; too low breaks
+	// slow uploads.
+	ReadTimeout time.Duration
+	// MaxHeaderBytes bounds a request's head (default 32 KiB); above it the
+	// request is answered 431 or 400 and its connection closed.
+	MaxHeaderBytes int
+}
+
+// DefaultServerConfig returns the defaults.
+func DefaultServerConfig() ServerConfig {
+	return ServerConfig{IdleTimeout: time.Minute, ReadTimeout: 30 * time.Second, MaxHeaderBytes: 32 << 10}
+}
+
+// Handler serves one request on the connection's goroutine. ctx ends when the
+// client goes away. Nothing of c may be kept after the handler returns, except
+// a response body stream, which is closed when the answer has been written or
+// has failed.
+type Handler func(ctx context.Context, c *app.RequestContext)
+
+// Server is one face: an HTTP/1.1 listener with one handler for all paths.
+// Request bodies longer than hertz's prefetch (8 KiB) are streams.
+type Server struct {
+	h      *server.Hertz
+	ln     net.Listener
+	done   chan error
+	active atomic.Int64
+}
+
+// Listen binds addr and returns a server that doesn't accept yet. Binding
+// first lets a process find a busy port before it has announced anything.
+func Listen(addr string, cfg ServerConfig, handle Handler) (*Server, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, status.Wrap(status.CodeListen, err, "cannot listen on %s", addr)
+	}
+	hlog.SetLevel(hlog.LevelFatal) // failures reach the log as typed errors of ours
+	s := &Server{ln: ln, done: make(chan error, 1)}
+	s.h = server.New(options(ln, cfg)...)
+	s.h.NoHijackConnPool = true
+	s.h.NoRoute(func(ctx context.Context, c *app.RequestContext) { s.serve(ctx, c, handle) })
+	return s, nil
+}
+
+func options(ln net.Listener, cfg ServerConfig) []config.Option {
+	return []config.Option{
+		server.WithTransport(standard.NewTransporter),
+		server.WithListener(ln),
+		server.WithIdleTimeout(cfg.IdleTimeout),
+		server.WithReadTimeout(cfg.ReadTimeout),
+		server.WithMaxHeaderBytes(cfg.MaxHeaderBytes),
+		server.WithStreamBody(true),
+		server.WithDisablePreParseMultipartForm(true),
+		server.WithSenseClientDisconnection(true),
+		server.WithRedirectTrailingSlash(false),
+		server.WithHandleMethodNotAllowed(false),
+		server.WithDisablePrintRoute(true),
+		server.WithDisableDefaultContentType(true),
+	}
+}
+
+// Addr returns the bound address.
+func (s *Server) Addr() string { return s.ln.Addr().String() }
+
+// Active returns the number of requests in the handler.
+func (s *Server) Active() int { return int(s.active.Load()) }
+
+// Start accepts connections until Shutdown.
+func (s *Server) Start() {
+	go func() { s.done <- s.h.Run() }()
+}
+
+// Shutdown stops accepting and waits for requests until ctx ends. Idle
+// connections are not waited for.
+func (s *Server) Shutdown(ctx context.Context) error {
+	_ = s.ln.Close()
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for s.Active() > 0 {
+		select {
+		case <-ctx.Done():
+			return status.Wrap(status.CodeDeadlineExceeded, ctx.Err(), "%d requests still running", s.Active())
+		case <-tick.C:
+		}
+	}
+	quick, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_ = s.h.Shutdown(quick)
+	return nil
+}
+
+// closeDetector is hertz's connection in a server that senses disconnection.
+type closeDetector interface {
+	DetectConnectionClose()
+	AbortBlockingRead()
+}
+
+func (s *Server) serve(ctx context.Context, c *app.RequestContext, handle Handler) {
+	s.active.Add(1)
+	defer s.active.Add(-1)
+	stop := senseClose(c)
+	defer stop()
+	handle(ctx, c)
+}
+
+// senseClose makes ctx end with the client's connection also for a request
+// that has a body. hertz itself doesn't watch those, as it could compete with
+// the handler for the connection's bytes; a body that was prefetched whole
+// leaves nothing to compete for. Without it, work for a caller that has gone
+// would run to its end, unseen.
+func senseClose(c *app.RequestContext) (stop func()) {
+	d, ok := c.GetConn().(closeDetector)
+	if !ok || !c.Request.IsBodyStream() || !prefetched(c) {
+		return func() {}
+	}
+	if _, err := c.Request.BodyE(); err != nil {
+		return func() {}
+	}
+	d.DetectConnectionClose()
+	return d.AbortBlockingRead
+}
+
+// prefetchBytes is how much of a body hertz reads before the handler runs.
+const prefetchBytes = 8 << 10
+
+func prefetched(c *app.RequestContext) bool {
+	n := c.Request.Header.ContentLength()
+	return n >= 0 && n <= prefetchBytes
+}
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -37,6 +37,7 @@
 	CodeNoTarget         Code = "no-target"
 	CodeDraining         Code = "draining"
 	CodeNotReady         Code = "not-ready"
+	CodeConnectFailed    Code = "connect-failed"
 	CodeRetriesExhausted Code = "retries-exhausted"
 	CodeSuspect          Code = "suspected-of-crashing-targets"
 	CodePlatformDown     Code = "platform-unavailable"
--- /dev/null
+++ b/internal/wire/strip.go
@@ -0,0 +1,76 @@
+package wire
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+)
+
+// hopByHop are the headers that concern one connection (RFC 9110, 7.6.1), and
+// those by which a codec frames a body. Passed on, they would speak of a
+// connection or a body length that the receiver doesn't have.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Upgrade",
+	"Content-Length", "Transfer-Encoding", "Expect",
+}
+
+// traces are the headers of the request's trace; each hop sets its own.
+var traces = []string{HeaderTraceparent, HeaderTracestate, HeaderBaggage}
+
+// CopyRequest copies a request's method, target, host and end-to-end headers
+// to dst. Left behind are internal headers, trace headers, and those that
+// concern the connection, also by being named in Connection.
+func CopyRequest(dst, src *protocol.RequestHeader) {
+	dst.SetMethodBytes(src.Method())
+	dst.SetRequestURIBytes(src.RequestURI())
+	dst.SetHostBytes(src.Host())
+	dst.SetNoDefaultContentType(true)
+	named := connectionOptions(src.Peek("Connection"))
+	src.VisitAll(func(k, v []byte) {
+		if endToEnd(k, named) && !listed(k, traces) {
+			dst.Add(string(k), string(v))
+		}
+	})
+}
+
+// CopyAnswer copies an answer's status and end-to-end headers to dst, leaving
+// internal headers behind.
+func CopyAnswer(dst, src *protocol.ResponseHeader) {
+	dst.SetStatusCode(src.StatusCode())
+	dst.SetNoDefaultContentType(true)
+	named := connectionOptions(src.Peek("Connection"))
+	src.VisitAll(func(k, v []byte) {
+		if endToEnd(k, named) {
+			dst.Add(string(k), string(v))
+		}
+	})
+}
+
+func endToEnd(k []byte, named []string) bool {
+	if bytes.EqualFold(k, []byte("Host")) {
+		return false
+	}
+	return !internal(k) && !listed(k, hopByHop) && !listed(k, named)
+}
+
+func internal(k []byte) bool {
+	return len(k) >= len(Prefix) && strings.EqualFold(string(k[:len(Prefix)]), Prefix)
+}
+
+func listed(k []byte, names []string) bool {
+	return slices.ContainsFunc(names, func(n string) bool { return strings.EqualFold(string(k), n) })
+}
+
+// connectionOptions returns the header names that a Connection header lists.
+func connectionOptions(v []byte) []string {
+	if len(v) == 0 {
+		return nil
+	}
+	var names []string
+	for name := range strings.SplitSeq(string(v), ",") {
+		names = append(names, strings.TrimSpace(name))
+	}
+	return names
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,181 @@
+// Package wire maps what nodes tell each other about a call to HTTP headers,
+// and keeps what comes from outside away from them.
+//
+// Between nodes a call carries, besides the caller's own headers, its trace
+// (traceparent) and the headers named here. Headers with Prefix never pass a
+// caller face or a target face inwards, nor reach a target.
+package wire
+
+import (
+	"bytes"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"peardrift/internal/core/request"
+	"peardrift/internal/status"
+)
+
+// Prefix marks the internal headers.
+const Prefix = "Peardrift-"
+
+// Headers between nodes; those of answers also reach the caller where the
+// operators' pages say so.
+const (
+	HeaderTenant     = Prefix + "Tenant"
+	HeaderClass      = Prefix + "Class"
+	HeaderImportance = Prefix + "Importance"
+	HeaderDeadline   = Prefix + "Deadline-Ms"
+	HeaderAllowance  = Prefix + "Allowance"
+	HeaderDepth      = Prefix + "Depth"
+	HeaderRootKey    = Prefix + "Root-Key"
+	HeaderOrigin     = Prefix + "Origin"
+
+	// HeaderOutcome carries the typed outcome of an answer.
+	HeaderOutcome = Prefix + "Outcome"
+	// HeaderCode carries the code of a failure beside its problem document.
+	HeaderCode = Prefix + "Code"
+	// HeaderLevel carries the answering node's admission level.
+	HeaderLevel = Prefix + "Level"
+	// HeaderUnspent carries the part of the allowance that was not spent.
+	HeaderUnspent = Prefix + "Unspent"
+	// HeaderLoad carries the answering target's calls in flight and its limit.
+	HeaderLoad = Prefix + "Load"
+	// HeaderRequest carries the request's identity to the caller, for support.
+	HeaderRequest = Prefix + "Request"
+	// HeaderPushback tells the caller's node to wait before retrying, in
+	// milliseconds; Retry-After has whole seconds only.
+	HeaderPushback = Prefix + "Pushback-Ms"
+)
+
+// Headers of others' making that nodes use.
+const (
+	HeaderTraceparent    = "Traceparent"
+	HeaderTracestate     = "Tracestate"
+	HeaderBaggage        = "Baggage"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderRetryAfter     = "Retry-After"
+	// HeaderTargetDeadline tells a target how long the caller still waits.
+	HeaderTargetDeadline = "X-Request-Deadline-Ms"
+)
+
+// Meta is what a node tells the callee's node about a call. Identity travels in
+// traceparent.
+type Meta struct {
+	Tenant     request.Tenant // of the whole request, not of the service called
+	Class      request.Class  // of the whole request, at its entry
+	Importance request.Importance
+	Remaining  time.Duration // until the request's deadline; relative, as clocks differ
+	Allowance  int           // extra attempts that the callee may spend below itself
+	Depth      int           // 0 at the entry's own call
+	RootKey    string        // idempotency key of the whole request, may be empty
+	Origin     request.Service
+}
+
+// maxDepth bounds the depth that is believed; deeper chains are loops.
+const maxDepth = 32
+
+// SetMeta writes m to a request between nodes.
+func SetMeta(h *protocol.RequestHeader, m *Meta) {
+	h.Set(HeaderTenant, string(m.Tenant))
+	h.Set(HeaderClass, string(m.Class))
+	h.Set(HeaderImportance, strconv.Itoa(int(m.Importance)))
+	h.Set(HeaderDeadline, strconv.FormatInt(m.Remaining.Milliseconds(), 10))
+	h.Set(HeaderAllowance, strconv.Itoa(m.Allowance))
+	h.Set(HeaderDepth, strconv.Itoa(m.Depth))
+	if m.RootKey != "" {
+		h.Set(HeaderRootKey, m.RootKey)
+	}
+	if m.Origin != "" {
+		h.Set(HeaderOrigin, string(m.Origin))
+	}
+}
+
+// GetMeta reads what SetMeta wrote. A value out of its range is a typed
+// protocol failure: it comes from a node of another version or from no node.
+func GetMeta(h *protocol.RequestHeader) (Meta, error) {
+	r := reader{h: h}
+	m := Meta{
+		Tenant:     request.Tenant(h.Peek(HeaderTenant)),
+		Class:      request.Class(h.Peek(HeaderClass)),
+		Importance: request.Importance(r.int(HeaderImportance, 0, int64(request.MaxImportance))),
+		Remaining:  time.Duration(r.int(HeaderDeadline, 0, int64(time.Hour/time.Millisecond))) * time.Millisecond,
+		Allowance:  int(r.int(HeaderAllowance, 0, 1<<10)),
+		Depth:      int(r.int(HeaderDepth, 0, maxDepth)),
+		RootKey:    string(h.Peek(HeaderRootKey)),
+		Origin:     request.Service(h.Peek(HeaderOrigin)),
+	}
+	return m, r.err
+}
+
+type reader struct {
+	h   *protocol.RequestHeader
+	err error
+}
+
+func (r *reader) int(name string, lo, hi int64) int64 {
+	v, err := strconv.ParseInt(string(r.h.Peek(name)), 10, 64)
+	if err != nil || v < lo || v > hi {
+		r.err = status.New(status.CodeProtocol, "header %s is %q, not a number from %d to %d", name, r.h.Peek(name), lo, hi)
+		return lo
+	}
+	return v
+}
+
+// Answer is what the callee's node tells beside an answer.
+type Answer struct {
+	Outcome  request.Outcome
+	Code     status.Code
+	Level    request.Level // 0: admits all
+	Unspent  int
+	InFlight int           // calls running on the target
+	Limit    int           // calls that may run on it
+	Pushback time.Duration // 0: none
+}
+
+// SetAnswer writes a to an answer between nodes.
+func SetAnswer(h *protocol.ResponseHeader, a *Answer) {
+	h.Set(HeaderOutcome, a.Outcome.String())
+	if a.Code != "" {
+		h.Set(HeaderCode, string(a.Code))
+	}
+	if a.Level > 0 {
+		h.Set(HeaderLevel, strconv.FormatUint(uint64(a.Level), 10))
+	}
+	if a.Unspent > 0 {
+		h.Set(HeaderUnspent, strconv.Itoa(a.Unspent))
+	}
+	if a.Limit > 0 {
+		h.Set(HeaderLoad, strconv.Itoa(a.InFlight)+"/"+strconv.Itoa(a.Limit))
+	}
+	if a.Pushback > 0 {
+		h.Set(HeaderPushback, strconv.FormatInt(a.Pushback.Milliseconds(), 10))
+	}
+}
+
+// GetAnswer reads what SetAnswer wrote. What is missing or malformed reads as
+// the value that claims least: outcome unknown, nothing unspent, no level.
+func GetAnswer(h *protocol.ResponseHeader) Answer {
+	a := Answer{
+		Outcome:  request.ParseOutcome(string(h.Peek(HeaderOutcome))),
+		Code:     status.Code(h.Peek(HeaderCode)),
+		Level:    request.Level(number(h.Peek(HeaderLevel), uint64(request.MaxPriority))),
+		Unspent:  int(number(h.Peek(HeaderUnspent), 1<<10)),
+		Pushback: time.Duration(number(h.Peek(HeaderPushback), uint64(time.Hour/time.Millisecond))) * time.Millisecond,
+	}
+	if inFlight, limit, ok := bytes.Cut(h.Peek(HeaderLoad), []byte{'/'}); ok {
+		a.InFlight = int(number(inFlight, 1<<20))
+		a.Limit = int(number(limit, 1<<20))
+	}
+	return a
+}
+
+// number reads a value up to most; 0 for anything else.
+func number(b []byte, most uint64) uint64 {
+	v, err := strconv.ParseUint(string(b), 10, 64)
+	if err != nil || v > most {
+		return 0
+	}
+	return v
+}
