Bound the retries of a request over its whole chain

Cause: each hop that retries on its own multiplies the calls of the hops below. A purse of extra attempts belongs to the request, is split among its calls and comes back with answers; a brake per callee service ties retries to successes. A first-attempt-free rule alone was ruled out: a retried call runs its whole subtree again, so calls below a repeat are paid for as well.

--- /dev/null
+++ b/internal/core/retry/brake.go
@@ -0,0 +1,84 @@
+package retry
+
+import (
+	"math"
+	"time"
+
+	"peardrift/internal/core/request"
+	"peardrift/internal/status"
+)
+
+// Brake is the retry budget of one callee service at one node.
+//
+// Symptom it prevents: a service slows, each of its callers sends again, the
+// service gets several times the load it already could not carry, and stays
+// saturated after the cause is gone. Tied to successes, the budget dries up as
+// soon as attempts stop succeeding, on each node alone and without any message.
+type Brake struct {
+	cfg     *Config
+	tokens  float64
+	refused float64 // attempts refused for load, decayed over cfg.Window
+	total   float64 // attempts in all, decayed likewise
+	at      time.Duration
+}
+
+// NewBrake returns a brake with a budget of one retry, so that a node that has
+// just started can't add a burst of its own.
+func NewBrake(cfg *Config, now time.Duration) Brake {
+	return Brake{cfg: cfg, tokens: min(1, cfg.Burst), at: now}
+}
+
+// Observe takes in the result of one attempt at the service.
+func (b *Brake) Observe(now time.Duration, o request.Outcome, code status.Code) {
+	b.advance(now)
+	b.total++
+	switch {
+	case o == request.Completed:
+		b.tokens = min(b.tokens+b.cfg.Ratio, b.cfg.Burst)
+	case o == request.Refused && forLoad(code):
+		b.refused++
+	}
+}
+
+// Overloaded reports whether refusals for load dominate what the service
+// answers to this node.
+func (b *Brake) Overloaded(now time.Duration) bool {
+	b.advance(now)
+	return b.total >= b.cfg.MinSample && b.refused > b.cfg.RefusedShare*b.total
+}
+
+// Take draws one retry from the budget, false if it holds none.
+func (b *Brake) Take(now time.Duration) bool {
+	b.advance(now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Budget returns the retries that the budget holds now, for metrics.
+func (b *Brake) Budget(now time.Duration) float64 {
+	b.advance(now)
+	return b.tokens
+}
+
+// advance moves to now; a time before the last one is taken as the last one,
+// so that events that arrive out of order neither refill nor decay twice.
+func (b *Brake) advance(now time.Duration) {
+	if now <= b.at {
+		return
+	}
+	dt := now - b.at
+	b.at = now
+	b.tokens = min(b.tokens+b.cfg.MinRate*dt.Seconds(), b.cfg.Burst)
+	if b.total > 0 {
+		f := math.Exp(-dt.Seconds() / b.cfg.Window.Seconds())
+		b.refused *= f
+		b.total *= f
+	}
+}
+
+func forLoad(c status.Code) bool {
+	return c == status.CodeOverloaded || c == status.CodeOverShare
+}
--- /dev/null
+++ b/internal/core/retry/config.go
@@ -0,0 +1,59 @@
+package retry
+
+import "time"
+
+// Config holds the settings of the package.
+type Config struct {
+	// Attempts is the allowance of a request whose class declares none: extra
+	// attempts over the whole chain. Default 3. Higher completes more requests
+	// when single calls fail, lower sheds load sooner.
+	Attempts int
+	// PerCall bounds the attempts of one sub-call, the first included.
+	// Default 3. Higher lets one bad call use up the request's allowance.
+	PerCall int
+	// Ratio is how much one success adds to a service's retry budget, in
+	// retries. Default 0.1. Higher allows more extra load on a service that
+	// still succeeds in part; 0 leaves only MinRate.
+	Ratio float64
+	// MinRate fills the budget without any success, in retries a second for
+	// each calling node and service. Default 0.2. Higher helps services that
+	// are called rarely; the fleet's extra load grows by it times the nodes.
+	MinRate float64
+	// Burst caps the budget, in retries. Default 10. Higher lets more retries
+	// follow at once after a quiet time.
+	Burst float64
+	// RefusedShare is the share of attempts refused for load, 0 to 1, above
+	// which the service counts as overloaded as a whole. Default 0.5. Lower
+	// stops retries earlier.
+	RefusedShare float64
+	// Window is the time constant over which RefusedShare is measured.
+	// Default 1s. Longer is steadier but resumes retries later.
+	Window time.Duration
+	// MinSample is the number of attempts in the window below which
+	// RefusedShare isn't judged. Default 5.
+	MinSample float64
+	// Backoff is the mean wait before the second attempt of a call that ran or
+	// may have run; it doubles with each further one and is spread between half
+	// and one and a half. A refused call goes elsewhere at once. Default 5ms.
+	Backoff time.Duration
+	// CostWeight is the weight of a new observation in the mean number of calls
+	// below an attempt, 0 to 1. Default 0.1. Higher follows changes faster.
+	CostWeight float64
+}
+
+// DefaultConfig returns the settings that need no tuning for the deployments
+// the project is made for.
+func DefaultConfig() Config {
+	return Config{
+		Attempts:     3,
+		PerCall:      3,
+		Ratio:        0.1,
+		MinRate:      0.2,
+		Burst:        10,
+		RefusedShare: 0.5,
+		Window:       time.Second,
+		MinSample:    5,
+		Backoff:      5 * time.Millisecond,
+		CostWeight:   0.1,
+	}
+}
--- /dev/null
+++ b/internal/core/retry/decide_test.go
@@ -0,0 +1,146 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peardrift/internal/core/request"
+	"peardrift/internal/status"
+)
+
+func TestDecide(t *testing.T) {
+	low, high := request.Priority(1)<<16, request.Priority(80)<<16
+	base := Result{
+		Outcome: request.Unknown, Code: status.CodeConnectionLost, Priority: low,
+		Attempts: 1, Left: 3, MayHaveRun: true, Idempotent: true,
+	}
+	refused := Result{
+		Outcome: request.Refused, Code: status.CodeOverloaded, Priority: low, Attempts: 1, Left: 3,
+	}
+	tests := []struct {
+		name string
+		from Result
+		edit func(*Result)
+		want Reason
+	}{
+		{"unknown, idempotent", base, func(*Result) {}, Again},
+		{"unknown, not idempotent", base, func(r *Result) { r.Idempotent = false }, NotIdempotent},
+		{"unknown, at most once", base, func(r *Result) { r.AtMostOnce = true }, AtMostOnce},
+		{"refused, at most once", refused, func(r *Result) { r.AtMostOnce = true }, Again},
+		{"refused after one that may have run", refused, func(r *Result) { r.AtMostOnce, r.MayHaveRun = true, true }, AtMostOnce},
+		{"completed", base, func(r *Result) { r.Outcome = request.Completed }, Whole},
+		{"suspect", refused, func(r *Result) { r.Code = status.CodeSuspect }, Final},
+		{"attempts of the call used up", base, func(r *Result) { r.Attempts = 3 }, PerCall},
+		{"no allowance", base, func(r *Result) { r.Left = 0 }, Allowance},
+		{"allowance short of the calls below", base, func(r *Result) { r.Below = 3 }, Allowance},
+		{"refused: calls below were not made", refused, func(r *Result) { r.Left, r.Below = 1, 3 }, Again},
+		{"deadline too near", base, func(r *Result) { r.Deadline, r.Usual = 100*time.Millisecond, time.Second }, Deadline},
+		{"service overloaded, repeat", base, func(r *Result) { r.Level = 1 }, Overload},
+		{"service overloaded, refusal is final", refused, func(r *Result) { r.Level = high }, Overload},
+		{"target leaves, service overloaded for others", refused, func(r *Result) {
+			r.Code, r.Level, r.Priority = status.CodeDraining, low, high
+		}, Again},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			cfg := DefaultConfig()
+			b := NewBrake(&cfg, 0)
+			d := NewDecider(&cfg, rand.New(rand.NewPCG(1, 2)))
+			r := tt.from
+			tt.edit(&r)
+			got := d.Decide(0, &r, &b)
+			is.Equal(got.Reason, tt.want)
+			if got.Retry() && r.Outcome == request.Refused {
+				is.Equal(got.Wait, time.Duration(0)) // elsewhere at once
+			}
+		})
+	}
+}
+
+// Symptom: load on a failing service rises with each caller that sends again.
+// Events: all attempts at a service fail for a minute, each is to be retried.
+// Cause: retries were not tied to successes. The brake leaves MinRate.
+func TestBrakeDriesUp(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig()
+	b := NewBrake(&cfg, 0)
+	retries := 0
+	for now := time.Duration(0); now < time.Minute; now += 10 * time.Millisecond {
+		b.Observe(now, request.Failed, status.CodeTargetFailed)
+		if b.Take(now) {
+			retries++
+		}
+	}
+	is.True(retries <= 1+int(cfg.MinRate*60)) // the first token and the minimum rate
+}
+
+func TestBrakeFollowsSuccesses(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig()
+	cfg.MinRate = 0
+	b := NewBrake(&cfg, 0)
+	b.Take(0)
+	retries := 0
+	for i := range 1000 {
+		now := time.Duration(i) * time.Millisecond
+		b.Observe(now, request.Completed, "")
+		if b.Take(now) {
+			retries++
+		}
+	}
+	is.True(retries >= 98 && retries <= 100) // Ratio of the successes
+}
+
+func TestBrakeStopsWhenRefusalsDominate(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig()
+	b := NewBrake(&cfg, 0)
+	for range 10 {
+		b.Observe(0, request.Completed, "")
+	}
+	for range 30 {
+		b.Observe(0, request.Refused, status.CodeOverloaded)
+	}
+	d := NewDecider(&cfg, rand.New(rand.NewPCG(1, 2)))
+	r := Result{Outcome: request.Refused, Code: status.CodeOverloaded, Attempts: 1, Left: 3}
+	is.Equal(d.Decide(0, &r, &b).Reason, Overload)
+	for range 5 { // served again: retries resume within seconds
+		b.Observe(3*time.Second, request.Completed, "")
+	}
+	is.Equal(d.Decide(3*time.Second, &r, &b).Reason, Again)
+}
+
+func TestAllocs(t *testing.T) {
+	cfg := DefaultConfig()
+	b := NewBrake(&cfg, 0)
+	d := NewDecider(&cfg, rand.New(rand.NewPCG(1, 2)))
+	r := Result{Outcome: request.Refused, Code: status.CodeDraining, Attempts: 1, Left: 3}
+	n := testing.AllocsPerRun(100, func() { usual(d, &r, &b) })
+	if n != 0 {
+		t.Fatalf("%v allocations", n)
+	}
+}
+
+func usual(d *Decider, r *Result, b *Brake) Decision {
+	p := NewPurse(3, false)
+	var c Call
+	g, _ := p.Start(&c, -1)
+	b.Observe(0, request.Refused, r.Code)
+	p.Settle(&c, &g, Answer{Outcome: request.Refused, Unspent: g.Allowance})
+	return d.Decide(0, r, b)
+}
+
+func BenchmarkAttempt(b *testing.B) {
+	cfg := DefaultConfig()
+	br := NewBrake(&cfg, 0)
+	d := NewDecider(&cfg, rand.New(rand.NewPCG(1, 2)))
+	r := Result{Outcome: request.Refused, Code: status.CodeDraining, Attempts: 1, Left: 3}
+	b.ReportAllocs()
+	for b.Loop() {
+		usual(d, &r, &br)
+	}
+}
--- /dev/null
+++ b/internal/core/retry/purse_test.go
@@ -0,0 +1,169 @@
+package retry
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"peardrift/internal/core/request"
+)
+
+// call is one position in a call graph: a call and the calls it makes.
+type call struct {
+	kids []*call
+	size int
+}
+
+func drawGraph(t *rapid.T, depth int) *call {
+	c := &call{size: 1}
+	if depth == 0 {
+		return c
+	}
+	for range rapid.IntRange(0, 3).Draw(t, "fan-out") {
+		k := drawGraph(t, depth-1)
+		c.kids = append(c.kids, k)
+		c.size += k.size
+	}
+	return c
+}
+
+// fate is what happens to one attempt.
+type fate int
+
+const (
+	completes fate = iota
+	refused
+	neverArrives     // connection broken, the callee saw nothing
+	answerLost       // ran, its answer is lost
+	answerDuplicated // ran, its answer comes twice
+	answerLate       // the caller gives up, the callee runs later and answers late
+	fails            // ran and failed
+	fates
+)
+
+// chain runs a request over a graph; every failed attempt is made again as long
+// as the purse pays for it, which is the worst that any decider can do.
+type chain struct {
+	t        *rapid.T
+	attempts int
+	reached  map[*call]bool
+	later    []func() // zombies: executions that their callers gave up on
+}
+
+func (ch *chain) call(c *call, p *Purse) {
+	var sub Call
+	for {
+		ch.runLater(false)
+		below := rapid.SampledFrom([]int{-1, 0, c.size - 1}).Draw(ch.t, "below")
+		g, ok := p.Start(&sub, below)
+		if !ok {
+			return
+		}
+		ch.attempts++
+		ch.reached[c] = true
+		if ch.attempt(c, p, &sub, &g) {
+			return
+		}
+	}
+}
+
+// attempt plays one attempt and reports whether the caller is content.
+func (ch *chain) attempt(c *call, p *Purse, sub *Call, g *Grant) bool {
+	lost := Answer{Outcome: request.Unknown}
+	switch f := fate(rapid.IntRange(0, int(fates)-1).Draw(ch.t, "fate")); f {
+	case refused:
+		p.Settle(sub, g, Answer{Outcome: request.Refused, Unspent: g.Allowance})
+		return rapid.Bool().Draw(ch.t, "give up")
+	case neverArrives:
+		p.Settle(sub, g, lost)
+		return false
+	case answerLost:
+		ch.run(c, *g)
+		p.Settle(sub, g, lost)
+		return false
+	case answerLate:
+		carried := *g
+		p.Settle(sub, g, lost)
+		ch.later = append(ch.later, func() { p.Settle(sub, g, ch.run(c, carried)) })
+		return false
+	default:
+		a := ch.run(c, *g)
+		p.Settle(sub, g, a)
+		if f == answerDuplicated {
+			p.Settle(sub, g, a)
+		}
+		return f != fails
+	}
+}
+
+// run executes a call at its callee with what the attempt carried.
+func (ch *chain) run(c *call, g Grant) Answer {
+	p := NewPurse(g.Allowance, g.Repeat)
+	for _, k := range c.kids {
+		ch.call(k, &p)
+	}
+	return Answer{Outcome: request.Completed, Made: p.Made(), Unspent: p.Close()}
+}
+
+func (ch *chain) runLater(all bool) {
+	for len(ch.later) > 0 && (all || rapid.Bool().Draw(ch.t, "zombie runs")) {
+		f := ch.later[0]
+		ch.later = ch.later[1:]
+		f()
+	}
+}
+
+// Symptom: one slow lookup deep in a chain turns into dozens of calls.
+// Events: each hop retries on its own; answers are lost, late or duplicated,
+// executions that their callers gave up on go on making calls.
+// Cause: no hop knows what the others spent. The purse bounds the sum.
+func TestChainBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		graph := drawGraph(t, rapid.IntRange(0, 4).Draw(t, "depth"))
+		a := rapid.IntRange(0, 12).Draw(t, "allowance")
+		ch := &chain{t: t, reached: map[*call]bool{}}
+		entry := NewPurse(a, false)
+		ch.call(graph, &entry)
+		entry.Close()
+		ch.runLater(true)
+		if ch.attempts > len(ch.reached)+a {
+			t.Fatalf("%d attempts for %d calls with allowance %d", ch.attempts, len(ch.reached), a)
+		}
+	})
+}
+
+func TestPurseSplit(t *testing.T) {
+	is := is.New(t)
+	p := NewPurse(6, false)
+	var a, b Call
+	ga, ok := p.Start(&a, -1)
+	is.True(ok)
+	is.Equal(ga.Allowance, 3) // half goes along
+	gb, _ := p.Start(&b, 0)
+	is.Equal(gb.Allowance, 0) // a leaf needs none
+	p.Settle(&a, &ga, Answer{Outcome: request.Refused, Unspent: 3})
+	is.Equal(p.Left(), 6)
+	again, _ := p.Start(&a, -1)
+	is.True(!again.Repeat) // refused: nothing ran yet
+	p.Settle(&b, &gb, Answer{})
+	repeat, _ := p.Start(&b, 1)
+	is.True(repeat.Repeat)
+	is.Equal(repeat.Allowance, 1) // what its one call will cost
+	is.Equal(p.Close(), 0)        // 1 + 3 for a, 1 + 1 for b
+	p.Settle(&a, &again, Answer{Unspent: 1})
+	is.Equal(p.Left(), 0) // too late
+	_, ok = p.Start(&a, 0)
+	is.True(!ok)
+}
+
+func TestPurseUnspentIsCapped(t *testing.T) {
+	is := is.New(t)
+	p := NewPurse(1000, false)
+	is.Equal(p.Left(), MaxAllowance)
+	p = NewPurse(2, false)
+	var c Call
+	g, _ := p.Start(&c, -1)
+	p.Settle(&c, &g, Answer{Outcome: request.Completed, Unspent: 50})
+	is.Equal(p.Left(), 2) // a callee can't hand back more than it got
+}
