--- /dev/null
+++ b/internal/settings/secret.go
@@ -0,0 +1,69 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"strings"
+)
+
+// Environment variables that hold the platform's keys where the file doesn't.
+const (
+	EnvAccessKey = "PEARDRIFT_ACCESS_KEY"
+	EnvSecretKey = "PEARDRIFT_SECRET_KEY"
+)
+
+const redacted = "[redacted]"
+
+// Secret is a key that must not reach logs. Printing or encoding a whole
+// Settings value, for example in a log line at the start, would otherwise
+// publish it to all who read the logs; every usual way to print it therefore
+// yields a placeholder, and Reveal is the one way to the key.
+type Secret string
+
+// Reveal returns the key itself.
+func (s Secret) Reveal() string { return string(s) }
+
+// String implements fmt.Stringer.
+func (s Secret) String() string {
+	if s == "" {
+		return ""
+	}
+	return redacted
+}
+
+// Format implements fmt.Formatter, so that no verb prints the key.
+func (s Secret) Format(f fmt.State, _ rune) { _, _ = f.Write([]byte(s.String())) }
+
+// MarshalText implements encoding.TextMarshaler for JSON and YAML.
+func (s Secret) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// resolveKeys fills in the platform's keys from files and the environment.
+func resolveKeys(p *Platform, env func(string) string) []Problem {
+	var ps []Problem
+	keys := []struct {
+		field, file, env string
+		key              *Secret
+	}{
+		{"platform.accessKey", p.AccessKeyFile, EnvAccessKey, &p.AccessKey},
+		{"platform.secretKey", p.SecretKeyFile, EnvSecretKey, &p.SecretKey},
+	}
+	for _, k := range keys {
+		if *k.key != "" {
+			continue
+		}
+		if k.file != "" {
+			b, err := os.ReadFile(k.file)
+			if err != nil {
+				ps = append(ps, Problem{Field: k.field + "File", Message: err.Error()})
+				continue
+			}
+			*k.key = Secret(strings.TrimSpace(string(b)))
+		} else {
+			*k.key = Secret(env(k.env))
+		}
+		if *k.key == "" {
+			ps = append(ps, Problem{Field: k.field, Message: "is required: here, in " + k.field + "File or in " + k.env})
+		}
+	}
+	return ps
+}
