Decide at-most-once claims in a pure state machine

One conditional write of one row lets one attempt run. Rows have no lease: a holder that was paused finds its claim as it left it. A lost answer is settled by reading the token back; a row that reads absent proves nothing, since the write may still arrive, so the attempt writes again under the same condition, or leaves a duty that fences it with a Free row.

Refused is said only where a row read or an own claim shows that nothing had run under the key; with the platform down an earlier call may have, and the kind is Unknown beside NotRunHere. Ruled out: leases, and reading absent as 'never arrives'.

--- /dev/null
+++ b/internal/core/claim/claim_test.go
@@ -0,0 +1,179 @@
+package claim
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"peardrift/internal/core/request"
+	"peardrift/internal/status"
+)
+
+const t0 = 1_000_000 * time.Second
+
+func testRequest(token string) Request {
+	return Request{Token: token, Print: Fingerprint("POST", "/pay", Sum([]byte("1"))), Deadline: t0 + time.Second}
+}
+
+// begun returns an attempt whose first claim write is under way.
+func begun(token string) *Attempt {
+	a := New(DefaultConfig(), testRequest(token))
+	a.Step(t0, Begin{})
+	return &a
+}
+
+func TestAnswersByRow(t *testing.T) {
+	req := testRequest("other")
+	held := Row{Version: 1, Token: "other", State: Held, Print: req.Print, Until: t0 + time.Second}
+	late, body, done := held, held, held
+	late.Until = t0 - 1
+	body.Print = Digest{}
+	done.State = Done
+	done.Outcome = Outcome{Kind: request.Completed, Status: 201, Body: "paid", Kept: true}
+	for name, c := range map[string]struct {
+		row    Row
+		code   status.Code
+		kind   request.Outcome
+		origin Origin
+	}{
+		"held by a call in time":   {held, status.CodeInProgress, request.Unknown, FromRules},
+		"held by a call past time": {late, status.CodeOutcomeUnknown, request.Unknown, FromRules},
+		"held for another body":    {body, status.CodeKeyReused, request.Refused, FromRules},
+		"recorded":                 {done, "", request.Completed, FromRow},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a := begun("me")
+			_, reads := a.Step(t0, ConditionFailed{}).(Read)
+			is.True(reads)
+			ans := a.Step(t0, RowRead{c.row}).(Answer)
+			is.Equal(ans.Outcome.Code, c.code)
+			is.Equal(ans.Outcome.Kind, c.kind)
+			is.Equal(ans.Origin, c.origin)
+			is.True(ans.NotRunHere)
+			is.True(!ans.Duty.Pending())
+		})
+	}
+}
+
+func TestPlatformDownClaimsNothingOfEarlierCalls(t *testing.T) {
+	is := is.New(t)
+	ans := begun("me").Step(t0, NothingWritten{}).(Answer)
+	is.Equal(ans.Outcome.Code, status.CodePlatformDown)
+	is.Equal(ans.Outcome.Kind, request.Unknown) // an earlier call may have run
+	is.True(ans.NotRunHere)
+	is.True(ans.RetryAfter > 0)
+}
+
+// Symptom: a payout runs for a caller that has long been told "too late".
+// Events: the claim is written, the node is paused past the deadline, resumes.
+// Cause: running on the strength of a check made before the pause.
+func TestPausedPastDeadlineReleases(t *testing.T) {
+	is := is.New(t)
+	ans := begun("me").Step(t0+time.Hour, Written{}).(Answer)
+	is.Equal(ans.Outcome, Outcome{Kind: request.Refused, Code: status.CodeDeadline})
+	w := ans.Duty.Step(t0+time.Hour, Begin{}).(Write)
+	is.Equal(w.Row.State, Free)
+	is.Equal(w.Row.Version, int64(2))
+}
+
+// Symptom: a repeat a week later pays again.
+// Events: the outcome's row is removed after Remember; the caller repeats.
+// Cause: an absent row taken for a key never seen.
+func TestDatedKeyOlderThanMemoryIsNotRun(t *testing.T) {
+	is := is.New(t)
+	req := testRequest("me")
+	req.KeyTime = t0 - DefaultConfig().Remember
+	a := New(DefaultConfig(), req)
+	ans := a.Step(t0, Begin{}).(Answer)
+	is.Equal(ans.Outcome, Outcome{Code: status.CodeOutcomeUnknown})
+}
+
+func TestUnreadableRowIsNotRun(t *testing.T) {
+	is := is.New(t)
+	a := begun("me")
+	a.Step(t0, ConditionFailed{})
+	is.Equal(a.Step(t0, RowUnreadable{}).(Answer).Outcome, Outcome{Code: status.CodeOutcomeUnknown})
+}
+
+func TestRowEncoding(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := Outcome{
+			Kind: request.Outcome(rapid.IntRange(0, 3).Draw(t, "kind")), Status: rapid.IntRange(0, 599).Draw(t, "status"),
+			ContentType: rapid.String().Draw(t, "type"), Body: string(rapid.SliceOf(rapid.Byte()).Draw(t, "body")), Kept: true,
+		}
+		o.Size, o.Sum = int64(len(o.Body)), Sum([]byte(o.Body))
+		want := Row{Version: 7, Token: "t", State: Done, Print: Sum([]byte("p")), Since: 5, Until: 9, Outcome: o}
+		b, err := want.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := Decode(7, "t", b); err != nil || got != want {
+			t.Fatalf("got %+v, %v", got, err)
+		}
+	})
+	_, err := Decode(1, "t", []byte("\x81\xa1f\x02"))
+	is.New(t).Equal(status.CodeOf(err), status.CodeProtocol)
+}
+
+func FuzzDecode(f *testing.F) {
+	b, _ := Row{State: Held}.Encode()
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if r, err := Decode(1, "t", b); err == nil && (r.State < Free || r.State > Done) {
+			t.Fatalf("accepted %+v", r)
+		}
+	})
+}
+
+func TestKeys(t *testing.T) {
+	is := is.New(t)
+	is.Equal(CheckKey("").Code, status.CodeKeyMissing)
+	is.Equal(CheckKey(strings.Repeat("k", MaxKeyLen+1)).Code, status.CodeMalformed)
+	is.Equal(CheckKey("a b").Code, status.CodeMalformed)
+	is.True(CheckKey("a/b") == nil)
+	is.True(RowKey(Scope{"a", "b", "c/d"}, "e") != RowKey(Scope{"a", "b", "c"}, "d/e"))
+	is.True(Fingerprint("GET", "/ab", Digest{}) != Fingerprint("GET/", "ab", Digest{}))
+
+	dated, err := uuid.NewV7()
+	is.NoErr(err)
+	want, ok := KeyTime(dated.String())
+	is.True(ok)
+	c := Call{Service: "settle.kalahari", Class: "payout", Method: "POST", Path: "/pay"}
+	key := DeriveKey(dated.String(), c)
+	is.Equal(key, DeriveKey(dated.String(), c))
+	got, ok := KeyTime(key)
+	is.True(ok)
+	is.Equal(got, want) // remembered as long as its root
+	other := c
+	other.Body[0] = 1
+	is.True(DeriveKey(dated.String(), other) != key)
+	_, ok = KeyTime(DeriveKey("a trace id", c))
+	is.True(!ok)
+}
+
+func TestBreaker(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultBreakerConfig()
+	b := NewBreaker(cfg)
+	now := t0
+	for range cfg.Failures {
+		is.True(b.Allow(now))
+		b.Report(now, false)
+	}
+	probes := 0
+	for end := now + time.Minute; now < end; now += 10 * time.Millisecond {
+		if b.Allow(now) {
+			probes++
+			b.Report(now, false)
+		}
+	}
+	is.Equal(probes, 10) // after 0.5, 1, 2, 4 s, then every 8 s
+	is.True(!b.Allow(now))
+	b.Report(now, true)
+	is.True(b.Allow(now))
+}
--- /dev/null
+++ b/internal/core/claim/row.go
@@ -0,0 +1,127 @@
+package claim
+
+import (
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"peardrift/internal/core/request"
+	"peardrift/internal/status"
+)
+
+// State is what a row says about its key.
+type State uint8
+
+const (
+	// Absent: there is no row. It is the zero value.
+	Absent State = iota
+	// Free: claimed before, and nothing ran. The key may be claimed again.
+	Free
+	// Held: an attempt has the claim; it may not have begun, be running, have
+	// ended or be dead.
+	Held
+	// Done: the outcome is recorded. It may be "unknown".
+	Done
+)
+
+// Row is one claim. Version and Token live in the table's item, the rest in
+// its value.
+type Row struct {
+	Version int64
+	Token   string // of the attempt that wrote it last
+	State   State
+	Print   Digest        // what was asked; zero when Free
+	Since   time.Duration // when it was claimed
+	Until   time.Duration // when its run ends at the latest
+	Outcome Outcome       // when Done
+	Expires time.Duration // 0: kept for good; else the platform may remove it
+}
+
+// Outcome is how a request ended.
+type Outcome struct {
+	Kind        request.Outcome
+	Code        status.Code // what failed; empty for a whole answer
+	Status      int         // HTTP status of the target's answer; 0: none
+	ContentType string
+	Body        string // the answer's bytes, if Kept
+	Size        int64  // of the whole answer, in bytes
+	Sum         Digest // of the whole answer
+	Kept        bool   // whether Body is the whole answer
+}
+
+// maxType bounds the content type that is kept with a body, in bytes.
+const maxType = 255
+
+// Trim drops a body of more than limit bytes, or of an outsized content type;
+// its size and digest stay.
+func (o Outcome) Trim(limit int) Outcome {
+	if len(o.Body) > limit || len(o.ContentType) > maxType {
+		o.Body, o.ContentType, o.Kept = "", "", false
+	}
+	return o
+}
+
+// rowFormat is the version of the encoding; a reader refuses any other, so that
+// an older node never takes a newer row for an absent one.
+const rowFormat = 1
+
+// value is a row as it is kept; short names keep it small.
+type value struct {
+	Format uint8         `msgpack:"f"`
+	State  State         `msgpack:"s"`
+	Print  []byte        `msgpack:"p,omitempty"`
+	Since  time.Duration `msgpack:"b,omitempty"`
+	Until  time.Duration `msgpack:"u,omitempty"`
+	Kind   uint8         `msgpack:"k,omitempty"`
+	Code   status.Code   `msgpack:"c,omitempty"`
+	Status int           `msgpack:"h,omitempty"`
+	Type   string        `msgpack:"t,omitempty"`
+	Body   []byte        `msgpack:"a,omitempty"`
+	Size   int64         `msgpack:"n,omitempty"`
+	Sum    []byte        `msgpack:"d,omitempty"`
+	Kept   bool          `msgpack:"w,omitempty"`
+}
+
+// Encode returns the value of the table's item.
+func (r Row) Encode() ([]byte, error) {
+	o := r.Outcome
+	v := value{
+		Format: rowFormat, State: r.State, Since: r.Since, Until: r.Until,
+		Kind: uint8(o.Kind), Code: o.Code, Status: o.Status, Type: o.ContentType,
+		Body: []byte(o.Body), Size: o.Size, Kept: o.Kept,
+	}
+	if r.State == Held || r.State == Done {
+		v.Print = r.Print[:]
+	}
+	if r.State == Done {
+		v.Sum = o.Sum[:]
+	}
+	b, err := msgpack.Marshal(&v)
+	if err != nil {
+		return nil, status.Wrap(status.CodeInternal, err, "encode a claim")
+	}
+	return b, nil
+}
+
+// Decode reads an item's value. It fails with status.CodeProtocol on anything
+// that Encode did not write.
+func Decode(version int64, token string, b []byte) (Row, error) {
+	var v value
+	if err := msgpack.Unmarshal(b, &v); err != nil {
+		return Row{}, status.Wrap(status.CodeProtocol, err, "decode a claim")
+	}
+	if v.Format != rowFormat {
+		return Row{}, status.New(status.CodeProtocol, "claim of format %d, want %d", v.Format, rowFormat)
+	}
+	if v.State < Free || v.State > Done || v.Kind > uint8(request.Failed) {
+		return Row{}, status.New(status.CodeProtocol, "claim of state %d and kind %d", v.State, v.Kind)
+	}
+	r := Row{Version: version, Token: token, State: v.State, Since: v.Since, Until: v.Until}
+	copy(r.Print[:], v.Print)
+	r.Outcome = Outcome{
+		Kind: request.Outcome(v.Kind), Code: v.Code, Status: v.Status, ContentType: v.Type,
+		Body: string(v.Body), Size: v.Size, Kept: v.Kept,
+	}
+	copy(r.Outcome.Sum[:], v.Sum)
+	return r, nil
+}
