Add the admission gate, its concurrency limit and tenants' shares

Overload has to refuse the least important work first, and the same work at each hop. The gate combines an adaptive limit, a queue in order of importance, a level per tenant that callers can read, and weighted shares. It is pure: time in, actions out.

First version: the choice of limit algorithm and the steps of the level are not yet weighed against others by measurement.

--- /dev/null
+++ b/internal/core/admission/level.go
@@ -0,0 +1,158 @@
+package admission
+
+import (
+	"time"
+
+	"peardrift/internal/core/request"
+	"peardrift/internal/core/share"
+)
+
+// graceWindows is for how many windows deep work is still judged by an earlier,
+// lower level. A request that was admitted upstream under that level has cost
+// work; to refuse it here would waste it.
+const graceWindows = 6
+
+// Steps of the aim, the part of the limit that admitted demand is cut to.
+const (
+	minAim    = 0.5
+	maxAim    = 1.1
+	aimDown   = 0.93
+	aimUp     = 0.02
+	busyBelow = 0.97 // use of the limit below which the aim rises
+)
+
+// maxRepay is the part of the limit set aside to work off a standing queue, and
+// repayOver the time in which to do it.
+const (
+	maxRepay  = 0.3
+	repayOver = 200 * time.Millisecond
+)
+
+// forget is what is kept, per idle window, of demand remembered below a level.
+const forget = 0.6
+
+// tenant is the level of one tenant.
+type tenant struct {
+	demand demand
+	level  request.Level
+	recent [graceWindows]request.Level
+}
+
+// floor is the level for deep work: the lowest of the recent ones.
+func (t *tenant) floor() request.Level {
+	low := t.level
+	for _, l := range t.recent {
+		low = min(low, l)
+	}
+	return low
+}
+
+// refuses reports whether the level keeps a request out.
+func (t *tenant) refuses(p request.Priority, deep bool) bool {
+	return p < t.level && (!deep || p < t.floor())
+}
+
+// levels sets the tenants' admission levels once per window.
+type levels struct {
+	tenants []*tenant
+	active  bool    // a queue has stood, and not all demand fits since
+	aim     float64 // part of the limit that admitted demand may take
+
+	weights, demands, parts []float64 // by tenant, reused
+	window                  int
+}
+
+func newLevels() *levels { return &levels{aim: 1} }
+
+func (l *levels) tenant(i int) *tenant {
+	for len(l.tenants) <= i {
+		l.tenants = append(l.tenants, &tenant{})
+	}
+	return l.tenants[i]
+}
+
+// measure is what a window showed of the gate as a whole.
+type measure struct {
+	length   time.Duration
+	limit    float64
+	used     float64 // part of the limit that was in use
+	standing bool    // the queue delay stood above its target
+	waiting  float64 // service time waiting, in seconds
+	slowdown float64
+}
+
+// roll ends a window and sets the levels. It reports whether one has risen.
+func (l *levels) roll(m measure, ledger *share.Ledger, idleBelow float64) bool {
+	keep := float32(1)
+	if l.active && !m.standing && m.used < idleBelow {
+		keep = forget
+	}
+	for _, t := range l.tenants {
+		t.demand.roll(m.length, t.level, keep)
+	}
+	if !l.active && !m.standing {
+		return l.publish(false)
+	}
+	l.steer(m)
+	return l.publish(l.divide(m, ledger))
+}
+
+// steer moves the aim towards a queue that is short but seldom empty.
+func (l *levels) steer(m measure) {
+	if m.standing {
+		if l.active {
+			l.aim = max(minAim, l.aim*aimDown)
+		}
+		l.active = true
+		return
+	}
+	if m.used < busyBelow {
+		l.aim = min(maxAim, l.aim+aimUp)
+	}
+}
+
+// divide splits the capacity among tenants and cuts each one's demand to its
+// part. It reports whether a level is above 0.
+func (l *levels) divide(m measure, ledger *share.Ledger) bool {
+	capacity := m.limit * l.aim / m.slowdown
+	if m.standing {
+		capacity -= min(m.waiting/repayOver.Seconds(), maxRepay*m.limit)
+	}
+	l.weights, l.demands, l.parts = l.weights[:0], l.demands[:0], l.parts[:0]
+	for i, t := range l.tenants {
+		l.weights = append(l.weights, ledger.Weight(i))
+		l.demands = append(l.demands, t.demand.total)
+		l.parts = append(l.parts, 0)
+	}
+	share.Divide(max(0, capacity), l.weights, l.demands, l.parts)
+	above := false
+	for i, t := range l.tenants {
+		t.level = t.demand.cut(l.parts[i])
+		above = above || t.level > 0
+	}
+	return above
+}
+
+// publish remembers the levels for deep work and reports whether one has risen.
+func (l *levels) publish(active bool) bool {
+	if !active {
+		l.active, l.aim = false, 1
+	}
+	rose := false
+	last := l.window % graceWindows
+	l.window++
+	for _, t := range l.tenants {
+		rose = rose || t.level > t.recent[last]
+		t.recent[l.window%graceWindows] = t.level
+	}
+	return rose
+}
+
+// total returns the demand of all tenants in slots.
+func (l *levels) total() float64 {
+	sum := 0.0
+	for _, t := range l.tenants {
+		sum += t.demand.total
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/core/admission/service.go
@@ -0,0 +1,93 @@
+package admission
+
+import (
+	"time"
+
+	"peardrift/internal/core/request"
+)
+
+// importances is the number of values an importance takes.
+const importances = int(request.MaxImportance) + 1
+
+// Weights of a new sample. The common pace follows within some ten requests;
+// what sets one importance apart from the others changes slowly.
+const (
+	paceWeight  = 1.0 / 16
+	ratioWeight = 1.0 / 64
+)
+
+// service estimates how long a request runs in the target.
+//
+// An estimate is a pace common to all importances times a ratio of the
+// importance's own. When the target slows down or recovers, the frequent
+// importances move the pace, and with it the estimates of the rare ones. With
+// separate means a rare importance would keep the estimate from a bad time: its
+// requests would be refused as unable to finish and never measured again.
+type service struct {
+	pace    float64 // seconds
+	ratio   [importances]float64
+	running [importances]int
+
+	// Sums over the running requests for slowdown. The sum of start instants
+	// may wrap around; the difference that is taken from it does not.
+	n        int
+	started  time.Duration
+	expected time.Duration
+}
+
+func (s *service) estimate(imp int) time.Duration {
+	return time.Duration(s.pace * s.factor(imp) * float64(time.Second))
+}
+
+func (s *service) factor(imp int) float64 {
+	if s.ratio[imp] == 0 {
+		return 1
+	}
+	return s.ratio[imp]
+}
+
+func (s *service) start(e *entry) {
+	s.running[e.importance()]++
+	s.n++
+	s.started += e.started
+	s.expected += e.expected
+}
+
+func (s *service) end(e *entry) {
+	s.running[e.importance()]--
+	s.n--
+	s.started -= e.started
+	s.expected -= e.expected
+}
+
+// learn takes in a service time. One that was cut short (whole is false) counts
+// only if it was already longer than expected.
+func (s *service) learn(imp int, took time.Duration, whole bool) {
+	x := took.Seconds()
+	if s.pace == 0 {
+		if whole {
+			s.pace = x
+		}
+		return
+	}
+	f := s.factor(imp)
+	if !whole && x <= s.pace*f {
+		return
+	}
+	s.pace += paceWeight * (x/f - s.pace)
+	if s.pace > 0 {
+		s.ratio[imp] = f + ratioWeight*(x/s.pace-f)
+	}
+}
+
+// slowdown returns by how much the running requests outlast expectation, at
+// least 1. It notices a target that stands still, from which no service times
+// come. Requests in flight are on average no older than about their expected
+// service time, a little more with a long tail; twice that is a slowdown.
+func (s *service) slowdown(now time.Duration) float64 {
+	if s.n == 0 || s.expected <= 0 {
+		return 1
+	}
+	age := time.Duration(s.n)*now - s.started
+	return max(1, age.Seconds()/(2*s.expected.Seconds()))
+}
--- /dev/null
+++ b/internal/core/limit/limit.go
@@ -0,0 +1,49 @@
+package limit
+
+import "time"
+
+// Window is what was measured over one stretch of time.
+type Window struct {
+	Length     time.Duration // of the window; windows follow each other without gaps
+	Busy       time.Duration // time in the target, summed over the requests in flight
+	Completed  int           // requests that left the target with an answer of any kind but a shed
+	Overloaded int           // requests that the target shed
+	Saturated  bool          // the limit held work back for most of the window
+}
+
+// Algorithm adapts a concurrency limit.
+type Algorithm interface {
+	// Limit returns the present limit, from 1 to the declared slots.
+	Limit() int
+	// Observe takes in one window.
+	Observe(w Window)
+	// SetMax changes the declared slots; at least 1 is assumed.
+	SetMax(slots int)
+}
+
+// add joins a following window to w.
+func (w *Window) add(next Window) {
+	w.Length += next.Length
+	w.Busy += next.Busy
+	w.Completed += next.Completed
+	w.Overloaded += next.Overloaded
+	w.Saturated = w.Saturated && next.Saturated
+}
+
+// throughput returns completions per second.
+func (w *Window) throughput() float64 {
+	if w.Length <= 0 {
+		return 0
+	}
+	return float64(w.Completed) / w.Length.Seconds()
+}
+
+// timeInTarget returns the mean time a request spent in the target, by
+// Little's law: unlike the mean over completions it rises as soon as requests
+// stop coming back. 0 if nothing completed.
+func (w *Window) timeInTarget() time.Duration {
+	if w.Completed == 0 {
+		return 0
+	}
+	return w.Busy / time.Duration(w.Completed)
+}
