Add the stand-in target

A target's slots, queue, shedding, cold start, drain, lagging or lying health and load, deadlines, cancellation, crash by a marked request and silent connections, as a library and a thin process.

Outgoing calls use net/http: hertz's client doesn't end a call when its context is cancelled, and a target must drop its calls with its request. Answers are rebuilt from their own fields and compared byte for byte, so that a fragment or another request's answer is seen; a check of the test found that an answer under the wrong call's name passed, now refused. hertz's process-wide Date goroutine has no end and is the one goroutine that the leak check leaves out.

--- /dev/null
+++ b/bench/cmd/standin-target/main.go
@@ -0,0 +1,97 @@
+// Command standin-target runs one stand-in target instance until SIGTERM, which
+// drains it; a second signal ends it at once.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"peardrift/bench/standin/target"
+)
+
+const (
+	exitUsage = 2
+	exitCrash = 3
+	drainPoll = 10 * time.Millisecond
+)
+
+type options struct {
+	Config  string `long:"config" required:"true" description:"YAML file with the target's settings"`
+	Listen  string `long:"listen" description:"overrides listen"`
+	Node    string `long:"node" description:"overrides node, the URL for outgoing calls"`
+	Service string `long:"service" description:"overrides service"`
+	Slots   int    `long:"slots" description:"overrides slots"`
+	Seed    uint64 `long:"seed" description:"overrides seed"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(exitUsage)
+	}
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(o options) error {
+	cfg, err := o.load()
+	if err != nil {
+		return err
+	}
+	cfg.OnCrash = func() {
+		fmt.Fprintln(os.Stderr, "crashed by a marked request")
+		os.Exit(exitCrash)
+	}
+	s := target.New(cfg)
+	if err := s.Start(); err != nil {
+		return err
+	}
+	fmt.Println("listening", s.Addr())
+	stop := make(chan os.Signal, 2)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	<-stop
+	s.Drain()
+	awaitIdle(s, stop)
+	return s.Close()
+}
+
+func (o options) load() (target.Config, error) {
+	cfg, err := target.Load(o.Config, func(c *target.Config) {
+		override(&c.Listen, o.Listen)
+		override(&c.Node, o.Node)
+		override(&c.Service, o.Service)
+		override(&c.Slots, o.Slots)
+		override(&c.Seed, o.Seed)
+	})
+	return cfg, err
+}
+
+func override[T comparable](dst *T, v T) {
+	var zero T
+	if v != zero {
+		*dst = v
+	}
+}
+
+// awaitIdle returns when no work is in flight, or at a second signal.
+func awaitIdle(s *target.Server, stop <-chan os.Signal) {
+	t := time.NewTicker(drainPoll)
+	defer t.Stop()
+	for {
+		if c := s.Counters(); c.InFlight+c.Queued == 0 {
+			return
+		}
+		select {
+		case <-stop:
+			return
+		case <-t.C:
+		}
+	}
+}
--- /dev/null
+++ b/bench/standin/target/server.go
@@ -0,0 +1,176 @@
+package target
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"peardrift/bench/standin/httpd"
+	"peardrift/internal/status"
+)
+
+// minSample bounds how often the load is sampled for a lagging /load.
+const minSample = 5 * time.Millisecond
+
+// errStopped ends the work of a target that crashed or was closed.
+var errStopped = status.New(status.CodeConnectionLost, "the target stopped")
+
+// Server is one running target.
+type Server struct {
+	cfg   Config
+	http  *httpd.Server
+	slots chan struct{}
+	queue atomic.Int64
+	pace  *pace
+	loads loadLog
+	count counters
+	calls *caller
+	drain atomic.Pointer[time.Time] // since when it drains
+
+	mu   sync.Mutex
+	life context.Context // ends with a crash or Close
+	kill context.CancelCauseFunc
+
+	stop     chan struct{}
+	sampling sync.WaitGroup
+}
+
+// New returns a target that isn't listening yet.
+func New(cfg Config) *Server {
+	s := &Server{
+		cfg:   cfg,
+		slots: make(chan struct{}, max(1, cfg.Slots)),
+		pace:  newPace(cfg, time.Now()),
+		stop:  make(chan struct{}),
+	}
+	s.count.c.Runs = make(map[string]map[string]int)
+	s.calls = newCaller(cfg, &s.count)
+	s.life, s.kill = context.WithCancelCause(context.Background())
+	return s
+}
+
+// Start checks the settings, opens the port and serves until Close.
+func (s *Server) Start() error {
+	if err := s.cfg.Validate(); err != nil {
+		return err
+	}
+	s.pace.restart(time.Now(), s.cfg.ColdFor)
+	h, err := httpd.Start(httpd.Config{
+		Listen:      s.cfg.Listen,
+		MaxConns:    s.cfg.MaxConns,
+		ConnectCost: s.cfg.ConnectCost,
+	}, s.serve)
+	if err != nil {
+		return err
+	}
+	s.http = h
+	if s.cfg.LoadLag > 0 {
+		s.sampling.Go(s.sample)
+	}
+	return nil
+}
+
+// Addr returns the address in use.
+func (s *Server) Addr() string { return s.http.Addr() }
+
+// URL returns the base URL of the target.
+func (s *Server) URL() string { return "http://" + s.Addr() }
+
+// Close stops all work at once and waits for it. Call it once, after Start.
+func (s *Server) Close() error {
+	close(s.stop)
+	s.lifetime().end(errStopped)
+	err := s.http.Close()
+	s.calls.close()
+	s.sampling.Wait()
+	return err
+}
+
+// Counters returns what /control/counters tells.
+func (s *Server) Counters() Counters {
+	c := s.count.snapshot()
+	c.Queued = int(s.queue.Load())
+	c.OpenConns = s.http.Conns.Open()
+	c.RejectedConns = s.http.Conns.Rejected()
+	return c
+}
+
+// Drain starts a graceful stop: work in flight finishes.
+func (s *Server) Drain() {
+	now := time.Now()
+	s.drain.CompareAndSwap(nil, &now)
+}
+
+// Slow multiplies service times by factor from the next run on; 1 is normal.
+func (s *Server) Slow(factor float64) { s.pace.setFactor(factor) }
+
+// Silence makes the connections open now go silent; new ones work.
+func (s *Server) Silence() { s.http.Conns.Silence("") }
+
+// Crash does what a request with the crash mark does.
+func (s *Server) Crash() {
+	s.count.update(func(c *Counters) { c.Crashes++ })
+	if s.cfg.OnCrash != nil {
+		s.cfg.OnCrash()
+		return
+	}
+	s.http.Conns.Reset()
+	s.lifetime().end(errStopped)
+	s.mu.Lock()
+	s.life, s.kill = context.WithCancelCause(context.Background())
+	s.mu.Unlock()
+	s.pace.restart(time.Now(), s.cfg.ColdFor)
+}
+
+type lifetime struct {
+	ctx context.Context
+	end context.CancelCauseFunc
+}
+
+func (s *Server) lifetime() lifetime {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return lifetime{s.life, s.kill}
+}
+
+// sample notes the load for a lagging /load until Close.
+func (s *Server) sample() {
+	t := time.NewTicker(max(minSample, s.cfg.LoadLag/20))
+	defer t.Stop()
+	for {
+		select {
+		case now := <-t.C:
+			s.loads.add(now, s.load(), s.cfg.LoadLag)
+		case <-s.stop:
+			return
+		}
+	}
+}
+
+// load returns the true load of now.
+func (s *Server) load() load {
+	n := len(s.slots)
+	return load{InFlight: n, Slots: cap(s.slots), Utilization: float64(n) / float64(cap(s.slots))}
+}
+
+// toldLoad returns what /load says.
+func (s *Server) toldLoad(now time.Time) load {
+	switch {
+	case s.cfg.LoadLie != nil:
+		u := *s.cfg.LoadLie
+		return load{InFlight: int(u * float64(cap(s.slots))), Slots: cap(s.slots), Utilization: u}
+	case s.cfg.LoadLag > 0:
+		v := s.loads.at(now, s.cfg.LoadLag)
+		v.Slots = cap(s.slots)
+		return v
+	default:
+		return s.load()
+	}
+}
+
+// leaving reports whether a drain is known to the outside.
+func (s *Server) leaving(now time.Time) bool {
+	since := s.drain.Load()
+	return since != nil && now.Sub(*since) >= s.cfg.HealthLag
+}
