Replay traces of both deployments under a virtual clock, with baselines

The policy needs a measure before it is tuned: whole requests that complete, recovery, order of refusal, useless work.

--- /dev/null
+++ b/bench/replay/call.go
@@ -0,0 +1,199 @@
+package replay
+
+import (
+	"time"
+
+	"peardrift/bench/replay/workload"
+	"peardrift/internal/core/request"
+	"peardrift/internal/core/retry"
+	"peardrift/internal/status"
+)
+
+// tree is one whole request as peardrift sees it: one try of a client.
+type tree struct {
+	user     *user
+	class    *workload.Class
+	id       request.ID
+	services uint64 // bit set of the services that completed a call for it
+}
+
+// call is one call that a node makes for a request, with all its attempts.
+type call struct {
+	n        *node
+	spec     *workload.Call
+	tree     *tree
+	parent   *attempt // nil at the entry node
+	purse    *retry.Purse
+	depth    int
+	deadline time.Duration
+	made     retry.Call
+	tries    int
+	cur      *attempt
+	timer    *event
+	avoid    []*node // refused or failed an earlier attempt
+	done     func(result)
+	entered  uint64 // key among the entries of its node
+	over     bool
+}
+
+// attempt is one try of a call at one target, with its state at the callee.
+type attempt struct {
+	seq      uint64
+	call     *call
+	to       *node
+	grant    retry.Grant
+	sent     time.Duration
+	delay    time.Duration
+	gone     bool // the caller doesn't wait any more
+	inFlight bool // counted at the caller
+
+	purse   retry.Purse // at the callee
+	key     uint64      // of the callee's gate
+	arrived time.Duration
+	began   time.Duration
+	running bool
+	gated   bool // admitted by the gate
+	over    bool
+	timer   *event
+	subs    []*call
+	useful  time.Duration // slot time of completed calls below
+}
+
+// result is an ended attempt or call.
+type result struct {
+	outcome    request.Outcome
+	code       status.Code
+	retryAfter time.Duration
+	answer     answer // what the callee's node says about itself
+	unspent    int
+	made       int
+	work       time.Duration // slot time that the result is made of
+	answered   bool          // an answer came; else the caller gave up
+}
+
+// try makes the next attempt, or ends the call.
+func (c *call) try() {
+	w, o := c.n.w, c.n.outbound(c.spec.Service)
+	c.timer = nil
+	if c.over {
+		return
+	}
+	if r, ok := o.early(c); !ok {
+		w.m.decide(decidedEarly)
+		c.finish(r)
+		return
+	}
+	to := o.pick(c)
+	if to == nil {
+		c.finish(result{outcome: c.claim(request.Refused), code: status.CodeNoTarget})
+		return
+	}
+	a := &attempt{call: c, to: to, sent: w.now, delay: w.delay(c.n, to)}
+	if w.pol.CoreRetry && !o.start(a) {
+		c.finish(result{outcome: c.claim(request.Refused), code: status.CodeRetriesExhausted})
+		return
+	}
+	w.seq++
+	a.seq = w.seq
+	c.tries++
+	c.cur = a
+	o.sent(a)
+	w.m.sent(c, to.svc)
+	w.after(a.delay, func() { to.receive(a) })
+	if c.deadline > 0 {
+		c.timer = w.at(c.deadline, c.timeout)
+	}
+}
+
+// timeout gives up at the deadline.
+func (c *call) timeout() {
+	c.timer = nil
+	c.n.w.m.decide(decidedTimeout)
+	a := c.cur
+	c.drop(a)
+	c.ended(a, result{outcome: request.Unknown, code: status.CodeDeadlineExceeded})
+}
+
+// drop stops waiting for an attempt; with cancellation its work is stopped too.
+func (c *call) drop(a *attempt) {
+	if a == nil || a.gone {
+		return
+	}
+	a.gone = true
+	if c.n.w.pol.Cancel {
+		c.n.w.after(a.delay, func() { a.to.cancel(a) })
+	}
+}
+
+// cancel ends the call from above: its caller has failed or gone.
+func (c *call) cancel() {
+	if c.over {
+		return
+	}
+	c.over = true
+	c.timer.cancel()
+	if a := c.cur; a != nil {
+		c.drop(a)
+		c.n.outbound(c.spec.Service).ended(a, result{outcome: request.Unknown, code: status.CodeCanceled})
+	}
+}
+
+// answer receives an attempt's result from the network.
+func (c *call) receive(a *attempt, r result) {
+	if c.over || a.gone || a != c.cur {
+		c.n.w.m.useless += r.work
+		return
+	}
+	c.timer.cancel()
+	r.answered = true
+	c.ended(a, r)
+}
+
+// ended learns from an attempt's end and decides about the next.
+func (c *call) ended(a *attempt, r result) {
+	w, o := c.n.w, c.n.outbound(c.spec.Service)
+	c.cur = nil
+	o.ended(a, r)
+	if r.outcome == request.Completed {
+		c.finish(r)
+		return
+	}
+	w.m.useless += r.work
+	r.work = 0
+	c.avoid = append(c.avoid, a.to)
+	wait, again := o.again(c, r)
+	if !again {
+		r.outcome = c.claim(r.outcome)
+		c.finish(r)
+		return
+	}
+	w.m.decide(decidedRetry)
+	c.timer = w.after(wait, c.try)
+}
+
+// claim is what may be said of the call: "refused" only if no attempt ran.
+func (c *call) claim(o request.Outcome) request.Outcome {
+	if o == request.Refused && c.made.MayHaveRun() {
+		return request.Failed
+	}
+	return o
+}
+
+func (c *call) finish(r result) {
+	if c.over {
+		return
+	}
+	c.over = true
+	c.timer.cancel()
+	switch r.outcome {
+	case request.Refused:
+		c.n.w.m.refused(c)
+	case request.Completed:
+		c.tree.services |= c.n.w.service(c.spec.Service).bit()
+	}
+	if c.parent != nil && c.parent.over {
+		c.n.w.m.useless += r.work
+		return
+	}
+	c.done(r)
+}
--- /dev/null
+++ b/bench/replay/policy.go
@@ -0,0 +1,93 @@
+package replay
+
+import "slices"
+
+// GateKind is the admission control of a node.
+type GateKind int
+
+// The kinds of gate. All but GateCore are baselines.
+const (
+	GateNone     GateKind = iota // the target's own queue only
+	GateStatic                   // a fixed limit of requests in flight, refuses above
+	GateAdaptive                 // a limit that follows latency, refuses above, no order
+	GateCore                     // internal/core/admission
+)
+
+// Policy says which parts of peardrift take part in a run.
+type Policy struct {
+	Name       string
+	About      string
+	Gate       GateKind
+	CorePick   bool // route core; else the less loaded of two random targets
+	CoreRetry  bool // allowance per request and brake; else HopTries at each hop
+	HopTries   int  // attempts a hop makes without CoreRetry
+	Early      bool // callers refuse by the levels that they learned
+	ChainLevel bool // a service answers with the level of the services below it too
+	Allowance  bool // the request's allowance is split and returned
+	Brake      bool // retries draw on a budget that successes fill
+	Deadlines  bool // the whole request's deadline travels with each call
+	Cancel     bool // work for a caller that has gone is stopped
+	ChainOrder bool // one hashed order for all hops; else each hop draws its own
+	DeepFirst  bool // depth decides within an importance
+	QueueOrder bool // the gate's queue is served by priority; else first come
+}
+
+// whole is peardrift with all its parts.
+func whole() Policy {
+	return Policy{
+		Name: "peardrift", About: "all parts", Gate: GateCore, CorePick: true, CoreRetry: true, HopTries: baselineTries,
+		Early: true, ChainLevel: true, Allowance: true, Brake: true, Deadlines: true, Cancel: true,
+		ChainOrder: true, DeepFirst: true, QueueOrder: true,
+	}
+}
+
+// baselineTries is the usual default of three attempts at each hop.
+const baselineTries = 3
+
+// Baselines are the policies that peardrift is compared with.
+func Baselines() []Policy {
+	return []Policy{
+		{Name: "none", About: "no control, three tries a hop", HopTries: baselineTries},
+		{Name: "static", About: "a fixed limit a hop, three tries a hop", Gate: GateStatic, HopTries: baselineTries},
+		{Name: "adaptive", About: "an adaptive limit a hop, deadlines and cancellation, no order, three tries a hop",
+			Gate: GateAdaptive, HopTries: baselineTries, Deadlines: true, Cancel: true},
+	}
+}
+
+// Ablations are peardrift with one part switched off.
+func Ablations() []Policy {
+	without := func(name string, off func(*Policy)) Policy {
+		p := whole()
+		p.Name, p.About = "no-"+name, "peardrift without "+name
+		off(&p)
+		return p
+	}
+	return []Policy{
+		without("chain-order", func(p *Policy) { p.ChainOrder = false }),
+		without("early", func(p *Policy) { p.Early = false }),
+		without("chain-level", func(p *Policy) { p.ChainLevel = false }),
+		without("allowance", func(p *Policy) { p.Allowance = false }),
+		without("brake", func(p *Policy) { p.Brake = false }),
+		without("retry-bounds", func(p *Policy) { p.CoreRetry = false }),
+		without("deadlines", func(p *Policy) { p.Deadlines = false }),
+		without("cancel", func(p *Policy) { p.Cancel = false }),
+		without("deep-first", func(p *Policy) { p.DeepFirst = false }),
+		without("queue-order", func(p *Policy) { p.QueueOrder = false }),
+		without("route", func(p *Policy) { p.CorePick = false }),
+	}
+}
+
+// Policies lists all policies, peardrift first.
+func Policies() []Policy {
+	return slices.Concat([]Policy{whole()}, Baselines(), Ablations())
+}
+
+// PolicyFor returns the policy of that name.
+func PolicyFor(name string) (Policy, bool) {
+	all := Policies()
+	i := slices.IndexFunc(all, func(p Policy) bool { return p.Name == name })
+	if i < 0 {
+		return Policy{}, false
+	}
+	return all[i], true
+}
--- /dev/null
+++ b/bench/replay/result.go
@@ -0,0 +1,129 @@
+package replay
+
+import (
+	"time"
+
+	"peardrift/bench/replay/workload"
+)
+
+// Result is what a run shows.
+type Result struct {
+	Deployment *workload.Deployment
+	Header     workload.Header
+	Classes    map[string]ClassResult
+	Goodput    []float64 // whole requests a second, by Bin
+	Normal     float64   // mean goodput before the trigger
+	Surge      float64   // mean goodput in the trigger
+	Best       float64   // highest mean goodput that the slots allow in the trigger
+	Recovery   time.Duration
+	Recovered  bool
+	Useless    float64 // part of the slot time that went to requests that failed
+	Refused    int     // refused calls of important classes
+	Inverted   int     // of these, while something lesser completed
+	Attempts   float64 // per lookup of the deep service
+	PerUser    float64 // attempts at the deep service per lookup of a user's single try
+	Worst      int     // most attempts for one lookup
+	Counts     map[string]int
+}
+
+// Bin is the width of Goodput's entries.
+const Bin = bin
+
+// ClassResult is what became of one class in the trigger.
+type ClassResult struct {
+	Demand, Done, Best float64 // per second
+	Served             float64 // part of the users that arrived in the trigger and got their answer
+	First              float64 // part of them that got it at the first try
+}
+
+// Fits reports whether the slots allow all of the class's demand.
+func (c *ClassResult) Fits() bool { return c.Best >= c.Demand*fits }
+
+const fits = 0.999
+
+// warmUp is left out of the mean before the trigger.
+const warmUp = 2 * time.Second
+
+func (m *measures) result() *Result {
+	d, h := m.w.dep, m.header
+	r := &Result{Deployment: d, Header: h, Classes: map[string]ClassResult{}, Counts: map[string]int{}}
+	for i, n := range m.counts {
+		r.Counts[decisionNames[i]] = n
+	}
+	from, to := int(h.From/bin), int(h.To/bin)
+	demand := map[string]float64{}
+	for name, s := range m.classes {
+		demand[name] = mean(s.arrived, from, to)
+	}
+	best := d.Best(demand, m.slowdown())
+	for name, s := range m.classes {
+		r.Classes[name] = ClassResult{Demand: demand[name], Done: mean(s.done, from, to), Best: best[name],
+			Served: ratio(s.served, s.arrived, from, to), First: ratio(s.first, s.arrived, from, to)}
+		r.Best += best[name]
+	}
+	r.Goodput = make([]float64, h.Lasts/bin)
+	for _, s := range m.classes {
+		for i := range r.Goodput {
+			r.Goodput[i] += float64(s.done[i]) / bin.Seconds()
+		}
+	}
+	r.Normal = meanOf(r.Goodput[min(int(warmUp/bin), from/2):from])
+	r.Surge = meanOf(r.Goodput[from:to])
+	r.Recovery, r.Recovered = recovery(r.Goodput, to, r.Normal)
+	if all := m.useful + m.useless; all > 0 {
+		r.Useless = float64(m.useless) / float64(all)
+	}
+	r.Refused, r.Inverted = m.inversions()
+	r.Worst = m.deep.worst
+	if m.deep.lookups > 0 {
+		r.Attempts = float64(m.deep.attempts) / float64(m.deep.lookups)
+	}
+	return r
+}
+
+// slowdown is what the trace does to services for the whole of the trigger.
+func (m *measures) slowdown() workload.Slowdown { return m.slowed }
+
+// A service has recovered when goodput over recoveryWindow reaches recoveredAt
+// of normal and the mean of the following stableFor does so too.
+const (
+	recoveryWindow = 500 * time.Millisecond
+	stableFor      = 2 * time.Second
+	recoveredAt    = 0.95
+)
+
+func recovery(goodput []float64, end int, normal float64) (time.Duration, bool) {
+	w, stable := int(recoveryWindow/bin), int(stableFor/bin)
+	for i := end; i+w+stable <= len(goodput); i++ {
+		if meanOf(goodput[i:i+w]) >= recoveredAt*normal && meanOf(goodput[i:i+stable]) >= recoveredAt*normal {
+			return time.Duration(i-end) * bin, true
+		}
+	}
+	return time.Duration(len(goodput)-end) * bin, false
+}
+
+func mean(counts []int, from, to int) float64 {
+	sum := 0
+	for _, n := range counts[from:to] {
+		sum += n
+	}
+	return float64(sum) / (float64(to-from) * bin.Seconds())
+}
+
+func meanOf(x []float64) float64 {
+	if len(x) == 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, v := range x {
+		sum += v
+	}
+	return sum / float64(len(x))
+}
+
+func ratio(part, whole []int, from, to int) float64 {
+	if all := mean(whole, from, to); all > 0 {
+		return mean(part, from, to) / all
+	}
+	return 1
+}
--- /dev/null
+++ b/bench/replay/workload/capacity.go
@@ -0,0 +1,144 @@
+package workload
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// gammaShape gives service times a coefficient of variation of one half.
+const gammaShape = 4
+
+// Draw draws a service time with the given mean.
+func Draw(rng *rand.Rand, mean time.Duration) time.Duration {
+	sum := 0.0
+	for range gammaShape {
+		sum += rng.ExpFloat64()
+	}
+	return time.Duration(sum / gammaShape * float64(mean))
+}
+
+// Slowdown is the factor by which a service's own work takes longer; a service
+// that is not listed works at its usual speed.
+type Slowdown map[string]float64
+
+func (s Slowdown) factor(service string) float64 {
+	if f, ok := s[service]; ok {
+		return f
+	}
+	return 1
+}
+
+// Hold is the mean slot time in seconds that one request takes at each service.
+type Hold map[string]float64
+
+const (
+	capacitySamples = 4000
+	capacitySeed    = 1
+)
+
+// HoldOf computes by sampling what one request of a class takes when nothing
+// queues: the least slot time that completing it needs.
+func (d *Deployment) HoldOf(c *Class, slow Slowdown) Hold {
+	rng := rand.New(rand.NewPCG(capacitySeed, uint64(c.Importance)))
+	hold := Hold{}
+	for range capacitySamples {
+		d.sample(rng, &c.Root, slow, hold)
+	}
+	for s := range hold {
+		hold[s] /= capacitySamples
+	}
+	return hold
+}
+
+// sample runs one call on idle targets and returns how long it takes.
+func (d *Deployment) sample(rng *rand.Rand, c *Call, slow Slowdown, hold Hold) time.Duration {
+	took := time.Duration(float64(Draw(rng, c.Work)) * slow.factor(c.Service))
+	for _, step := range c.Steps {
+		longest := time.Duration(0)
+		for i := range step {
+			for range step[i].Count {
+				if step[i].Chance < 1 && rng.Float64() >= step[i].Chance {
+					continue
+				}
+				sub := d.sample(rng, &step[i].Call, slow, hold) + 2*d.LocalDelay
+				longest = max(longest, sub)
+			}
+		}
+		took += longest
+	}
+	hold[c.Service] += took.Seconds()
+	return took
+}
+
+// Sustainable is the highest rate of the whole mix, in requests a second, at
+// which no service needs more slots than it has.
+func (d *Deployment) Sustainable() float64 {
+	need := Hold{}
+	for i := range d.Classes {
+		for s, h := range d.HoldOf(&d.Classes[i], nil) {
+			need[s] += d.Classes[i].Share * h
+		}
+	}
+	rate := 0.0
+	for _, s := range d.Services {
+		if need[s.Name] == 0 {
+			continue
+		}
+		r := float64(s.Targets*s.Slots) / need[s.Name]
+		if rate == 0 || r < rate {
+			rate = r
+		}
+	}
+	return rate
+}
+
+// Best is the highest goodput per class, in requests a second, that the slots
+// allow for a demand per class when the classes are served in their order of
+// importance; classes of equal importance share in proportion to demand.
+func (d *Deployment) Best(demand map[string]float64, slow Slowdown) map[string]float64 {
+	left := map[string]float64{}
+	for _, s := range d.Services {
+		left[s.Name] = float64(s.Targets * s.Slots)
+	}
+	best := map[string]float64{}
+	for _, group := range d.byImportance() {
+		need := Hold{}
+		for _, c := range group {
+			for s, h := range d.HoldOf(c, slow) {
+				need[s] += h * demand[c.Name]
+			}
+		}
+		part := 1.0
+		for s, n := range need {
+			if n > 0 {
+				part = min(part, left[s]/n)
+			}
+		}
+		for s, n := range need {
+			left[s] -= n * part
+		}
+		for _, c := range group {
+			best[c.Name] = demand[c.Name] * part
+		}
+	}
+	return best
+}
+
+// byImportance groups the classes, the most important first.
+func (d *Deployment) byImportance() [][]*Class {
+	sorted := make([]*Class, 0, len(d.Classes))
+	for i := range d.Classes {
+		sorted = append(sorted, &d.Classes[i])
+	}
+	slices.SortStableFunc(sorted, func(a, b *Class) int { return int(b.Importance) - int(a.Importance) })
+	var groups [][]*Class
+	for i, c := range sorted {
+		if i == 0 || c.Importance != sorted[i-1].Importance {
+			groups = append(groups, nil)
+		}
+		last := len(groups) - 1
+		groups[last] = append(groups[last], c)
+	}
+	return groups
+}
--- /dev/null
+++ b/bench/replay/workload/scenario.go
@@ -0,0 +1,159 @@
+package workload
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Fault names what happens to a service or to one of its targets.
+type Fault string
+
+// The faults; Event.Service says where, Event.Target which target of it.
+const (
+	Slow     Fault = "slow"     // all targets work Factor times as long; 1 ends it
+	Drain    Fault = "drain"    // the target leaves: it finishes what it has
+	Start    Fault = "start"    // the target joins with nothing warmed up
+	Restart  Fault = "restart"  // the target's node loses its state and its calls
+	FailFast Fault = "failfast" // the target fails every call at once; Factor 0 ends it
+	Lie      Fault = "lie"      // the target reports no load; Factor 0 ends it
+	Mark     Fault = "mark"     // nothing happens: the trigger's end, for measuring
+)
+
+// Phase is a stretch of a scenario with steady demand.
+type Phase struct {
+	Lasts   time.Duration
+	Load    float64            // demand, as part of the sustainable rate
+	Tenants map[string]float64 // further factor for one tenant's demand
+	Trigger bool               // this phase is the overload that is measured
+}
+
+// Scenario is demand over time and the faults within.
+type Scenario struct {
+	Name   string
+	About  string
+	Phases []Phase
+	Faults []Event // T counted from the start of the trigger
+	Hard   float64 // part of the clients that ignore Retry-After
+}
+
+// Normal load, and the surge that the goals speak of.
+const (
+	NormalLoad = 0.6
+	SurgeLoad  = 2.0
+	slowFactor = 4
+	floodLoad  = 10
+)
+
+// Lengths of the phases of a scenario.
+type Lengths struct{ Before, During, After time.Duration }
+
+// FullLengths are those of the published tables.
+var FullLengths = Lengths{8 * time.Second, 10 * time.Second, 12 * time.Second}
+
+func (l Lengths) phases(during Phase) []Phase {
+	during.Lasts, during.Trigger = l.During, true
+	return []Phase{{Lasts: l.Before, Load: NormalLoad}, during, {Lasts: l.After, Load: NormalLoad}}
+}
+
+// ScenarioNames lists the scenarios in the order of the tables.
+var ScenarioNames = []string{"normal", "worst", "surge", "slow", "replace", "restart", "failfast", "flood"}
+
+// ScenarioFor returns a scenario as it applies to a deployment, or nil.
+func ScenarioFor(name string, d *Deployment, l Lengths) *Scenario {
+	entry := d.Classes[0].Root.Service
+	for i := range d.Classes {
+		if len(d.Classes[i].Root.Steps) > 0 && d.Classes[i].Share > 0.5 {
+			entry = d.Classes[i].Root.Service
+		}
+	}
+	surge := l.phases(Phase{Load: SurgeLoad})
+	slowed := Event{Fault: Slow, Service: d.Deep, Factor: slowFactor}
+	cured := Event{T: l.During, Fault: Slow, Service: d.Deep, Factor: 1}
+	switch name {
+	case "normal":
+		return &Scenario{name, "normal load, patient clients", l.phases(Phase{Load: NormalLoad}), nil, 0}
+	case "worst":
+		return &Scenario{name, "a deep service slows, demand surges, clients retry hard", surge, []Event{slowed, cured}, 1}
+	case "surge":
+		return &Scenario{name, "twice the sustainable demand, clients retry hard", surge, nil, 1}
+	case "slow":
+		return &Scenario{name, "a deep service slows at normal demand", l.phases(Phase{Load: NormalLoad}), []Event{slowed, cured}, 1}
+	case "replace":
+		return &Scenario{name, "the entry service's targets are replaced in the surge", surge, d.replacement(entry, l), 1}
+	case "restart":
+		return &Scenario{name, "a node of the entry service loses its history in the surge", surge,
+			[]Event{{T: l.During / 2, Fault: Restart, Service: entry}}, 1}
+	case "failfast":
+		return &Scenario{name, "one target of the deep service fails fast and reports no load", l.phases(Phase{Load: NormalLoad}),
+			[]Event{{Fault: FailFast, Service: d.Deep, Factor: 1}, {Fault: Lie, Service: d.Deep, Factor: 1},
+				{T: l.During, Fault: FailFast, Service: d.Deep}, {T: l.During, Fault: Lie, Service: d.Deep}}, 1}
+	case "flood":
+		return &Scenario{name, "one tenant floods a shared service", l.phases(Phase{Load: NormalLoad,
+			Tenants: map[string]float64{"khaosan": floodLoad}}), nil, 1}
+	}
+	return nil
+}
+
+// replacement drains and replaces the targets of a service one after another.
+func (d *Deployment) replacement(service string, l Lengths) []Event {
+	var out []Event
+	for i := range d.Services {
+		s := &d.Services[i]
+		if s.Name != service {
+			continue
+		}
+		for n := range s.Targets {
+			at := l.During * time.Duration(n+1) / time.Duration(s.Targets+2)
+			out = append(out, Event{T: at, Fault: Start, Service: service, Target: s.Targets + n},
+				Event{T: at, Fault: Drain, Service: service, Target: n})
+		}
+	}
+	return out
+}
+
+// clients is how many different clients the generator draws from.
+const clients = 20000
+
+// Generate draws the trace of a scenario.
+func Generate(d *Deployment, s *Scenario, seed uint64) *Trace {
+	rng := rand.New(rand.NewPCG(seed, 0x7ea2))
+	sustainable := d.Sustainable()
+	tr := &Trace{Header: Header{Format: Format, Deployment: d.Name, Scenario: s.Name, Seed: seed, Hard: s.Hard}}
+	at := time.Duration(0)
+	for _, p := range s.Phases {
+		if p.Trigger {
+			tr.Header.From, tr.Header.To = at, at+p.Lasts
+			for _, f := range s.Faults {
+				f.T += at
+				tr.Events = append(tr.Events, f)
+			}
+		}
+		for i := range d.Classes {
+			tr.Events = append(tr.Events, arrivals(rng, d, &d.Classes[i], p, sustainable, at)...)
+		}
+		at += p.Lasts
+	}
+	tr.Header.Lasts = at
+	slices.SortStableFunc(tr.Events, func(a, b Event) int { return int(a.T - b.T) })
+	return tr
+}
+
+// arrivals draws the Poisson arrivals of one class in one phase.
+func arrivals(rng *rand.Rand, d *Deployment, c *Class, p Phase, sustainable float64, from time.Duration) []Event {
+	rate := sustainable * p.Load * c.Share
+	if f, ok := p.Tenants[c.Tenant]; ok {
+		rate *= f
+	}
+	out := make([]Event, 0, int(math.Ceil(rate*p.Lasts.Seconds())))
+	for at := 0.0; ; {
+		at += rng.ExpFloat64() / rate
+		t := time.Duration(at * float64(time.Second))
+		if t >= p.Lasts {
+			return out
+		}
+		client := rng.IntN(clients)
+		out = append(out, Event{T: from + t, Tenant: c.Tenant, Class: c.Name, Client: client, Zone: client % d.Zones})
+	}
+}
