Read configuration sets from YAML with all problems at once

The tree of the YAML library is bound by hand instead of by its decoder: that one stops at the first fault, and what the validation of the whole set finds later has no place in a file any more. Its parser's time grows with the square of the nesting, so deep nesting is refused by the tokens before it is parsed.

--- /dev/null
+++ b/internal/adapter/yamlset/load.go
@@ -0,0 +1,70 @@
+package yamlset
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"peardrift/internal/core/confset"
+	"peardrift/internal/status"
+)
+
+// Load reads a set from files and from the *.yaml and *.yml files that lie
+// directly in directories. The error is Problems if the set is not valid, a
+// status.CodeInvalidSettings if something can't be read.
+func Load(paths ...string) (confset.Set, error) {
+	var files []File
+	for _, path := range paths {
+		names, err := list(path)
+		if err != nil {
+			return confset.Set{}, err
+		}
+		for _, name := range names {
+			f, err := read(name)
+			if err != nil {
+				return confset.Set{}, err
+			}
+			if files = append(files, f); len(files) > MaxFiles {
+				return Parse(files...)
+			}
+		}
+	}
+	return Parse(files...)
+}
+
+// list returns path itself, or the files of a directory in their order.
+func list(path string) ([]string, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, status.Wrap(status.CodeInvalidSettings, err, "cannot read the set")
+	}
+	if !info.IsDir() {
+		return []string{path}, nil
+	}
+	var names []string
+	for _, pattern := range [...]string{"*.yaml", "*.yml"} {
+		found, err := filepath.Glob(filepath.Join(path, pattern))
+		if err != nil {
+			return nil, status.Wrap(status.CodeInvalidSettings, err, "cannot list the set")
+		}
+		names = append(names, found...)
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+// read reads at most one byte more than a file may have, so that a huge or
+// endless file costs no memory before Parse refuses it.
+func read(name string) (File, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return File{}, status.Wrap(status.CodeInvalidSettings, err, "cannot read the set")
+	}
+	defer f.Close()
+	body, err := io.ReadAll(io.LimitReader(f, MaxFileSize+1))
+	if err != nil {
+		return File{}, status.Wrap(status.CodeInvalidSettings, err, "cannot read %s", name)
+	}
+	return File{Name: name, Body: body}, nil
+}
--- /dev/null
+++ b/internal/adapter/yamlset/parse_test.go
@@ -0,0 +1,169 @@
+package yamlset
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peardrift/internal/core/confset"
+	"peardrift/internal/status"
+)
+
+const tenantFile = "tenant: khaosan\nshare: 0.5\n"
+
+const feedFile = `services:
+  - name: feed
+    slots: 25
+    connections: 250
+    calls: [notices.khaosan]
+    classes:
+      - {name: read, method: GET, path: /feed, importance: 30, deadline: 800ms, max_body: 4KiB}
+  - name: notices
+    slots: 190
+    connections: 1250
+    classes:
+      - name: publish
+        method: POST
+        path: /notices
+        importance: 90
+        at_most_once: true
+        attempts: 0
+`
+
+func TestParse(t *testing.T) {
+	is := is.New(t)
+	set, err := Parse(File{"a.yaml", []byte(tenantFile)}, File{"b.yaml", []byte(feedFile)})
+	is.NoErr(err)
+	is.Equal(set.Share, 0.5)
+	is.Equal(len(set.Services), 2)
+	is.Equal(set.Services[0].Classes[0], confset.Class{
+		Name: "read", Method: "GET", Path: "/feed", Importance: 30, Deadline: 800 * time.Millisecond,
+		Attempts: confset.DefaultAttempts, MaxBody: 4096,
+	})
+	is.Equal(set.Services[1].Classes[0], confset.Class{
+		Name: "publish", Method: "POST", Path: "/notices", Importance: 90, Deadline: confset.DefaultDeadline,
+		AtMostOnce: true, Remember: confset.DefaultRemember, MaxBody: confset.DefaultMaxBody,
+	})
+}
+
+// Symptom: an operator mends one fault, applies, and is told the next one, all
+// morning long. Events: a set with faults of every kind in two files. Cause: a
+// reader that stops at the first fault, or forgets where a value stood.
+func TestAllProblemsWithTheirPlaces(t *testing.T) {
+	bad := `tenant: khaosan
+share: lots
+colour: red
+services:
+  - name: feed
+    slots: 25
+    slots: 26
+    connections: 2
+    calls: [nowhere.khaosan]
+    classes:
+      - name: read
+        path: feed
+        importance: 200
+        deadline: 5
+        max_body: [1]
+        at_most_once: maybe
+  - slots: x
+    connections: 10
+    classes: {}
+`
+	_, err := Parse(File{"a.yaml", []byte(bad)}, File{"b.yaml", []byte("share: 1\nservices: [\n")},
+		File{"c.yaml", []byte("services:\n  - name: archive\n    slots: 0\n    connections: 9\n    classes: []\n")})
+	var ps Problems
+	if !errors.As(err, &ps) {
+		t.Fatalf("not Problems: %v", err)
+	}
+	is.New(t).True(errors.Is(err, status.New(status.CodeInvalidSet, "")))
+	all := "\n" + ps.Error() + "\n"
+	for _, want := range []string{
+		"a.yaml:2:8: share: must be a number",
+		"a.yaml:3:1: colour: unknown key",
+		"a.yaml:7:5: services[0].slots: is given twice",
+		"a.yaml:8:18: services[0].connections: must be at least the 25 slots",
+		"a.yaml:12:15: services[0].classes[0].path: must start with /",
+		"a.yaml:13:21: services[0].classes[0].importance: must be 0 to 100",
+		"a.yaml:14:19: services[0].classes[0].deadline: must be a duration",
+		"a.yaml:15:19: services[0].classes[0].max_body: must be a size",
+		"a.yaml:16:23: services[0].classes[0].at_most_once: must be true or false",
+		"a.yaml:17:5: services[1].name: is missing",
+		"a.yaml:17:12: services[1].slots: must be a whole number",
+		"a.yaml:19:14: services[1].classes: must be a list",
+		"b.yaml:2:11: ",
+		"c.yaml:3:12: services[0].slots: must be 1 to",
+		"c.yaml:5:14: services[0].classes: must have at least one class",
+	} {
+		if !strings.Contains(all, "\n"+want) {
+			t.Errorf("missing %q in:%s", want, all)
+		}
+	}
+	is.New(t).True(!strings.Contains(all, "nowhere")) // b.yaml may declare it
+}
+
+func TestRefusedInput(t *testing.T) {
+	for name, body := range map[string]string{
+		"empty":     "",
+		"list":      "- 1\n",
+		"two":       tenantFile + feedFile + "---\na: 1\n",
+		"alias":     tenantFile + strings.Replace(feedFile, "25\n", "&x 25\n", 1),
+		"tag":       tenantFile + strings.Replace(feedFile, "25\n", "!!int 25\n", 1),
+		"null":      tenantFile + "services:\n",
+		"overflow":  tenantFile + strings.Replace(feedFile, "25\n", "99999999999999999999\n", 1),
+		"huge":      tenantFile + feedFile + "#" + strings.Repeat("x", MaxFileSize),
+		"nested":    strings.Repeat("[", 100_000),
+		"entries":   strings.Repeat("- ", 100_000),
+		"callee":    tenantFile + strings.Replace(feedFile, "notices.khaosan", "nowhere.khaosan", 1),
+		"no tenant": feedFile,
+		"same name": tenantFile + strings.Replace(feedFile, "name: notices", "name: feed", 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			set, err := Parse(File{"x.yaml", []byte(body)})
+			var ps Problems
+			is := is.New(t)
+			is.True(errors.As(err, &ps) && len(ps) > 0)
+			is.Equal(set, confset.Set{}) // nothing is accepted in part
+		})
+	}
+}
+
+func TestLoad(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	is.NoErr(os.WriteFile(filepath.Join(dir, "tenant.yaml"), []byte(tenantFile), 0o600))
+	is.NoErr(os.WriteFile(filepath.Join(dir, "feed.yml"), []byte(feedFile), 0o600))
+	is.NoErr(os.WriteFile(filepath.Join(dir, "README"), []byte("none"), 0o600))
+	set, err := Load(dir)
+	is.NoErr(err)
+	is.Equal(len(set.Services), 2)
+	_, err = Load(filepath.Join(dir, "absent"))
+	is.Equal(status.CodeOf(err), status.CodeInvalidSettings)
+	_, err = Load(t.TempDir())
+	is.True(errors.Is(err, status.New(status.CodeInvalidSet, "")))
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(tenantFile + feedFile))
+	f.Add([]byte("tenant: [\n"))
+	f.Add([]byte("? - a\n: &x *x\n"))
+	f.Add([]byte("services: [{name: {}, classes: [[]]}]\n"))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		set, err := Parse(File{"x.yaml", body})
+		if err != nil {
+			return
+		}
+		encoded, digest, err := confset.Encode(set)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := confset.Decode(encoded, digest, 1); err != nil {
+			t.Fatal(err) // what operators may submit, nodes can read
+		}
+	})
+}
--- a/internal/core/confset/validate.go
+++ b/internal/core/confset/validate.go
@@ -54,18 +54,15 @@
 	v.check(s.Share > 0 && s.Share <= 1 && !math.IsNaN(s.Share), "share", "must be above 0 and at most 1")
 	v.check(len(s.Services) > 0, "services", "must name at least one service")
 	v.check(len(s.Services) <= MaxServices, "services", "must have at most %d services", MaxServices)
-	first := make(map[string]int)
+	known := make(map[string]bool)
 	for i, svc := range s.Services {
 		field := fmt.Sprintf("services[%d]", i)
-		if j, dup := first[svc.Name]; dup {
-			v.check(false, field+".name", "%q is already the name of services[%d]", svc.Name, j)
-		} else {
-			first[svc.Name] = i
-		}
+		v.check(!known[svc.Name], field+".name", "%q is already the name of another service", svc.Name)
+		known[svc.Name] = true
 		v.service(field, svc)
 	}
 	for i, svc := range s.Services {
-		v.calls(fmt.Sprintf("services[%d]", i), s.Tenant, svc, first)
+		v.calls(fmt.Sprintf("services[%d]", i), s.Tenant, svc, known)
 	}
 	return v.problems
 }
@@ -125,7 +122,7 @@
 // calls checks that the calls inside the tenant name services of the set.
 // Whether another tenant allows a call is its own set's matter, and is decided
 // for each request.
-func (v *validator) calls(field string, t request.Tenant, s Service, services map[string]int) {
+func (v *validator) calls(field string, t request.Tenant, s Service, services map[string]bool) {
 	v.check(len(s.Calls) <= MaxCalls, field+".calls", "must have at most %d services", MaxCalls)
 	for i, callee := range s.Calls {
 		at := fmt.Sprintf("%s.calls[%d]", field, i)
@@ -136,8 +133,7 @@
 		}
 		v.check(!slices.Contains(s.Calls[:i], callee), at, "%q is named twice", callee)
 		v.check(callee != FullName(s.Name, t), at, "a service must not call itself")
-		_, known := services[name]
-		v.check(known || request.Tenant(tenant) != t, at, "%q is no service of this set", callee)
+		v.check(services[name] || request.Tenant(tenant) != t, at, "%q is no service of this set", callee)
 	}
 }
 
