Run at-most-once requests over the platform's table

A recorded outcome whose answer was too large has a code of its own, because an empty body would pass for a whole answer.

--- /dev/null
+++ b/internal/claims/result.go
@@ -0,0 +1,100 @@
+package claims
+
+import (
+	"time"
+
+	"peardrift/internal/core/claim"
+	"peardrift/internal/core/request"
+	"peardrift/internal/status"
+)
+
+// Request is one call of an at-most-once class.
+type Request struct {
+	Scope    claim.Scope
+	Key      string // the caller's, or claim.DeriveKey's
+	Method   string
+	Path     string // with its query
+	Body     claim.Digest
+	Deadline time.Time // when the caller stops waiting
+}
+
+// Result is how a call ended. With Err nil a whole answer follows: the own
+// run's, or the recorded one of an earlier call.
+type Result struct {
+	Outcome claim.Outcome
+	Err     *status.Error
+	Origin  claim.Origin
+	// NotRunHere: this call ran nothing. It says less than an Outcome.Kind of
+	// request.Refused, which speaks of all calls under the key.
+	NotRunHere bool
+}
+
+// Answered is the Result of a run with a whole answer. body is copied.
+func Answered(httpStatus int, contentType string, body []byte) Result {
+	return Result{Outcome: claim.Outcome{
+		Kind: request.Completed, Status: httpStatus, ContentType: contentType,
+		Body: string(body), Size: int64(len(body)), Sum: claim.Sum(body), Kept: true,
+	}}
+}
+
+// Streamed is the Result of a run whose answer went to the caller in parts and
+// whole, without being kept.
+func Streamed(httpStatus int, contentType string, size int64, sum claim.Digest) Result {
+	return Result{Outcome: claim.Outcome{
+		Kind: request.Completed, Status: httpStatus, ContentType: contentType, Size: size, Sum: sum,
+	}}
+}
+
+// Failure is the Result of a run without an answer. err.Outcome decides: with
+// request.Refused the claim is released, else the failure is recorded.
+func Failure(err *status.Error) Result {
+	return Result{Err: err, Outcome: claim.Outcome{Kind: err.Outcome, Code: err.Code}}
+}
+
+// event returns what the attempt is told about a run.
+func (r Result) event() claim.Event {
+	if r.Err != nil && r.Err.Outcome == request.Refused {
+		return claim.TargetNotRun{Code: r.Err.Code, RetryAfter: r.Err.RetryAfter}
+	}
+	return claim.TargetDone{Outcome: r.Outcome}
+}
+
+// resultOf turns an answer that is not the own run's into a Result.
+func resultOf(a claim.Answer) Result {
+	res := Result{Outcome: a.Outcome, Origin: a.Origin, NotRunHere: a.NotRunHere}
+	code := a.Outcome.Code
+	if code == "" && a.Outcome.Kind == request.Completed && !a.Outcome.Kept {
+		code = status.CodeAnswerNotKept
+	}
+	if code == "" {
+		return res
+	}
+	res.Err = status.New(code, "%s", detail(code, a))
+	res.Err.Outcome = a.Outcome.Kind
+	res.Err.RetryAfter = a.RetryAfter
+	return res
+}
+
+// detail tells the caller what is certain, and what to do.
+func detail(code status.Code, a claim.Answer) string {
+	if a.Origin == claim.FromRow {
+		if code == status.CodeAnswerNotKept {
+			return "an earlier call with this key completed; its answer was too large to keep (sha256 " + a.Outcome.Sum.String() + ")"
+		}
+		return "this is how an earlier call with this key ended"
+	}
+	if a.Outcome.Kind == request.Refused {
+		if code == status.CodeKeyReused {
+			return "the key was used for another request, and this one has not run"
+		}
+		return "nothing has run under this key"
+	}
+	switch code {
+	case status.CodeInProgress:
+		return "an earlier call with this key may still be running; come back for its outcome with the same key"
+	case status.CodeOutcomeUnknown:
+		return "an earlier call with this key may have run, and how it ended is not known; this call ran nothing"
+	default:
+		return "this call ran nothing; whether an earlier call with this key ran could not be read, so repeat with the same key"
+	}
+}
--- /dev/null
+++ b/internal/claims/stats.go
@@ -0,0 +1,39 @@
+package claims
+
+import (
+	"github.com/uber-go/tally/v4"
+)
+
+// stats are the runner's metrics.
+type stats struct{ scope tally.Scope }
+
+func newStats(scope tally.Scope) stats { return stats{scope: scope.SubScope("claims")} }
+
+// op counts an operation at the platform's table.
+func (s stats) op(op, result string, open bool) {
+	s.scope.Tagged(map[string]string{"op": op, "result": result}).Counter("table_ops").Inc(1)
+	gauge := s.scope.Gauge("breaker_open")
+	if open {
+		gauge.Update(1)
+		return
+	}
+	gauge.Update(0)
+}
+
+// call counts a call by how it ended.
+func (s stats) call(res Result) {
+	how := "completed"
+	switch {
+	case res.Err != nil:
+		how = string(res.Err.Code)
+	case res.NotRunHere:
+		how = "repeated"
+	}
+	s.scope.Tagged(map[string]string{"result": how}).Counter("calls").Inc(1)
+}
+
+// duties shows how many duties wait for the platform.
+func (s stats) duties(n int) { s.scope.Gauge("duties_pending").Update(float64(n)) }
+
+// lost counts outcomes that the table does not hold though they were written.
+func (s stats) lost() { s.scope.Counter("outcomes_lost").Inc(1) }
--- a/internal/core/claim/duty.go
+++ b/internal/core/claim/duty.go
@@ -28,6 +28,10 @@
 // Pending reports whether there is anything to do.
 func (d *Duty) Pending() bool { return d.task != nothing }
 
+// Urgent reports whether a caller that repeats at once is better served after
+// the first try: by a recorded outcome, or by a claim that is free again.
+func (d *Duty) Urgent() bool { return d.task == toRecord || d.task == toRelease }
+
 func recording(cfg Config, row Row) Duty {
 	return Duty{cfg: cfg, task: toRecord, token: row.Token, row: row}
 }
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -49,6 +49,7 @@
 	CodeConnectionLost   Code = "connection-lost"
 	CodeOutcomeUnknown   Code = "outcome-unknown"
 	CodeTargetFailed     Code = "target-failed"
+	CodeAnswerNotKept    Code = "completed-answer-not-kept"
 
 	// Operators and settings.
 	CodeInvalidSet      Code = "invalid-set"
