Pick targets by connections, results, measurements and reports

Cause: a target that fails at once looks idle to whoever balances by calls in flight or time, and reported load lags or lies. Failures never lower a target's mean time and eject it, for a bounded share of the subset; reports that disagree with the measurements lose weight. Callers use a bounded rendezvous subset so that connections stay bounded. Ruled out: spill to other zones in proportion to the excess load, which leaves part of the excess; the share is integrated instead.

--- /dev/null
+++ b/internal/core/route/subset.go
@@ -0,0 +1,86 @@
+package route
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Place is where a caller stands.
+type Place struct {
+	// Caller identifies the calling node; it decides the caller's subset.
+	Caller uint64
+	Region string
+	Zone   string
+}
+
+// SubsetSize returns how many of a service's targets each of its callers uses.
+//
+// Each caller keeps at least one connection to each target of its subset, so
+// callers x size connections spread over all targets. The size is the largest
+// that keeps this under ConnShare of what the targets accept, within MinSubset
+// and Subset. conns is the sum over all targets; callers 0 means not known.
+func SubsetSize(cfg *Config, targets, conns, callers int) int {
+	size := cfg.Subset
+	if callers > 0 && conns > 0 {
+		size = min(size, int(cfg.ConnShare*float64(conns))/callers)
+	}
+	return min(max(size, cfg.MinSubset), targets)
+}
+
+// scored is a candidate with its rendezvous hash.
+type scored struct {
+	i    int
+	hash uint64
+}
+
+// subset returns the indices of the caller's targets in ts: those of its zone
+// and the others, in the order of their rendezvous hash. A target that comes or
+// goes changes the subsets of about size/targets of the callers by one target.
+// Targets of another region are used only if the own one has none left.
+func subset(cfg *Config, at Place, ts []Target, callers int) (local, remote []int) {
+	var own, region, far []scored
+	conns := 0
+	for i := range ts {
+		t := &ts[i]
+		if t.Leaving {
+			continue
+		}
+		conns += t.Conns
+		s := scored{i: i, hash: rendezvous(at.Caller, uint64(t.ID))}
+		switch {
+		case t.Region != at.Region:
+			far = append(far, s)
+		case t.Zone == at.Zone:
+			own = append(own, s)
+		default:
+			region = append(region, s)
+		}
+	}
+	if len(own)+len(region) == 0 {
+		region = far
+	}
+	size := SubsetSize(cfg, len(own)+len(region), conns, callers)
+	nLocal := min(len(own), max(int(cfg.LocalShare*float64(size)+0.5), size-len(region)))
+	return first(own, nLocal), first(region, size-nLocal)
+}
+
+func first(s []scored, n int) []int {
+	slices.SortFunc(s, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.i, b.i))
+	})
+	idx := make([]int, 0, n)
+	for _, c := range s[:min(n, len(s))] {
+		idx = append(idx, c.i)
+	}
+	return idx
+}
+
+func rendezvous(caller, target uint64) uint64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], caller)
+	binary.LittleEndian.PutUint64(b[8:], target)
+	return xxhash.Sum64(b[:])
+}
--- /dev/null
+++ b/internal/core/route/table.go
@@ -0,0 +1,169 @@
+package route
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"peardrift/internal/core/request"
+)
+
+// entry is one target of the subset with what was measured of it.
+type entry struct {
+	Target
+	used     bool // in the present subset
+	local    bool // in the caller's zone
+	cap      int32
+	inFlight int32
+
+	measured bool
+	latency  float64 // seconds, mean of successes
+	errors   float64 // share of failures, 0 to 1
+	shed     float64 // share of refusals for load, 0 to 1
+	changed  time.Duration
+	failures int // in a row
+
+	reported   bool
+	load       float64 // reported, 0 to 1 and above
+	reportedAt time.Duration
+	ownThen    int32   // own calls in flight at the report
+	trust      float64 // weight of reports, 0 to 1
+
+	level   request.Level
+	levelAt time.Duration
+
+	avoid     avoidance
+	until     time.Duration // avoided until then
+	ejections int           // in a row
+	breaks    int           // in a row
+	probing   bool
+
+	// Derived by refresh.
+	util   float64
+	cost   float64
+	weight float64 // relative chance to be drawn, 0 to 1
+	hot    bool
+}
+
+type avoidance uint8
+
+const (
+	avoidNot avoidance = iota
+	avoidErrors
+	avoidBroken
+)
+
+// Table is one callee service as one caller sees it.
+type Table struct {
+	cfg     *Config
+	at      Place
+	rng     *rand.Rand
+	entries []entry
+	free    []int32
+	index   map[request.TargetID]int32
+	local   []int32
+	remote  []int32
+
+	refreshed   time.Duration
+	fresh       bool
+	meanUtil    float64
+	meanLatency float64
+	spill       float64 // share of calls steered to other zones
+}
+
+// NewTable returns an empty table of a caller at the given place. rng draws the
+// targets to compare; it must not be shared with another goroutine.
+func NewTable(cfg *Config, at Place, rng *rand.Rand) *Table {
+	return &Table{cfg: cfg, at: at, rng: rng, index: map[request.TargetID]int32{}}
+}
+
+// Update takes a new snapshot of the service's targets; it doesn't keep ts.
+// callers is the number of nodes that call the service, 0 if not known.
+// Measurements of targets that stay in the subset are kept.
+func (t *Table) Update(now time.Duration, ts []Target, callers int) {
+	local, remote := subset(t.cfg, t.at, ts, callers)
+	for i := range t.entries {
+		t.entries[i].used = false
+	}
+	// The callers that one target is to expect, from the subsets' size.
+	expected := float64(callers*(len(local)+len(remote))) / float64(max(len(ts), 1))
+	t.local = t.place(t.local[:0], now, ts, local, expected)
+	t.remote = t.place(t.remote[:0], now, ts, remote, expected)
+	for _, i := range t.local {
+		t.entries[i].local = true
+	}
+	for i := range t.entries {
+		t.release(int32(i))
+	}
+	t.fresh = false
+}
+
+// place enters the targets of a list into the table and returns their indices.
+func (t *Table) place(to []int32, now time.Duration, ts []Target, list []int, expected float64) []int32 {
+	for _, j := range list {
+		tg := ts[j]
+		i, ok := t.index[tg.ID]
+		if !ok || t.entries[i].Incarnation < tg.Incarnation {
+			i = t.slot()
+			t.index[tg.ID] = i
+			t.entries[i] = entry{Target: tg, trust: 1, changed: now}
+		}
+		e := &t.entries[i]
+		if tg.Incarnation == e.Incarnation {
+			// A leave that an answer told wins over a snapshot that lags behind
+			// it, for that incarnation.
+			tg.Leaving = tg.Leaving || e.Leaving
+			e.Target = tg
+		}
+		e.used, e.local = true, false
+		e.cap = connCap(t.cfg, tg.Conns, expected)
+		to = append(to, i)
+	}
+	return to
+}
+
+func (t *Table) slot() int32 {
+	if n := len(t.free); n > 0 {
+		i := t.free[n-1]
+		t.free = t.free[:n-1]
+		return i
+	}
+	t.entries = append(t.entries, entry{})
+	return int32(len(t.entries) - 1)
+}
+
+// release frees the slot of a target that is neither used nor has calls in
+// flight. Until then the index stays taken, so that Done of a call that was
+// sent before an Update can't be booked on another target.
+func (t *Table) release(i int32) {
+	e := &t.entries[i]
+	if e.used || e.inFlight > 0 || e.ID == 0 {
+		return
+	}
+	if t.index[e.ID] == i {
+		delete(t.index, e.ID)
+	}
+	*e = entry{}
+	t.free = append(t.free, i)
+}
+
+// connCap bounds the calls that a caller has in flight at one target, each of
+// which holds a connection: PeakFactor times the caller's even share.
+func connCap(cfg *Config, conns int, expected float64) int32 {
+	if conns <= 0 {
+		return 1 << 30
+	}
+	if expected < 1 {
+		expected = 1
+	}
+	share := cfg.PeakFactor * float64(conns) / expected
+	return int32(min(max(share, 1), float64(conns)))
+}
+
+// Len returns the number of targets in the subset.
+func (t *Table) Len() int { return len(t.local) + len(t.remote) }
+
+// Target returns the target at an index that Pick returned.
+func (t *Table) Target(idx int) Target { return t.entries[idx].Target }
+
+// InFlight returns the calls in flight from here at an index that Pick returned.
+func (t *Table) InFlight(idx int) int { return int(t.entries[idx].inFlight) }
--- /dev/null
+++ b/internal/core/route/table_test.go
@@ -0,0 +1,282 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peardrift/internal/core/request"
+)
+
+const ms = time.Millisecond
+
+func targets(perZone ...int) []Target {
+	var ts []Target
+	for z, n := range perZone {
+		for i := range n {
+			ts = append(ts, Target{
+				ID:          request.TargetIDOf(fmt.Sprintf("t-%d-%d", z, i)),
+				Incarnation: 1, Region: "r", Zone: fmt.Sprintf("z%d", z),
+				Slots: 100, Conns: 800,
+			})
+		}
+	}
+	return ts
+}
+
+func newTable(ts []Target) *Table {
+	cfg := DefaultConfig()
+	t := NewTable(&cfg, Place{Caller: 1, Region: "r", Zone: "z0"}, rand.New(rand.NewPCG(1, 2)))
+	t.Update(0, ts, 0)
+	return t
+}
+
+// play makes calls, one each interval, each of which ends as end says.
+func play(t *Table, from time.Duration, n int, interval time.Duration, end func(now time.Duration, tg Target) Result) map[request.TargetID]int {
+	got := map[request.TargetID]int{}
+	for i := range n {
+		now := from + time.Duration(i)*interval
+		idx, ok := t.Pick(now, 0, nil)
+		if !ok {
+			continue
+		}
+		got[t.Target(idx).ID]++
+		t.Started(now, idx)
+		r := end(now, t.Target(idx))
+		t.Done(now, idx, &r)
+	}
+	return got
+}
+
+func TestPrefersZone(t *testing.T) {
+	is := is.New(t)
+	ts := targets(3, 3, 3)
+	got := play(newTable(ts), 0, 3000, ms, func(_ time.Duration, tg Target) Result {
+		r := Result{Kind: Success, Latency: 5 * ms, InFlight: 40, Limit: 100}
+		if tg.Zone != "z0" {
+			r.Latency += 3 * ms
+		}
+		return r
+	})
+	for _, tg := range ts[:3] {
+		is.True(got[tg.ID] > 500) // spread over the zone
+	}
+	is.Equal(len(got), 3)
+}
+
+// Symptom: a target that fails at once gets most calls of all callers.
+// Events: one target of six answers each call with a failure within 0.1 ms.
+// Cause: it never has anything in flight and is the fastest, so it looks idle.
+func TestFastFailuresDontAttract(t *testing.T) {
+	is := is.New(t)
+	ts := targets(6)
+	bad := ts[0].ID
+	got := play(newTable(ts), 0, 5000, ms, func(_ time.Duration, tg Target) Result {
+		if tg.ID == bad {
+			return Result{Kind: Failure, Latency: ms / 10}
+		}
+		return Result{Kind: Success, Latency: 5 * ms}
+	})
+	is.True(got[bad] < 10) // 5 until ejected, then one per ejection
+}
+
+// Symptom: a service that fails as a whole loses its last targets to ejection,
+// the rest are overloaded. Cause: ejection without a bound.
+func TestEjectionIsBounded(t *testing.T) {
+	is := is.New(t)
+	ts := targets(10)
+	tab := newTable(ts)
+	play(tab, 0, 2000, ms, func(time.Duration, Target) Result { return Result{Kind: Failure, Latency: ms} })
+	is.Equal(tab.ejected(2*time.Second-ms) <= 3, true)
+}
+
+// Symptom: calls go on being lost on a target that crashed.
+// Events: a target crashes with calls in flight, returns after 2 s.
+// Cause: membership takes seconds to notice; the connections tell at once.
+func TestBrokenTargetIsAvoidedAtOnce(t *testing.T) {
+	is := is.New(t)
+	ts := targets(4)
+	down := ts[0].ID
+	tab := newTable(ts)
+	end := func(now time.Duration, tg Target) Result {
+		if tg.ID == down && now < 2*time.Second {
+			return Result{Kind: Broken}
+		}
+		return Result{Kind: Success, Latency: 5 * ms}
+	}
+	got := play(tab, 0, 2000, ms, end)
+	is.True(got[down] <= 8) // the first, then one each time the backoff ends
+	got = play(tab, 3*time.Second, 3000, ms, end)
+	is.True(got[down] > 400) // back in its share
+}
+
+func TestProbe(t *testing.T) {
+	is := is.New(t)
+	tab := newTable(targets(1))
+	idx, _ := tab.Pick(0, 0, nil)
+	tab.Started(0, idx)
+	tab.Done(0, idx, &Result{Kind: Broken})
+	_, ok := tab.Pick(ms, 0, nil)
+	is.True(!ok)
+	_, ok = tab.NextProbe(ms)
+	is.True(!ok) // not before the backoff has run out
+	p, ok := tab.NextProbe(100 * ms)
+	is.True(ok)
+	_, ok = tab.Pick(100*ms, 0, nil)
+	is.True(!ok) // no call is risked while the probe is out
+	tab.Probed(101*ms, p, true)
+	_, ok = tab.Pick(101*ms, 0, nil)
+	is.True(ok)
+	is.Equal(tab.InFlight(p), 0)
+}
+
+// Symptom: a target that leaves gets new calls again.
+// Events: its answer says that it leaves, then a late announcement of the same
+// incarnation arrives with a snapshot. Cause: the announcement was believed.
+func TestLeaveWinsForItsIncarnation(t *testing.T) {
+	is := is.New(t)
+	ts := targets(1)
+	tab := newTable(ts)
+	idx, _ := tab.Pick(0, 0, nil)
+	tab.Started(0, idx)
+	tab.Done(0, idx, &Result{Kind: Leaves})
+	tab.Update(ms, ts, 0)
+	_, ok := tab.Pick(ms, 0, nil)
+	is.True(!ok)
+	ts[0].Incarnation = 2
+	tab.Update(2*ms, ts, 0)
+	_, ok = tab.Pick(2*ms, 0, nil)
+	is.True(ok)
+}
+
+// Symptom: the end of a call is booked on another target.
+// Events: the target is replaced by another while the call is in flight.
+// Cause: its place in the table was given away.
+func TestIndexOutlivesUpdate(t *testing.T) {
+	is := is.New(t)
+	tab := newTable(targets(1))
+	old, _ := tab.Pick(0, 0, nil)
+	tab.Started(0, old)
+	next := targets(0, 1)
+	tab.Update(ms, next, 0)
+	idx, ok := tab.Pick(ms, 0, nil)
+	is.True(ok && idx != old)
+	tab.Done(2*ms, old, &Result{Kind: Broken})
+	_, ok = tab.Pick(2*ms, 0, nil)
+	is.True(ok)
+	is.Equal(len(tab.free), 1) // and is free after the end
+}
+
+func TestLyingReportsLose(t *testing.T) {
+	is := is.New(t)
+	ts := targets(4)
+	liar := ts[0].ID
+	got := play(newTable(ts), 0, 4000, ms, func(_ time.Duration, tg Target) Result {
+		if tg.ID == liar { // says that it is idle, but refuses half and is slow
+			return Result{Kind: Shed, InFlight: 0, Limit: 100}
+		}
+		return Result{Kind: Success, Latency: 5 * ms, InFlight: 60, Limit: 100}
+	})
+	is.True(got[liar] < 400)
+}
+
+func TestSlowStart(t *testing.T) {
+	is := is.New(t)
+	ts := targets(4)
+	ts[0].Since = time.Nanosecond
+	end := func(time.Duration, Target) Result { return Result{Kind: Success, Latency: 5 * ms} }
+	tab := newTable(ts)
+	early := play(tab, 0, 1000, ms, end)[ts[0].ID]
+	late := play(tab, 10*time.Second, 1000, ms, end)[ts[0].ID]
+	is.True(early > 0 && early < 120)
+	is.True(late > 150)
+}
+
+func TestConnectionCap(t *testing.T) {
+	is := is.New(t)
+	ts := targets(1)
+	tab := newTable(ts)
+	tab.Update(0, ts, 400) // 400 callers of 800 connections
+	n := 0
+	for {
+		idx, ok := tab.Pick(0, 0, nil)
+		if !ok {
+			break
+		}
+		tab.Started(0, idx)
+		n++
+	}
+	is.Equal(n, 8) // PeakFactor times its share of 2
+}
+
+func TestLevelSteersLowPriorities(t *testing.T) {
+	is := is.New(t)
+	ts := targets(2)
+	tab := newTable(ts)
+	strict := ts[0].ID
+	level := request.Priority(50) << 16
+	play(tab, 0, 100, ms, func(_ time.Duration, tg Target) Result {
+		r := Result{Kind: Success, Latency: 5 * ms, HasLevel: true}
+		if tg.ID == strict {
+			r.Level = level
+		}
+		return r
+	})
+	for range 50 {
+		idx, _ := tab.Pick(100*ms, level-1, nil)
+		is.True(tab.Target(idx).ID != strict)
+	}
+}
+
+func TestTried(t *testing.T) {
+	is := is.New(t)
+	tab := newTable(targets(3))
+	var tried Tried
+	for range 3 {
+		idx, ok := tab.Pick(0, 0, &tried)
+		is.True(ok)
+		is.True(!tried.has(int32(idx)))
+		tried.Add(idx)
+	}
+	_, ok := tab.Pick(0, 0, &tried)
+	is.True(!ok)
+}
+
+func TestPickAllocs(t *testing.T) {
+	tab := newTable(targets(6, 6, 6))
+	now := time.Duration(0)
+	n := testing.AllocsPerRun(1000, func() { now = call(tab, now) })
+	if n != 0 {
+		t.Fatalf("%v allocations", n)
+	}
+}
+
+func call(tab *Table, now time.Duration) time.Duration {
+	now += ms
+	idx, _ := tab.Pick(now, 0, nil)
+	tab.Started(now, idx)
+	tab.Done(now, idx, &Result{Kind: Success, Latency: 5 * ms, HasLevel: true, InFlight: 50, Limit: 100})
+	return now
+}
+
+func BenchmarkCall(b *testing.B) {
+	tab := newTable(targets(6, 6, 6))
+	now := time.Duration(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = call(tab, now)
+	}
+}
+
+// BenchmarkRareCall has each call pay for a refresh of the whole subset.
+func BenchmarkRareCall(b *testing.B) {
+	tab := newTable(targets(6, 6, 6))
+	now := time.Duration(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = call(tab, now+time.Second)
+	}
+}
