Refuse at the caller what the callee's chain would refuse

Cause: work done for a request that a deep service then refuses is wasted. Answers carry the target's own level and that of its chain for the class; the service's level is a capacity-weighted quantile, so that one outlier target neither shuts nor opens it, and ages out within a second.

--- /dev/null
+++ b/internal/core/early/early_test.go
@@ -0,0 +1,193 @@
+package early
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peardrift/internal/core/request"
+)
+
+const (
+	ms   = time.Millisecond
+	feed = request.Level(20) << 16
+	pay  = request.Priority(90) << 16
+)
+
+var archive = Key{Service: "archive.khaosan", Class: "read"}
+
+func newTable() *Table {
+	cfg := DefaultConfig()
+	return NewTable(&cfg, rand.New(rand.NewPCG(1, 2)))
+}
+
+func learn(t *Table, now time.Duration, ls ...request.Level) {
+	for i, l := range ls {
+		t.Learn(now, archive, Report{Target: request.TargetID(i + 1), Own: l, Slots: 100})
+	}
+}
+
+func TestLevelOfService(t *testing.T) {
+	tests := []struct {
+		name   string
+		levels []request.Level
+		want   request.Level
+	}{
+		{"nothing known", nil, 0},
+		{"its only target", []request.Level{feed}, feed},
+		{"one of four shuts nothing", []request.Level{feed, 0, 0, 0}, 0},
+		{"one of four opens nothing", []request.Level{0, feed, feed, feed}, feed},
+		{"half refuse: the others take it", []request.Level{0, 0, feed, feed}, 0},
+		{"all refuse at about the same", []request.Level{feed, feed + 4, feed + 2, feed + 6}, feed + 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			tab := newTable()
+			learn(tab, 0, tt.levels...)
+			is.Equal(tab.Level(0, archive), tt.want)
+		})
+	}
+}
+
+func TestCheck(t *testing.T) {
+	is := is.New(t)
+	tab := newTable()
+	learn(tab, 0, feed, feed)
+	v := tab.Check(0, archive, feed-1)
+	is.True(v.Refuse)
+	is.True(v.RetryAfter >= time.Second && v.RetryAfter < 2*time.Second)
+	is.True(!tab.Check(0, archive, pay).Refuse) // important requests go on
+	refused, probes := 0, 0
+	for range 1000 {
+		v := tab.Check(0, archive, 0)
+		if v.Refuse {
+			refused++
+		}
+		if v.Probe {
+			probes++
+		}
+	}
+	is.Equal(refused+probes, 1000)
+	is.True(probes >= 9 && probes <= 11)
+}
+
+// Symptom: goodput stays low for seconds after the callee has recovered.
+// Events: the callee's last answers carried a high level, then no more calls
+// are sent, since all would be refused. Cause: the level was held for good.
+func TestLevelAgesOut(t *testing.T) {
+	is := is.New(t)
+	tab := newTable()
+	learn(tab, 0, feed, feed)
+	is.Equal(tab.Level(250*ms, archive), feed)
+	mid := tab.Level(625*ms, archive)
+	is.True(mid > 0 && mid < feed)
+	is.Equal(tab.Level(time.Second, archive), request.Level(0))
+}
+
+// Symptom: a service is shut for a caller by one bad target.
+// Events: four targets are known, only the bad one was heard of lately.
+// Cause: the levels of those not heard of were left out.
+func TestOneTargetHeardShutsNothing(t *testing.T) {
+	is := is.New(t)
+	tab := newTable()
+	learn(tab, 0, 0, 0, 0, 0)
+	learn(tab, 2*time.Second, feed)
+	is.Equal(tab.Level(2*time.Second, archive), request.Level(0))
+}
+
+func TestChainLevel(t *testing.T) {
+	is := is.New(t)
+	tab := newTable()
+	chain := NewChain(tab.cfg, tab)
+	rare := Key{Service: "media.khaosan", Class: "read"}
+	for i := range 100 {
+		now := time.Duration(i) * ms
+		chain.Served(now, "headlines")
+		chain.Used(now, "headlines", archive)
+		if i%10 == 0 {
+			chain.Used(now, "headlines", rare)
+		}
+	}
+	tab.Learn(100*ms, rare, Report{Target: 1, Chain: pay})
+	is.Equal(chain.Level(100*ms, "headlines"), request.Level(0)) // few requests need it
+	learn(tab, 110*ms, feed, feed)
+	is.Equal(chain.Level(110*ms, "headlines"), feed)
+	is.Equal(chain.Level(110*ms, "other"), request.Level(0))
+}
+
+func TestOwnLevelHoldsForAllClasses(t *testing.T) {
+	is := is.New(t)
+	tab := newTable()
+	for i := range 2 {
+		tab.Learn(0, archive, Report{Target: request.TargetID(i + 1), Own: feed, Chain: feed * 2})
+	}
+	other := Key{Service: archive.Service, Class: "search"}
+	is.Equal(tab.Level(0, other), feed)
+	is.Equal(tab.Level(0, archive), feed*2)
+	is.True(tab.Check(0, other, 0).Refuse)
+}
+
+func TestBounds(t *testing.T) {
+	is := is.New(t)
+	tab := newTable()
+	tab.cfg.MaxTargets, tab.cfg.MaxKeys = 4, 2
+	for i := range 100 {
+		k := Key{Service: request.Service(string(rune('a' + i%5)))}
+		tab.Learn(time.Duration(i), k, Report{Target: request.TargetID(i + 1)})
+	}
+	is.Equal(len(tab.keys), 2)
+	for _, l := range tab.keys {
+		is.True(len(l.heard) <= 4)
+	}
+	tab.Forget(request.TargetID(97))
+}
+
+func TestAllocs(t *testing.T) {
+	tab, chain := filled()
+	now := time.Duration(0)
+	n := testing.AllocsPerRun(1000, func() { now = serve(tab, chain, now) })
+	if n != 0 {
+		t.Fatalf("%v allocations", n)
+	}
+}
+
+func filled() (*Table, *Chain) {
+	tab := newTable()
+	chain := NewChain(tab.cfg, tab)
+	learn(tab, 0, make([]request.Level, 16)...)
+	tab.Level(0, archive)
+	chain.Served(0, "headlines")
+	chain.Used(0, "headlines", archive)
+	return tab, chain
+}
+
+// serve is what one request with one call costs, with each level worked out anew.
+func serve(tab *Table, chain *Chain, now time.Duration) time.Duration {
+	now += 5 * ms
+	chain.Served(now, "headlines")
+	chain.Used(now, "headlines", archive)
+	tab.Check(now, archive, pay)
+	tab.Learn(now, archive, Report{Target: 3, Own: feed, Slots: 100})
+	chain.Level(now, "headlines")
+	return now
+}
+
+func BenchmarkRequest(b *testing.B) {
+	tab, chain := filled()
+	now := time.Duration(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = serve(tab, chain, now)
+	}
+}
+
+func BenchmarkCheck(b *testing.B) {
+	tab, _ := filled()
+	b.ReportAllocs()
+	for b.Loop() {
+		tab.Check(0, archive, pay)
+	}
+}
--- /dev/null
+++ b/internal/core/early/table.go
@@ -0,0 +1,231 @@
+package early
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"peardrift/internal/core/request"
+)
+
+// Key is a callee service and the class that a call to it has.
+type Key struct {
+	Service request.Service
+	Class   request.Class
+}
+
+// Report is what one answer says of its target.
+type Report struct {
+	Target request.TargetID
+	// Own is the target's own admission level; it holds for all classes, so an
+	// answer to one class is news for the others.
+	Own request.Level
+	// Chain is the level of the services below it for the call's class.
+	Chain request.Level
+	// Slots is the target's capacity; it weighs the levels.
+	Slots int
+}
+
+// heard is the last report of one target.
+type heard struct {
+	target request.TargetID
+	level  request.Level
+	weight int
+	at     time.Duration
+}
+
+// levels is what is known of one key.
+type levels struct {
+	heard []heard
+	level request.Level // worked out at `at`
+	at    time.Duration
+	fresh bool
+	skip  float64 // part of a probe that is due
+}
+
+// Table holds the levels that one node learned from its callees.
+type Table struct {
+	cfg  *Config
+	rng  *rand.Rand
+	keys map[Key]*levels
+	sort []heard // scratch space of work
+}
+
+// NewTable returns an empty table, which refuses nothing. rng spreads
+// RetryAfter.
+func NewTable(cfg *Config, rng *rand.Rand) *Table {
+	return &Table{cfg: cfg, rng: rng, keys: map[Key]*levels{}}
+}
+
+// Learn takes in the levels that an answer carried.
+func (t *Table) Learn(now time.Duration, k Key, r Report) {
+	h := heard{target: r.Target, level: r.Own, weight: max(r.Slots, 1), at: now}
+	t.learn(now, Key{Service: k.Service}, h)
+	h.level = r.Chain
+	t.learn(now, k, h)
+}
+
+func (t *Table) learn(now time.Duration, k Key, news heard) {
+	l := t.keys[k]
+	if l == nil {
+		if len(t.keys) >= t.cfg.MaxKeys {
+			return
+		}
+		l = &levels{}
+		t.keys[k] = l
+	}
+	h := l.entry(news.target, t.cfg.MaxTargets)
+	if h.at > now {
+		return // an answer that was overtaken by a newer one
+	}
+	*h = news
+	if now-l.at >= t.cfg.Reuse {
+		l.fresh = false
+	}
+}
+
+// entry returns the place for a target: its own, a new one or the oldest one.
+func (l *levels) entry(id request.TargetID, limit int) *heard {
+	oldest := 0
+	for i := range l.heard {
+		if l.heard[i].target == id {
+			return &l.heard[i]
+		}
+		if l.heard[i].at < l.heard[oldest].at {
+			oldest = i
+		}
+	}
+	if len(l.heard) < limit {
+		l.heard = append(l.heard, heard{})
+		return &l.heard[len(l.heard)-1]
+	}
+	l.heard[oldest] = heard{}
+	return &l.heard[oldest]
+}
+
+// Forget drops a target that left the service, so that its last level doesn't
+// count among the known ones.
+func (t *Table) Forget(id request.TargetID) {
+	for _, l := range t.keys {
+		for i := range l.heard {
+			if l.heard[i].target == id {
+				l.heard = append(l.heard[:i], l.heard[i+1:]...)
+				l.fresh = false
+				break
+			}
+		}
+	}
+}
+
+// Verdict is the answer of Check.
+type Verdict struct {
+	// Refuse: the request would be refused; it ran nowhere.
+	Refuse bool
+	// Probe: the level refuses, but this request is sent to learn whether it
+	// still holds.
+	Probe bool
+	// Level that was compared with.
+	Level request.Level
+	// RetryAfter is the advice for a refused one.
+	RetryAfter time.Duration
+}
+
+// Check says whether a request with priority p would be refused by the service.
+func (t *Table) Check(now time.Duration, k Key, p request.Priority) Verdict {
+	level := t.Level(now, k)
+	if p >= level {
+		return Verdict{Level: level}
+	}
+	if l := t.keys[k]; l.probe(t.cfg.Probe) {
+		return Verdict{Probe: true, Level: level}
+	}
+	wait := t.cfg.RetryAfter
+	if t.cfg.Spread > 0 {
+		wait += time.Duration(t.rng.Int64N(int64(t.cfg.Spread)))
+	}
+	return Verdict{Refuse: true, Level: level, RetryAfter: wait}
+}
+
+// Level returns the level learned of a service and class, 0 if it takes all or
+// nothing is known.
+func (t *Table) Level(now time.Duration, k Key) request.Level {
+	return max(t.levelOf(now, Key{Service: k.Service}), t.levelOf(now, k))
+}
+
+func (t *Table) levelOf(now time.Duration, k Key) request.Level {
+	l := t.keys[k]
+	if l == nil {
+		return 0
+	}
+	return t.work(now, l)
+}
+
+// probe reports whether the next refused request is sent after all. A class
+// that was never sent to the service (nil) learns from the others.
+func (l *levels) probe(share float64) bool {
+	if l == nil {
+		return false
+	}
+	l.skip += share
+	if l.skip < 1 {
+		return false
+	}
+	l.skip--
+	return true
+}
+
+// work returns the level of a key, worked out again if it isn't fresh.
+func (t *Table) work(now time.Duration, l *levels) request.Level {
+	if l.fresh && now-l.at < t.cfg.Reuse {
+		return l.level
+	}
+	l.level, l.at, l.fresh = t.quantile(now, l), now, true
+	return l.level
+}
+
+// quantile returns the lowest level such that targets with more than Quantile
+// of the capacity heard of are at or below it.
+func (t *Table) quantile(now time.Duration, l *levels) request.Level {
+	t.sort = t.sort[:0]
+	total := 0
+	for i := range l.heard {
+		h := &l.heard[i]
+		age := now - h.at
+		if age >= t.cfg.Age {
+			continue
+		}
+		total += h.weight
+		t.insert(heard{level: t.aged(h.level, age), weight: h.weight})
+	}
+	if len(t.sort) < min(t.cfg.MinTargets, len(l.heard)) {
+		return 0
+	}
+	limit := t.cfg.Quantile * float64(total)
+	sum := 0
+	for i := range t.sort {
+		sum += t.sort[i].weight
+		if float64(sum) > limit {
+			return t.sort[i].level
+		}
+	}
+	return 0
+}
+
+// insert keeps the scratch space in ascending order of level.
+func (t *Table) insert(h heard) {
+	t.sort = append(t.sort, h)
+	for i := len(t.sort) - 1; i > 0 && t.sort[i-1].level > h.level; i-- {
+		t.sort[i], t.sort[i-1] = t.sort[i-1], t.sort[i]
+	}
+}
+
+// aged is what a level counts for after age without news.
+func (t *Table) aged(level request.Level, age time.Duration) request.Level {
+	if age <= t.cfg.Hold {
+		return level
+	}
+	if age >= t.cfg.Age {
+		return 0
+	}
+	left := float64(t.cfg.Age-age) / float64(t.cfg.Age-t.cfg.Hold)
+	return request.Level(float64(level) * left)
+}
