--- a/internal/adapter/yamlset/parse_test.go
+++ b/internal/adapter/yamlset/parse_test.go
@@ -22,7 +22,7 @@
     connections: 250
     calls: [notices.khaosan]
     classes:
-      - {name: read, method: GET, path: /feed, importance: 30, deadline: 800ms, max_body: 4KiB}
+      - {name: read, method: GET, path: /feed, importance: 30, deadline: 800ms, maxBody: 4KiB}
   - name: notices
     slots: 190
     connections: 1250
@@ -31,7 +31,7 @@
         method: POST
         path: /notices
         importance: 90
-        at_most_once: true
+        atMostOnce: true
         attempts: 0
 `
 
@@ -69,8 +69,8 @@
         path: feed
         importance: 200
         deadline: 5
-        max_body: [1]
-        at_most_once: maybe
+        maxBody: [1]
+        atMostOnce: maybe
   - slots: x
     connections: 10
     classes: {}
@@ -91,8 +91,8 @@
 		"a.yaml:12:15: services[0].classes[0].path: must start with /",
 		"a.yaml:13:21: services[0].classes[0].importance: must be 0 to 100",
 		"a.yaml:14:19: services[0].classes[0].deadline: must be a duration",
-		"a.yaml:15:19: services[0].classes[0].max_body: must be a size",
-		"a.yaml:16:23: services[0].classes[0].at_most_once: must be true or false",
+		"a.yaml:15:18: services[0].classes[0].maxBody: must be a size",
+		"a.yaml:16:21: services[0].classes[0].atMostOnce: must be true or false",
 		"a.yaml:17:5: services[1].name: is missing",
 		"a.yaml:17:12: services[1].slots: must be a whole number",
 		"a.yaml:19:14: services[1].classes: must be a list",
--- a/internal/adapter/yamlset/set.go
+++ b/internal/adapter/yamlset/set.go
@@ -68,18 +68,18 @@
 	var importance int
 	remembers := false
 	d.mapping(n, field, map[string]binding{
-		"name":         {required: true, set: d.str((*string)(&c.Name))},
-		"method":       {set: d.str(&c.Method)},
-		"path":         {required: true, set: d.str(&c.Path)},
-		"importance":   {required: true, set: d.integer(&importance)},
-		"deadline":     {set: d.duration(&c.Deadline)},
-		"attempts":     {set: d.integer(&c.Attempts)},
-		"at_most_once": {set: d.boolean(&c.AtMostOnce)},
+		"name":       {required: true, set: d.str((*string)(&c.Name))},
+		"method":     {set: d.str(&c.Method)},
+		"path":       {required: true, set: d.str(&c.Path)},
+		"importance": {required: true, set: d.integer(&importance)},
+		"deadline":   {set: d.duration(&c.Deadline)},
+		"attempts":   {set: d.integer(&c.Attempts)},
+		"atMostOnce": {set: d.boolean(&c.AtMostOnce)},
 		"remember": {set: func(n ast.Node, field string) {
 			remembers = true
 			d.duration(&c.Remember)(n, field)
 		}},
-		"max_body": {set: d.size(&c.MaxBody)},
+		"maxBody": {set: d.size(&c.MaxBody)},
 	})
 	c.Importance = d.importance(n, field, importance)
 	if c.AtMostOnce && !remembers {
--- a/internal/core/confset/set.go
+++ b/internal/core/confset/set.go
@@ -69,14 +69,14 @@
 	Attempts int `msgpack:"attempts"`
 
 	// AtMostOnce requests carry an idempotency key and never run twice.
-	AtMostOnce bool `msgpack:"at_most_once,omitempty"`
+	AtMostOnce bool `msgpack:"atMostOnce,omitempty"`
 
 	// Remember is how long the key of an at-most-once request is kept.
 	// DefaultRemember if not declared; 0 for other classes.
 	Remember time.Duration `msgpack:"remember,omitempty"`
 
 	// MaxBody bounds a request's body in bytes. DefaultMaxBody if not declared.
-	MaxBody int64 `msgpack:"max_body"`
+	MaxBody int64 `msgpack:"maxBody"`
 }
 
 // What a class has where its operators declare nothing.
--- a/internal/core/confset/validate.go
+++ b/internal/core/confset/validate.go
@@ -102,21 +102,21 @@
 	v.check(c.Deadline >= MinDeadline && c.Deadline <= MaxDeadline, field+".deadline",
 		"must be %v to %v", MinDeadline, MaxDeadline)
 	v.check(c.Attempts >= 0 && c.Attempts <= MaxAttempts, field+".attempts", "must be 0 to %d", MaxAttempts)
-	v.check(c.MaxBody >= 0 && c.MaxBody <= MaxBodyLimit, field+".max_body", "must be 0 to %d bytes", MaxBodyLimit)
+	v.check(c.MaxBody >= 0 && c.MaxBody <= MaxBodyLimit, field+".maxBody", "must be 0 to %d bytes", MaxBodyLimit)
 	v.remember(field, c)
 }
 
 // remember checks what only concerns at-most-once classes.
 func (v *validator) remember(field string, c Class) {
 	if !c.AtMostOnce {
-		v.check(c.Remember == 0, field+".remember", "is only for at_most_once classes")
+		v.check(c.Remember == 0, field+".remember", "is only for atMostOnce classes")
 		return
 	}
 	v.check(c.Remember <= MaxRemember, field+".remember", "must be at most %v", MaxRemember)
 	v.check(c.Remember >= c.Deadline, field+".remember",
 		"must be at least the deadline of %v, or a key is forgotten while its request runs", c.Deadline)
 	v.check(c.Method != "" && c.Method != "GET" && c.Method != "HEAD", field+".method",
-		"of an at_most_once class must be named, and neither GET nor HEAD")
+		"of an atMostOnce class must be named, and neither GET nor HEAD")
 }
 
 // calls checks that the calls inside the tenant name services of the set.
