Measure service times by ratio, not by separate pace, and trial limits both ways

In trials with a virtual target the product of pace and ratio drifted apart until estimates were hours long, and one noisy trial could cut the limit of a target that was merely slower. The mean is now anchored in the samples, and a lower limit is kept only if going back up brings no throughput either.

--- a/internal/core/admission/service.go
+++ b/internal/core/admission/service.go
@@ -9,23 +9,24 @@
 // importances is the number of values an importance takes.
 const importances = int(request.MaxImportance) + 1
 
-// Weights of a new sample. The common pace follows within some ten requests;
+// Weights of a new sample. The mean of all follows within some ten requests;
 // what sets one importance apart from the others changes slowly.
 const (
-	paceWeight  = 1.0 / 16
+	meanWeight  = 1.0 / 16
 	ratioWeight = 1.0 / 64
 )
 
 // service estimates how long a request runs in the target.
 //
-// An estimate is a pace common to all importances times a ratio of the
-// importance's own. When the target slows down or recovers, the frequent
-// importances move the pace, and with it the estimates of the rare ones. With
-// separate means a rare importance would keep the estimate from a bad time: its
-// requests would be refused as unable to finish and never measured again.
+// An estimate is the mean of all requests times a ratio of the importance's
+// own. When the target slows down or recovers, the frequent importances move
+// the mean, and with it the estimates of the rare ones. With separate means a
+// rare importance would keep the estimate from a bad time: its requests would
+// be refused as unable to finish and never measured again.
 type service struct {
-	pace    float64 // seconds
+	mean    float64 // seconds; 0 before the first sample
 	ratio   [importances]float64
+	samples [importances]int
 	running [importances]int
 
 	// Sums over the running requests for slowdown. The sum of start instants
@@ -36,11 +37,13 @@
 }
 
 func (s *service) estimate(imp int) time.Duration {
-	return time.Duration(s.pace * s.factor(imp) * float64(time.Second))
+	return time.Duration(s.mean * s.factor(imp) * float64(time.Second))
 }
 
+// factor returns the importance's ratio to the mean. The first samples average
+// with a ratio of 1, so that a single odd one doesn't decide.
 func (s *service) factor(imp int) float64 {
-	if s.ratio[imp] == 0 {
+	if s.samples[imp] == 0 {
 		return 1
 	}
 	return s.ratio[imp]
@@ -64,20 +67,17 @@
 // only if it was already longer than expected.
 func (s *service) learn(imp int, took time.Duration, whole bool) {
 	x := took.Seconds()
-	if s.pace == 0 {
-		if whole {
-			s.pace = x
-		}
+	if !whole && x <= s.mean*s.factor(imp) || x <= 0 {
 		return
 	}
-	f := s.factor(imp)
-	if !whole && x <= s.pace*f {
+	if s.mean == 0 {
+		s.mean = x
 		return
 	}
-	s.pace += paceWeight * (x/f - s.pace)
-	if s.pace > 0 {
-		s.ratio[imp] = f + ratioWeight*(x/s.pace-f)
-	}
+	f := s.factor(imp)
+	s.samples[imp]++
+	s.ratio[imp] = f + max(ratioWeight, 1/float64(1+s.samples[imp]))*(x/s.mean-f)
+	s.mean += meanWeight * (x - s.mean)
 }
 
 // slowdown returns by how much the running requests outlast expectation, at
--- a/internal/core/admission/stats.go
+++ b/internal/core/admission/stats.go
@@ -61,7 +61,7 @@
 		Queued:   g.queue.len(),
 		Active:   g.levels.active,
 		Demand:   g.levels.total(),
-		Service:  time.Duration(g.service.pace * float64(time.Second)),
+		Service:  time.Duration(g.service.mean * float64(time.Second)),
 		Backlog:  g.queue.work / time.Duration(g.limiter.Limit()),
 		Draining: g.draining,
 	}
--- a/internal/core/admission/window.go
+++ b/internal/core/admission/window.go
@@ -68,12 +68,22 @@
 		Busy:       w.busy,
 		Completed:  w.completed,
 		Overloaded: w.overloaded,
-		Saturated:  w.full > length/2,
+		Saturated:  g.saturated(length),
 	})
 	*w = window{since: now, marked: now, low: w.low}
 	return rose
 }
 
+// saturated returns for how long there was more work than the limit let in. A
+// level above 0 keeps work away so well that slots are seldom all taken; to go
+// by those alone would freeze the limit at whatever it was.
+func (g *Gate) saturated(length time.Duration) time.Duration {
+	if g.levels.active {
+		return length
+	}
+	return g.window.full
+}
+
 // noteDelay keeps the last instant at which the queue delay was low. With a
 // queue in order of importance the wait of those that get a slot says little;
 // the time that the whole queue takes is the delay that counts.
--- a/internal/core/limit/config.go
+++ b/internal/core/limit/config.go
@@ -13,7 +13,7 @@
 	// Higher: small targets start faster, and colder.
 	MinInitial int
 	// MinSamples is the number of completions that a measurement needs.
-	// Default 100 (about 10% error). Higher: surer steps, later.
+	// Default 200 (about 7% error). Higher: surer steps, later.
 	MinSamples int
 	// MinMeasure is the least time a measurement takes. Default 100 ms.
 	// Higher: surer steps, later; it also sets the pace of the ramp at start.
@@ -26,7 +26,7 @@
 	// queueing inside the target is let pass; lower: more trials.
 	Inflation float64
 	// Step is the part of the limit by which a trial lowers or raises it.
-	// Default 0.2. Higher: trials are clearer and dearer.
+	// Default 0.3. Higher: trials are clearer and dearer.
 	Step float64
 	// ShedFraction is the part of requests shed by the target from which the
 	// limit is cut at once. Default 0.02. Higher: a target that sheds is
@@ -43,11 +43,11 @@
 	return Config{
 		InitialFraction: 0.125,
 		MinInitial:      4,
-		MinSamples:      100,
+		MinSamples:      200,
 		MinMeasure:      100 * time.Millisecond,
 		MaxMeasure:      5 * time.Second,
 		Inflation:       1.5,
-		Step:            0.2,
+		Step:            0.3,
 		ShedFraction:    0.02,
 		Backoff:         time.Second,
 		MaxBackoff:      30 * time.Second,
--- a/internal/core/limit/limit.go
+++ b/internal/core/limit/limit.go
@@ -8,7 +8,7 @@
 	Busy       time.Duration // time in the target, summed over the requests in flight
 	Completed  int           // requests that left the target with an answer of any kind but a shed
 	Overloaded int           // requests that the target shed
-	Saturated  bool          // the limit held work back for most of the window
+	Saturated  time.Duration // part of Length in which there was more work than the limit let in
 }
 
 // Algorithm adapts a concurrency limit.
@@ -27,15 +27,15 @@
 	w.Busy += next.Busy
 	w.Completed += next.Completed
 	w.Overloaded += next.Overloaded
-	w.Saturated = w.Saturated && next.Saturated
+	w.Saturated += next.Saturated
 }
 
-// throughput returns completions per second.
-func (w *Window) throughput() float64 {
+// inFlight returns the mean number of requests in flight.
+func (w *Window) inFlight() float64 {
 	if w.Length <= 0 {
 		return 0
 	}
-	return float64(w.Completed) / w.Length.Seconds()
+	return w.Busy.Seconds() / w.Length.Seconds()
 }
 
 // timeInTarget returns the mean time a request spent in the target, by
--- a/internal/core/limit/probe.go
+++ b/internal/core/limit/probe.go
@@ -9,9 +9,10 @@
 type phase uint8
 
 const (
-	ramping phase = iota // doubling until the throughput stops following
+	ramping phase = iota // doubling until requests take longer
 	steady               // measuring at the present limit
 	lower                // trying a lower limit
+	confirm              // back at the limit before, to rule out that the target changed
 	raise                // trying a higher limit
 )
 
@@ -20,6 +21,10 @@
 // inside the target.
 const elastic = 0.5
 
+// rampSamples is how many completions a step of the ramp needs: enough to see
+// that requests take much longer, not to compare throughputs.
+const rampSamples = 10
+
 // Probe is an Algorithm that changes the limit and keeps the change only if the
 // throughput says that it helps. See the package comment.
 type Probe struct {
@@ -30,18 +35,26 @@
 	phase   phase
 	settle  time.Duration // left until the last change shows in completions
 	sum     Window        // the measurement under way
-	before  int           // limit before the trial
-	rate    float64       // throughput before the trial, per second
+	before  reading       // before the trial
+	lowered reading       // at the lower limit of the trial
+	last    reading       // the previous one, whatever the phase
 	best    time.Duration // least time in target that is still believed
 	pause   time.Duration // left until the next trial
 	backoff time.Duration // next pause
 }
 
+// reading is a measurement at one limit.
+type reading struct {
+	limit  int
+	flight float64       // mean requests in flight
+	took   time.Duration // mean time in the target
+}
+
 // NewProbe returns an algorithm for a target that declares slots.
 func NewProbe(cfg Config, slots int) *Probe {
 	p := &Probe{cfg: cfg, backoff: cfg.Backoff}
 	p.max = max(1, slots)
-	p.limit = min(p.max, max(cfg.MinInitial, int(float64(p.max)*cfg.InitialFraction)))
+	p.set(max(cfg.MinInitial, int(float64(p.max)*cfg.InitialFraction)))
 	return p
 }
 
@@ -54,7 +67,6 @@
 	slots = max(1, slots)
 	if slots > p.max && p.limit == p.max {
 		p.phase = ramping
-		p.rate = 0
 	}
 	p.max = slots
 	p.set(p.limit)
@@ -71,11 +83,7 @@
 		p.settle -= w.Length
 		return
 	}
-	if p.sum.Length == 0 {
-		p.sum = w
-	} else {
-		p.sum.add(w)
-	}
+	p.sum.add(w)
 	if !p.measured() {
 		return
 	}
@@ -85,101 +93,145 @@
 }
 
 func (p *Probe) measured() bool {
+	samples := p.cfg.MinSamples
+	if p.phase == ramping {
+		samples = rampSamples
+	}
 	if p.sum.Length >= p.cfg.MaxMeasure {
-		return true
+		return p.sum.Completed > 0
 	}
-	return p.sum.Length >= p.cfg.MinMeasure && p.sum.Completed >= p.cfg.MinSamples
+	return p.sum.Length >= p.cfg.MinMeasure && p.sum.Completed >= samples
 }
 
 func (p *Probe) judge(m Window) {
-	t := m.timeInTarget()
-	if t > 0 && (p.best == 0 || t < p.best) {
-		p.best = t
+	r := reading{limit: p.limit, flight: m.inFlight(), took: m.timeInTarget()}
+	if p.best == 0 || r.took < p.best {
+		p.best = r.took
 	}
-	if !m.Saturated {
+	if m.Saturated < m.Length/2 {
 		p.idle()
 		return
 	}
+	last := p.last
+	p.last = r
 	switch p.phase {
 	case ramping:
-		p.ramp(m)
+		p.ramp(r)
 	case steady:
-		p.consider(m)
+		p.consider(r, settled(last, r))
 	case lower:
-		p.afterLower(m)
+		p.afterLower(r)
+	case confirm:
+		p.afterConfirm(r)
 	case raise:
-		p.afterRaise(m)
+		p.afterRaise(r)
 	}
 }
 
 // idle ends a trial that demand did not fill: it proves nothing.
 func (p *Probe) idle() {
-	if p.phase == lower || p.phase == raise {
-		p.set(max(p.limit, p.before))
+	if p.phase != ramping {
+		p.set(max(p.limit, p.before.limit))
 		p.phase = steady
 	}
+	p.before, p.last = reading{}, reading{}
 }
 
-// ramp doubles the limit for as long as the throughput follows.
-func (p *Probe) ramp(m Window) {
-	x := m.throughput()
-	if p.rate > 0 && !followed(p.rate, x, p.before, p.limit) {
-		p.set(p.before)
-		p.phase = steady
-		p.wait()
-		return
-	}
-	if p.limit == p.max {
+// rampInflation ends the ramp. It is far above Inflation: with few samples a
+// reading is rough, and a ramp that stops by mistake costs more than one that
+// goes too far and is taken back by a trial.
+const rampInflation = 3
+
+// ramp doubles the limit until requests take much longer or all slots are in
+// use.
+func (p *Probe) ramp(r reading) {
+	if p.inflated(r, rampInflation) || p.limit == p.max {
 		p.phase = steady
 		return
 	}
-	p.rate, p.before = x, p.limit
-	p.set(2 * p.limit)
+	p.move(2*p.limit, r)
+}
+
+func (p *Probe) inflated(r reading, by float64) bool {
+	return float64(r.took) > by*float64(p.best)
 }
 
-// consider starts a trial if there is a reason for one.
-func (p *Probe) consider(m Window) {
-	if p.pause > 0 {
+// consider starts a trial if there is a reason for one and the target is not
+// just changing: a trial would take the change for its own effect.
+func (p *Probe) consider(r reading, settled bool) {
+	if p.pause > 0 || !settled {
 		return
 	}
-	inflated := float64(m.timeInTarget()) > p.cfg.Inflation*float64(p.best)
-	down := min(p.limit-1, int(float64(p.limit)*(1-p.cfg.Step)))
 	switch {
-	case inflated && down >= 1:
-		p.try(lower, down, m)
+	case p.inflated(r, p.cfg.Inflation) && p.limit > 1:
+		p.try(lower, p.down(), r)
 	case p.limit < p.max:
-		p.try(raise, max(p.limit+1, int(float64(p.limit)*(1+p.cfg.Step))), m)
+		p.try(raise, max(p.limit+1, int(float64(p.limit)/(1-p.cfg.Step))), r)
 	}
 }
 
-func (p *Probe) try(ph phase, limit int, m Window) {
+func (p *Probe) down() int {
+	return min(p.limit-1, int(float64(p.limit)*(1-p.cfg.Step)))
+}
+
+func (p *Probe) try(ph phase, limit int, r reading) {
 	p.phase = ph
-	p.rate, p.before = m.throughput(), p.limit
-	p.set(limit)
-	p.settle = min(m.timeInTarget(), p.cfg.MaxMeasure)
+	p.before = r
+	p.move(limit, r)
+}
+
+// afterLower goes back if the throughput fell, and else makes sure.
+func (p *Probe) afterLower(r reading) {
+	if follows(p.before, r) {
+		p.slower(r)
+		return
+	}
+	p.lowered = r
+	p.phase = confirm
+	p.move(p.before.limit, r)
+}
+
+// afterConfirm takes the lower limit if going back up brought no throughput
+// either. A cut by mistake costs throughput, a cut that comes late only time in
+// the target; so a cut needs both.
+func (p *Probe) afterConfirm(r reading) {
+	if follows(p.lowered, r) {
+		p.slower(r)
+		return
+	}
+	p.phase = steady
+	p.backoff = p.cfg.Backoff
+	p.before = reading{}
+	p.last = p.lowered
+	p.move(p.lowered.limit, r)
 }
 
-// afterLower keeps a lower limit if the throughput held.
-func (p *Probe) afterLower(m Window) {
+// slower ends a trial that found real slots: the target takes longer, but
+// requests don't queue in it. What it takes now counts as its best.
+func (p *Probe) slower(r reading) {
+	p.best = r.took
 	p.phase = steady
-	if !followed(p.rate, m.throughput(), p.before, p.limit) {
-		p.backoff = p.cfg.Backoff
-		return // the next window may go further down at once
+	if p.before.limit < p.max {
+		p.phase = ramping
 	}
-	// The target is slower, not queueing: what it takes now is its best.
-	p.best = m.timeInTarget()
-	p.set(p.before)
+	p.move(p.before.limit, r)
 	p.wait()
 }
 
+// move sets the limit and waits until completions show it.
+func (p *Probe) move(limit int, r reading) {
+	p.set(limit)
+	p.settle = min(r.took, p.cfg.MaxMeasure)
+}
+
 // afterRaise keeps a higher limit if the throughput followed.
-func (p *Probe) afterRaise(m Window) {
+func (p *Probe) afterRaise(r reading) {
 	p.phase = steady
-	if followed(p.rate, m.throughput(), p.before, p.limit) {
+	if follows(p.before, r) {
 		p.backoff = p.cfg.Backoff
 		return
 	}
-	p.set(p.before)
+	p.move(p.before.limit, r)
 	p.wait()
 }
 
@@ -192,10 +244,10 @@
 // cut lowers the limit at once: a shed request has already cost the target and
 // its caller, and the target says that it holds too many.
 func (p *Probe) cut(w Window) {
-	inFlight := int(w.Busy / max(1, w.Length))
-	p.set(min(p.limit, max(inFlight, int(float64(p.limit)*(1-p.cfg.Step)))))
+	p.set(min(p.limit-1, max(int(w.inFlight()), int(float64(p.limit)*(1-p.cfg.Step)))))
 	p.phase = steady
 	p.sum = Window{}
+	p.settle = min(w.timeInTarget(), p.cfg.MaxMeasure)
 	p.wait()
 }
 
@@ -207,11 +259,19 @@
 
 func (p *Probe) set(limit int) { p.limit = min(p.max, max(1, limit)) }
 
-// followed reports whether throughput x1 at limit l1 differs from x0 at l0 as
-// it does if slots are real.
-func followed(x0, x1 float64, l0, l1 int) bool {
-	if x0 <= 0 || x1 <= 0 {
-		return x1 > x0 == (l1 > l0)
-	}
-	return math.Log(x1/x0)/math.Log(float64(l1)/float64(l0)) > elastic
+// unchanged is by how much, as a logarithm, two readings of the time in target
+// may differ for the target to count as settled.
+const unchanged = 0.25
+
+func settled(a, b reading) bool {
+	return a.took > 0 && math.Abs(math.Log(float64(b.took)/float64(a.took))) < unchanged
+}
+
+// follows reports whether the throughput followed the requests in flight from a
+// to b, as it does if slots are real. By Little's law throughput is requests in
+// flight over time in target; comparing those two instead of counting
+// completions leaves the result right when demand falls short for a moment.
+func follows(a, b reading) bool {
+	return math.Abs(math.Log(float64(b.took)/float64(a.took))) <
+		(1-elastic)*math.Abs(math.Log(b.flight/a.flight))
 }
