--- /dev/null
+++ b/internal/core/member/join.go
@@ -0,0 +1,271 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"peardrift/internal/core/request"
+)
+
+// joinState follows the way into the fleet: first one peer lets the member in
+// and names its neighbours, then the rest of the state is fetched in parts at
+// the pace that the budget allows.
+type joinState struct {
+	seeds    []Peer
+	services []request.Service // wanted first
+	wanted   bool
+	in       bool // some peer has let the member in
+	fetching bool
+	busy     bool
+	source   Peer
+	after    request.TargetID
+	next     time.Duration
+}
+
+func (j *joinState) partial() bool { return j.wanted && (!j.in || j.fetching) }
+
+// maxJoin is the factor by which the reply to Join may exceed MaxItems.
+const maxJoin = 4
+
+// Join makes the member join through any of the seeds; it goes on trying. The
+// records of the given services are fetched before others. Without seeds the
+// member is the first one. Calling it again adds seeds.
+func (s *State) Join(seeds []Peer, services []request.Service) {
+	j := &s.join
+	for _, p := range seeds {
+		s.addSeed(p)
+	}
+	j.services = services
+	j.wanted = len(j.seeds) > 0
+}
+
+const maxSeeds = 64
+
+func (s *State) addSeed(p Peer) {
+	j := &s.join
+	known := slices.ContainsFunc(j.seeds, func(q Peer) bool { return q.Control == p.Control })
+	if !known && p.Control != "" && p.Control != s.self.Control && len(j.seeds) < maxSeeds {
+		j.seeds = append(j.seeds, p)
+	}
+}
+
+// checkSeeds talks to a seed that isn't a known member. Members that started
+// while they couldn't reach each other would otherwise stay apart as separate
+// fleets for good: nobody has a link to the other side.
+func (s *State) checkSeeds() {
+	j := &s.join
+	if len(j.seeds) == 0 || j.partial() {
+		return
+	}
+	seed := j.seeds[s.rng.IntN(len(j.seeds))]
+	for i := range s.tab.members {
+		if e := &s.tab.members[i]; e.present() && e.rec.Control == seed.Control {
+			return
+		}
+	}
+	m := s.message(Probe)
+	m.Records = []*Record{s.selfRecord()}
+	s.exchange(seed, m, true)
+}
+
+// Joined reports whether some peer has let the member in, or none was needed.
+func (s *State) Joined() bool { return !s.join.wanted || s.join.in }
+
+// Complete reports whether the whole state has arrived.
+func (s *State) Complete() bool { return !s.join.partial() }
+
+func (s *State) tickJoin(now time.Duration) {
+	j := &s.join
+	if !j.partial() || j.busy || now < j.next || s.stat == Dead {
+		return
+	}
+	if !j.in {
+		j.busy = true
+		j.source = j.seeds[s.rng.IntN(len(j.seeds))]
+		m := s.message(Join)
+		m.Records = []*Record{s.selfRecord()}
+		m.Services = j.services
+		s.exchange(j.source, m, true)
+		return
+	}
+	if int(s.budget.tokens) < s.cfg.ExchangeCost+s.cfg.MaxItems {
+		return
+	}
+	j.busy = true
+	m := s.message(Pull)
+	m.After, m.Services = j.after, j.services
+	m.Room = uint32(s.cfg.MaxItems)
+	s.exchange(j.source, m, false)
+}
+
+// answerJoin lets a member in. A small fleet goes into the reply as a whole; of a
+// large one the reply holds the joiner's neighbours and as many as fit of the
+// services that it wants first. A member that hasn't joined itself answers too,
+// or members that all start at once would wait for each other for good.
+func (s *State) answerJoin(m, r *Message) {
+	if len(m.Records) == 0 || m.Records[0] == nil || m.Records[0].ID != m.From {
+		r.Full = true
+		return
+	}
+	if s.join.fetching || int(s.budget.tokens) < s.cfg.ExchangeCost+s.cfg.MaxItems {
+		s.redirect(r)
+		return
+	}
+	room := maxJoin * s.cfg.MaxItems
+	for i := range s.tab.facts {
+		f := &s.tab.facts[i].fact
+		if f.Kind == ConfigHead && room > 0 {
+			r.Facts = append(r.Facts, *f)
+			room -= factSize + len(f.Value)
+		}
+	}
+	if s.addAll(r, room) {
+		return
+	}
+	r.More = true
+	s.addNear(m, r, room)
+}
+
+// redirect names a few other members to a joiner that this one can't serve now,
+// so that joiners with the same seed don't all wait for it.
+func (s *State) redirect(r *Message) {
+	const names = 3
+	r.Full = true
+	for range names {
+		e := &s.tab.members[s.rng.IntN(len(s.tab.members))]
+		if e.present() && e.id != s.self.ID {
+			r.Records = append(r.Records, e.rec)
+		}
+	}
+}
+
+// addAll adds all members if they fit.
+func (s *State) addAll(r *Message, room int) bool {
+	if len(s.tab.members) > room/recordSize {
+		return false
+	}
+	whole := &Message{}
+	for i := range s.tab.members {
+		room -= whole.addEntry(&s.tab.members[i])
+	}
+	if room < 0 {
+		return false
+	}
+	r.Records, r.Changes = append(r.Records, whole.Records...), append(r.Changes, whole.Changes...)
+	return true
+}
+
+func (s *State) addNear(m, r *Message, room int) {
+	region := m.Records[0].Region
+	near := append(s.neighbours(m.From, region, false), s.neighbours(m.From, region, true)...)
+	for _, g := range s.otherGroups() {
+		near = append(near, s.remote(m.From, g, func(request.TargetID) bool { return false }))
+	}
+	near = append(near, s.self.ID)
+	for _, id := range near {
+		room -= r.addEntry(s.tab.get(id))
+	}
+	for i := range s.tab.members {
+		e := &s.tab.members[i]
+		if room > 0 && e.rec != nil && e.id != m.From && slices.Contains(m.Services, e.rec.Service) {
+			room -= r.addEntry(e)
+		}
+	}
+}
+
+// addEntry adds what is known about a member and returns the bytes used.
+func (m *Message) addEntry(e *entry) int {
+	if e == nil || e.rec == nil {
+		return 0
+	}
+	n := e.rec.size()
+	m.Records = append(m.Records, e.rec)
+	if e.status != Alive || e.age != 0 {
+		m.Changes = append(m.Changes, e.change())
+		n += changeSize
+	}
+	return n
+}
+
+func (s *State) joined(now time.Duration, to Peer, m *Message) {
+	j := &s.join
+	if !j.busy || j.in {
+		return
+	}
+	j.busy = false
+	if m.Full {
+		j.next = now + s.cfg.JoinRetry/2 + s.jitter(s.cfg.JoinRetry)
+		for _, r := range m.Records {
+			if validRecord(r) {
+				s.addSeed(Peer{Control: r.Control})
+			}
+		}
+		return
+	}
+	j.in, j.fetching = true, m.More
+	j.source = Peer{ID: m.From, Control: to.Control}
+	s.overlay.dirty = true
+	s.queue.put(memberKey(s.self.ID), classJoin, s.allLinks())
+}
+
+// answerPull sends the next part of the state, as much as the budget allows.
+func (s *State) answerPull(m, r *Message) {
+	r.More, r.Next = true, m.After
+	if s.join.partial() {
+		r.Full = true
+		return
+	}
+	room := int(min(m.Room, uint32(s.cfg.MaxItems)))
+	if int(s.budget.tokens) < s.cfg.ExchangeCost+room {
+		return
+	}
+	i, ok := s.tab.index(m.After)
+	if ok {
+		i++
+	}
+	for ; i < len(s.tab.members); i++ {
+		e := &s.tab.members[i]
+		if e.rec == nil || len(m.Services) > 0 && !slices.Contains(m.Services, e.rec.Service) {
+			continue
+		}
+		if e.rec.size()+changeSize > room {
+			return
+		}
+		room -= r.addEntry(e)
+		r.Next = e.id
+	}
+	r.More = false
+}
+
+func (s *State) pulled(now time.Duration, to Peer, m *Message) {
+	j := &s.join
+	if !j.busy || !j.fetching {
+		return
+	}
+	j.busy = false
+	switch {
+	case m.Full, m.More && m.Next <= j.after:
+		s.joinFailed(now, to)
+	case m.More:
+		j.after = m.Next
+	case len(j.services) > 0:
+		j.services, j.after = nil, 0
+	default:
+		j.fetching = false
+		s.actions = append(s.actions, Disconnect{Peer: j.source})
+	}
+}
+
+// joinFailed turns to another peer; what has arrived is kept.
+func (s *State) joinFailed(now time.Duration, to Peer) {
+	j := &s.join
+	if !j.partial() || to.Control != j.source.Control {
+		return
+	}
+	j.busy = false
+	j.next = now + s.cfg.JoinRetry/2 + s.jitter(s.cfg.JoinRetry)
+	if !j.in || len(s.order) == 0 {
+		return
+	}
+	j.source = s.peer(s.order[s.rng.IntN(len(s.order))].peer)
+}
--- /dev/null
+++ b/internal/core/member/net_test.go
@@ -0,0 +1,215 @@
+package member
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"peardrift/internal/core/request"
+)
+
+// testNet delivers the messages of several states under a virtual clock.
+type testNet struct {
+	now    time.Duration
+	rng    *rand.Rand
+	cfg    Config
+	nodes  []*testNode
+	byAddr map[string]*testNode
+	events eventHeap
+	seq    int
+	loss   float64                       // chance that a request or a reply is lost
+	dup    float64                       // chance that a request arrives twice
+	cut    func(from, to *testNode) bool // nil: no cuts
+}
+
+type testNode struct {
+	s      *State
+	rec    Record
+	down   bool
+	frozen time.Duration // until then
+	next   time.Duration
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int      { return len(h) }
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+const testDelay = 2 * time.Millisecond
+
+func newTestNet(cfg Config, seed uint64) *testNet {
+	return &testNet{
+		rng: rand.New(rand.NewPCG(seed, 1)), cfg: cfg,
+		byAddr: make(map[string]*testNode),
+	}
+}
+
+func testRecord(i int, region, zone string) Record {
+	name := fmt.Sprintf("node-%d", i)
+	return Record{
+		ID: request.TargetIDOf(name), Name: name, Service: request.Service(fmt.Sprintf("svc%d.tenant", i%3)),
+		Tenant: "tenant", Zone: zone, Region: region, Incarnation: 100,
+		Data: fmt.Sprintf("127.0.0.1:%d", 10000+i), Control: fmt.Sprintf("127.0.0.1:%d", 30000+i),
+	}
+}
+
+// start adds a node that joins through the given ones.
+func (t *testNet) start(rec Record, seeds ...*testNode) *testNode {
+	n := &testNode{rec: rec, next: t.now + time.Duration(t.rng.Int64N(int64(t.cfg.TickEvery)))}
+	n.s = New(t.cfg, rec, rand.New(rand.NewPCG(uint64(rec.ID), uint64(rec.Incarnation))))
+	var peers []Peer
+	for _, p := range seeds {
+		peers = append(peers, Peer{Control: p.rec.Control})
+	}
+	n.s.Join(peers, nil)
+	t.nodes = append(t.nodes, n)
+	t.byAddr[rec.Control] = n
+	return n
+}
+
+func (t *testNet) cluster(n int, region func(i int) string) {
+	for i := range n {
+		rec := testRecord(i, region(i), fmt.Sprintf("z%d", i%3))
+		if i == 0 {
+			t.start(rec)
+		} else {
+			t.start(rec, t.nodes[0])
+		}
+	}
+}
+
+// restart replaces a node's process by one with a higher incarnation.
+func (t *testNet) restart(i int, seed *testNode) {
+	old := t.nodes[i]
+	old.down = true
+	rec := old.rec
+	rec.Incarnation += 10
+	t.nodes = append(t.nodes[:i], t.nodes[i+1:]...)
+	t.start(rec, seed)
+}
+
+func (t *testNet) after(d time.Duration, run func()) {
+	t.seq++
+	heap.Push(&t.events, event{t.now + d, t.seq, run})
+}
+
+// run advances the clock.
+func (t *testNet) run(d time.Duration) {
+	end := t.now + d
+	for t.now < end {
+		t.now += testDelay
+		for len(t.events) > 0 && t.events[0].at <= t.now {
+			heap.Pop(&t.events).(event).run()
+		}
+		for _, n := range t.nodes {
+			if !n.down && n.frozen <= t.now && n.next <= t.now {
+				n.next = t.now + t.cfg.TickEvery
+				t.do(n, n.s.Tick(t.now))
+			}
+		}
+	}
+}
+
+func (t *testNet) do(n *testNode, actions []Action) {
+	for _, a := range actions {
+		if x, ok := a.(Exchange); ok {
+			t.exchange(n, x)
+		}
+	}
+}
+
+func (t *testNet) lost(from, to *testNode) bool {
+	return to == nil || to.down || t.rng.Float64() < t.loss || t.cut != nil && t.cut(from, to)
+}
+
+func (t *testNet) exchange(n *testNode, x Exchange) {
+	done := false
+	finish := func(f func()) {
+		if !done {
+			done = true
+			whenThawed(t, n, f)
+		}
+	}
+	t.after(x.Timeout, func() { finish(func() { n.s.HandleFailure(t.now, x.To) }) })
+	to := t.byAddr[x.To.Control]
+	if t.lost(n, to) {
+		return
+	}
+	n.s.Spend(x.Msg.Size() + 150)
+	times := 1
+	if t.rng.Float64() < t.dup {
+		times = 2
+	}
+	for range times {
+		t.after(testDelay, func() {
+			whenThawed(t, to, func() {
+				to.s.Spend(x.Msg.Size() + 150)
+				r := to.s.HandleRequest(t.now, x.Msg)
+				if r == nil || t.lost(to, n) {
+					return
+				}
+				to.s.Spend(r.Size() + 150)
+				t.after(testDelay, func() {
+					finish(func() { n.s.Spend(r.Size() + 150); n.s.HandleReply(t.now, x.To, r) })
+				})
+			})
+		})
+	}
+}
+
+// whenThawed runs f as soon as the node isn't frozen, unless it is down then.
+func whenThawed(t *testNet, n *testNode, f func()) {
+	switch {
+	case n.down:
+	case n.frozen > t.now:
+		t.after(n.frozen-t.now, func() { whenThawed(t, n, f) })
+	default:
+		f()
+	}
+}
+
+// disagree returns the first difference between what up nodes know, or "".
+func (t *testNet) disagree() string {
+	var first *testNode
+	for _, n := range t.nodes {
+		if n.down {
+			continue
+		}
+		if first == nil {
+			first = n
+		}
+		if n.s.tab.root != first.s.tab.root {
+			return fmt.Sprintf("%s and %s differ", first.rec.Name, n.rec.Name)
+		}
+		if len(n.s.lacks.list) > 0 {
+			return n.rec.Name + " lacks records"
+		}
+	}
+	return ""
+}
+
+// status returns what node a holds of b.
+func (t *testNet) status(a, b *testNode) string {
+	e := a.s.tab.get(b.rec.ID)
+	if e == nil {
+		return "unknown"
+	}
+	return e.status.String()
+}
--- /dev/null
+++ b/internal/core/member/state_test.go
@@ -0,0 +1,95 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func oneRegion(int) string { return "bkk" }
+
+func twoRegions(i int) string {
+	if i%2 == 0 {
+		return "bkk"
+	}
+	return "khm"
+}
+
+func TestClusterConverges(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		n      int
+		region func(int) string
+	}{
+		{"alone", 1, oneRegion},
+		{"pair", 2, oneRegion},
+		{"small", 5, twoRegions},
+		{"one region", 40, oneRegion},
+		{"two regions", 40, twoRegions},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			net := newTestNet(DefaultConfig(), 1)
+			net.cluster(tt.n, tt.region)
+			net.run(40 * time.Second)
+			is.Equal(net.disagree(), "")
+			for _, n := range net.nodes {
+				is.Equal(len(n.s.tab.members), tt.n)
+				is.Equal(n.s.Stats().Deaths, uint64(0))
+			}
+		})
+	}
+}
+
+func TestLeaveAndFactsSpread(t *testing.T) {
+	is := is.New(t)
+	net := newTestNet(DefaultConfig(), 2)
+	net.cluster(30, twoRegions)
+	net.run(40 * time.Second)
+	net.nodes[3].s.Leave(net.now)
+	net.nodes[4].s.PutFact(net.now, Fact{Kind: ConfigHead, Key: 7, Version: 9, Value: []byte("digest")})
+	net.run(5 * time.Second)
+	for _, n := range net.nodes {
+		is.Equal(net.status(n, net.nodes[3]), "leaving")
+		f, ok := n.s.Fact(ConfigHead, 7)
+		is.True(ok)
+		is.Equal(f.Version, uint64(9))
+	}
+	net.nodes[3].s.Depart(net.now)
+	net.run(3 * time.Second)
+	net.nodes[3].down = true
+	net.run(20 * time.Second)
+	for _, n := range net.nodes {
+		is.Equal(net.status(n, net.nodes[3]), "dead")
+	}
+	is.Equal(net.disagree(), "")
+}
+
+func TestDeadMemberIsFoundAndReturns(t *testing.T) {
+	is := is.New(t)
+	net := newTestNet(DefaultConfig(), 3)
+	net.cluster(20, oneRegion)
+	net.run(30 * time.Second)
+	net.nodes[5].down = true
+	net.run(30 * time.Second)
+	is.Equal(net.status(net.nodes[0], net.nodes[5]), "unreachable")
+	net.restart(5, net.nodes[0])
+	net.run(20 * time.Second)
+	is.Equal(net.status(net.nodes[0], net.nodes[19]), "alive")
+	is.Equal(net.disagree(), "")
+}
+
+func TestFreezeOfFiveSecondsKillsNobody(t *testing.T) {
+	is := is.New(t)
+	net := newTestNet(DefaultConfig(), 4)
+	net.cluster(20, oneRegion)
+	net.run(30 * time.Second)
+	for i := range 20 {
+		net.nodes[i].frozen = net.now + 5*time.Second
+		net.run(7 * time.Second)
+	}
+	for _, n := range net.nodes {
+		is.Equal(n.s.Stats().Deaths, uint64(0))
+	}
+}
--- /dev/null
+++ b/internal/core/member/table.go
@@ -0,0 +1,172 @@
+package member
+
+import (
+	"sort"
+
+	"peardrift/internal/core/request"
+)
+
+// entry is what a node holds for each member: 24 bytes, so that the whole fleet
+// stays small. The record is shared and immutable; nil while it is not known.
+type entry struct {
+	id     request.TargetID
+	rec    *Record
+	inc    uint32
+	age    uint16 // Change.Age
+	status Status
+}
+
+func (e *entry) change() Change {
+	return Change{ID: e.id, Incarnation: e.inc, Status: e.status, Age: uint32(e.age)}
+}
+
+// stale reports whether the record's current contents are not known.
+func (e *entry) stale() bool {
+	return e.status != Dead && (e.rec == nil || e.rec.Incarnation < e.inc-uint32(e.age))
+}
+
+// present reports whether the member takes part in the overlay.
+func (e *entry) present() bool { return e.rec != nil && e.status.live() }
+
+// factEntry is a fact under its place in the key space.
+type factEntry struct {
+	id   uint64
+	fact Fact
+}
+
+// table holds all members and facts, sorted by key, with running digests of its
+// 256 top-level buckets.
+type table struct {
+	members []entry
+	facts   []factEntry
+	sums    [256]uint64
+	root    uint64
+	dead    int // number of tombstones
+}
+
+func (t *table) add(id, sum uint64) {
+	t.sums[id>>56] += sum
+	t.root += sum
+}
+
+func (t *table) sub(id, sum uint64) { t.add(id, -sum) }
+
+// index returns the place of id and whether it is there. The keys are hashes,
+// spread evenly, so a search by interpolation takes few steps.
+func (t *table) index(id request.TargetID) (int, bool) {
+	n := len(t.members)
+	if n == 0 {
+		return 0, false
+	}
+	const window = 32
+	guess := int((uint64(id) >> 32) * uint64(n) >> 32)
+	lo, hi := max(guess-window, 0), min(guess+window, n)
+	if t.members[lo].id > id {
+		lo = 0
+	}
+	if hi < n && t.members[hi].id <= id {
+		hi = n
+	}
+	i := lo + sort.Search(hi-lo, func(i int) bool { return t.members[lo+i].id >= id })
+	return i, i < n && t.members[i].id == id
+}
+
+// get returns the entry of a member, or nil. It is valid until the next change.
+func (t *table) get(id request.TargetID) *entry {
+	if i, ok := t.index(id); ok {
+		return &t.members[i]
+	}
+	return nil
+}
+
+// set stores the incarnation and status of a member, with its record if it is
+// given.
+func (t *table) set(c Change, rec *Record) *entry {
+	i, ok := t.index(c.ID)
+	if !ok {
+		t.members = append(t.members, entry{})
+		copy(t.members[i+1:], t.members[i:])
+		t.members[i] = entry{id: c.ID, status: Unreachable}
+	}
+	e := &t.members[i]
+	t.sub(uint64(c.ID), e.change().sum())
+	if e.status == Dead {
+		t.dead--
+	}
+	if rec != nil {
+		e.rec = rec
+	}
+	e.inc, e.age, e.status = c.Incarnation, uint16(c.Age), c.Status
+	if e.status == Dead {
+		t.dead++
+		e.rec = nil
+	}
+	t.add(uint64(c.ID), e.change().sum())
+	return e
+}
+
+// remove forgets a member.
+func (t *table) remove(id request.TargetID) {
+	i, ok := t.index(id)
+	if !ok {
+		return
+	}
+	e := &t.members[i]
+	t.sub(uint64(id), e.change().sum())
+	if e.status == Dead {
+		t.dead--
+	}
+	t.members = append(t.members[:i], t.members[i+1:]...)
+}
+
+func (t *table) factIndex(id uint64) (int, bool) {
+	i := sort.Search(len(t.facts), func(i int) bool { return t.facts[i].id >= id })
+	return i, i < len(t.facts) && t.facts[i].id == id
+}
+
+// fact returns the fact at a key, or nil.
+func (t *table) fact(id uint64) *Fact {
+	if i, ok := t.factIndex(id); ok {
+		return &t.facts[i].fact
+	}
+	return nil
+}
+
+// putFact stores f if it is newer than what is known.
+func (t *table) putFact(f Fact) bool {
+	id := factID(f.Kind, f.Key)
+	i, ok := t.factIndex(id)
+	switch {
+	case !ok:
+		t.facts = append(t.facts, factEntry{})
+		copy(t.facts[i+1:], t.facts[i:])
+	case t.facts[i].fact.Version >= f.Version:
+		return false
+	default:
+		t.sub(id, t.facts[i].fact.sum())
+	}
+	t.facts[i] = factEntry{id: id, fact: f}
+	t.add(id, f.sum())
+	return true
+}
+
+// trimFacts drops the oldest fact of a kind that exceeds limit. Which one goes
+// depends on the facts alone, so that all members drop the same.
+func (t *table) trimFacts(kind FactKind, limit int) {
+	n, oldest := 0, -1
+	for i := range t.facts {
+		f := &t.facts[i].fact
+		if f.Kind != kind {
+			continue
+		}
+		n++
+		if oldest < 0 || f.Version < t.facts[oldest].fact.Version {
+			oldest = i
+		}
+	}
+	if n <= limit {
+		return
+	}
+	t.sub(t.facts[oldest].id, t.facts[oldest].fact.sum())
+	t.facts = append(t.facts[:oldest], t.facts[oldest+1:]...)
+}
