--- /dev/null
+++ b/bench/e2e/cluster_test.go
@@ -0,0 +1,108 @@
+// Package e2e_test runs real engines and real HTTP between stand-in targets in
+// one process, with views published by the test in the place of control.
+package e2e_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"peardrift/bench/standin/target"
+	"peardrift/internal/adapter/hertzhttp"
+	"peardrift/internal/claims"
+	"peardrift/internal/core/confset"
+	"peardrift/internal/core/request"
+	"peardrift/internal/core/route"
+	"peardrift/internal/dataplane"
+)
+
+// host is one instance: a target and its node.
+type host struct {
+	name   string
+	svc    request.Service
+	target *target.Server
+	engine *dataplane.Engine
+	nodes  *hertzhttp.Server
+	egress *hertzhttp.Server
+	entry  *hertzhttp.Server
+}
+
+type cluster struct {
+	t     *testing.T
+	hosts []*host
+	idx   *confset.Index
+	gen   uint64
+}
+
+// claimAll runs every request: claims have tests of their own.
+type claimAll struct{}
+
+func (claimAll) Do(ctx context.Context, _ claims.Request, run func(context.Context) claims.Result) claims.Result {
+	return run(ctx)
+}
+
+func newCluster(t *testing.T, idx *confset.Index) *cluster { return &cluster{t: t, idx: idx} }
+
+// add starts an instance of a service.
+func (c *cluster) add(name string, cfg target.Config, cl dataplane.Claims) *host {
+	h := &host{name: name, svc: request.Service(cfg.Service)}
+	var relay relayHandler
+	h.egress = c.listen(relay.serve)
+	cfg.Node = "http://" + h.egress.Addr()
+	h.target = target.New(cfg)
+	if err := h.target.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	if cl == nil {
+		cl = claimAll{}
+	}
+	self := dataplane.Self{
+		Name: name, ID: request.TargetIDOf(name), Service: h.svc, Tenant: "khaosan",
+		Place: route.Place{Caller: uint64(request.TargetIDOf(name)), Region: "r", Zone: "z"}, Target: h.target.Addr(),
+	}
+	h.engine = dataplane.New(dataplane.DefaultConfig(), self, hertzhttp.NewClient(hertzhttp.DefaultClientConfig()),
+		hertzhttp.NewClient(hertzhttp.DefaultClientConfig()), cl, nil)
+	relay.h = h.engine.ServeTarget
+	h.nodes = c.listen(h.engine.ServeNode)
+	h.entry = c.listen(h.engine.ServeCaller)
+	c.hosts = append(c.hosts, h)
+	c.t.Cleanup(func() { _ = h.target.Close() })
+	return h
+}
+
+// relayHandler lets a listener start before its engine is there.
+type relayHandler struct{ h hertzhttp.Handler }
+
+func (r *relayHandler) serve(ctx context.Context, c *app.RequestContext) { r.h(ctx, c) }
+
+func (c *cluster) listen(h hertzhttp.Handler) *hertzhttp.Server {
+	s, err := hertzhttp.Listen("127.0.0.1:0", hertzhttp.DefaultServerConfig(), h)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	s.Start()
+	c.t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = s.Shutdown(ctx)
+	})
+	return s
+}
+
+// publish gives all engines the view of all hosts.
+func (c *cluster) publish() {
+	c.gen++
+	v := dataplane.View{Gen: c.gen, Index: c.idx, Ready: true, Peers: map[request.Service][]dataplane.Peer{}}
+	for _, h := range c.hosts {
+		info, _ := c.idx.Service(h.svc)
+		v.Peers[h.svc] = append(v.Peers[h.svc], dataplane.Peer{
+			Target: route.Target{ID: request.TargetIDOf(h.name), Incarnation: 1, Region: "r", Zone: "z", Slots: info.Slots, Conns: info.Connections},
+			Addr:   h.nodes.Addr(),
+		})
+	}
+	for _, h := range c.hosts {
+		h.engine.Publish(&v)
+	}
+}
--- a/internal/adapter/hertzhttp/client.go
+++ b/internal/adapter/hertzhttp/client.go
@@ -119,6 +119,9 @@
 		return err
 	}
 	n := resp.Header.ContentLength()
+	if n < -1 && !resp.MustSkipBody() {
+		return status.New(status.CodeProtocol, "an answer of no stated length can't be told from a broken one")
+	}
 	if resp.MustSkipBody() || (n >= 0 && n <= c.cfg.BufferBytes) {
 		return c.readWhole(conn, resp, stop)
 	}
@@ -210,8 +213,13 @@
 	keep   bool
 	whole  bool
 	closed atomic.Bool
+	after  []func()
 }
 
+// OnClose registers f to run when the stream is closed; not safe for
+// concurrent use with Close.
+func (s *Stream) OnClose(f func()) { s.after = append(s.after, f) }
+
 // Read implements io.Reader; io.EOF comes only after the whole answer.
 func (s *Stream) Read(p []byte) (int, error) {
 	n, err := s.r.Read(p)
@@ -230,15 +238,22 @@
 	if s.closed.Swap(true) {
 		return nil
 	}
+	s.end()
+	for _, f := range s.after {
+		f()
+	}
+	return nil
+}
+
+func (s *Stream) end() {
 	if !s.whole {
 		s.stop()
 		s.conn.pool.drop(s.conn)
 		s.release()
-		return nil
+		return
 	}
 	s.release()
 	s.conn.giveBack(s.stop, s.keep)
-	return nil
 }
 
 // release returns the codec's reader; on a closed connection its attempt to
--- a/internal/adapter/hertzhttp/server.go
+++ b/internal/adapter/hertzhttp/server.go
@@ -15,6 +15,11 @@
 	"peardrift/internal/status"
 )
 
+// hertz logs through a process-wide logger, past the bound on log lines; what
+// it would say reaches the log as typed failures instead. Its level can't be
+// set later without a race.
+func init() { hlog.SetLevel(hlog.LevelFatal) }
+
 // ServerConfig bounds a Server.
 type ServerConfig struct {
 	// IdleTimeout closes a connection with no request for that long (default
@@ -57,7 +62,6 @@
 	if err != nil {
 		return nil, status.Wrap(status.CodeListen, err, "cannot listen on %s", addr)
 	}
-	hlog.SetLevel(hlog.LevelFatal) // failures reach the log as typed errors of ours
 	s := &Server{ln: ln, done: make(chan error, 1)}
 	s.h = server.New(options(ln, cfg)...)
 	s.h.NoHijackConnPool = true
--- /dev/null
+++ b/internal/dataplane/answer.go
@@ -0,0 +1,77 @@
+package dataplane
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"peardrift/internal/core/request"
+	"peardrift/internal/wire"
+)
+
+// answer relays a call's result to the caller or the own target.
+func (e *Engine) answer(to, from *protocol.Response, out *outgoing, r *result, hop *Hop) {
+	e.relay(to, from, out.id, r)
+	to.Header.Set(wire.HeaderRequest, out.id.String())
+	if r.code == "" {
+		to.Header.Set(wire.HeaderOutcome, r.outcome.String())
+	}
+	if r.stream == nil {
+		hop.End = time.Now()
+		e.observe(hop)
+		return
+	}
+	r.stream.OnClose(func() {
+		if !r.stream.Whole() {
+			hop.Outcome = request.Unknown
+		}
+		hop.End = time.Now()
+		e.observe(hop)
+	})
+}
+
+// relay writes the target's answer, whole or as a stream, or a problem. A
+// stream that breaks closes the connection: its receiver sees a body that ends
+// short of its length or without its last chunk, never a shorter answer.
+func (e *Engine) relay(to, from *protocol.Response, id request.ID, r *result) {
+	if r.code != "" {
+		if r.stream != nil {
+			_ = r.stream.Close()
+			r.stream = nil
+		}
+		writeProblem(to, id, r.failure())
+		return
+	}
+	wire.CopyAnswer(&to.Header, &from.Header)
+	if r.stream != nil {
+		to.SetBodyStream(r.stream, r.length)
+		return
+	}
+	to.SetBody(from.Body())
+}
+
+// fill completes a hop from a call's result.
+func (h *Hop) fill(out *outgoing, r *result) {
+	h.Service = out.info.Name
+	h.Class = out.meta.Class
+	h.Tenant = out.meta.Tenant
+	h.Target = r.target
+	h.Zone = r.zone
+	h.Attempt = r.attempts
+	h.Outcome = r.outcome
+	h.Code = r.code
+	h.Retry = r.retry.String()
+	h.Level = r.answer.Level
+	h.Allowance = out.purse.left()
+}
+
+// hostService returns the service that a Host header names: its part before the
+// port, with the given tenant added where it names none.
+func hostService(host string, tenant request.Tenant) request.Service {
+	name, _, _ := strings.Cut(host, ":")
+	if !strings.Contains(name, ".") {
+		name += "." + string(tenant)
+	}
+	return request.Service(name)
+}
--- /dev/null
+++ b/internal/dataplane/callee.go
@@ -0,0 +1,168 @@
+package dataplane
+
+import (
+	"sync"
+	"time"
+
+	"peardrift/internal/core/request"
+	"peardrift/internal/core/retry"
+	"peardrift/internal/core/route"
+	"peardrift/internal/status"
+)
+
+// callee is a service as this node calls it: its targets, the budget for
+// retries, what its calls usually cost. Safe for concurrent use.
+type callee struct {
+	cfg     *Config
+	now     func() time.Duration
+	mu      sync.Mutex
+	gen     uint64
+	addrs   map[request.TargetID]string
+	table   *route.Table
+	brake   retry.Brake
+	decider *retry.Decider
+	costs   map[request.Class]*retry.Cost
+	usual   time.Duration // mean time of whole answers; 0 not known
+}
+
+// usualWeight is the weight of a new time in the mean, as a divisor.
+const usualWeight = 8
+
+func (e *Engine) callee(name request.Service) *callee {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if cl, ok := e.callees[name]; ok {
+		return cl
+	}
+	rng := newRand()
+	cl := &callee{
+		cfg:     &e.cfg,
+		now:     e.now,
+		table:   route.NewTable(&e.cfg.Route, e.self.Place, rng),
+		brake:   retry.NewBrake(&e.cfg.Retry, e.now()),
+		decider: retry.NewDecider(&e.cfg.Retry, rng),
+		costs:   make(map[request.Class]*retry.Cost),
+	}
+	e.callees[name] = cl
+	return cl
+}
+
+// refresh takes in the view's targets if they are newer. Called with mu held.
+func (cl *callee) refresh(v *View, name request.Service) {
+	if v.Gen <= cl.gen {
+		return
+	}
+	cl.gen = v.Gen
+	peers := v.Peers[name]
+	ts := make([]route.Target, len(peers))
+	cl.addrs = make(map[request.TargetID]string, len(peers))
+	for i, p := range peers {
+		ts[i] = p.Target
+		cl.addrs[p.ID] = p.Addr
+	}
+	cl.table.Update(cl.now(), ts, v.Caller[name])
+}
+
+// choice is a target picked for one attempt.
+type choice struct {
+	idx     int
+	id      request.TargetID
+	zone    string
+	addr    string
+	started time.Duration
+}
+
+// pick chooses and books a target for the next attempt.
+func (cl *callee) pick(v *View, c *outgoing, tried *route.Tried) (choice, bool) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.refresh(v, c.info.Name)
+	now := cl.now()
+	idx, ok := cl.table.Pick(now, c.priority, tried)
+	if !ok {
+		return choice{}, false
+	}
+	tried.Add(idx)
+	cl.table.Started(now, idx)
+	t := cl.table.Target(idx)
+	return choice{idx: idx, id: t.ID, zone: t.Zone, addr: cl.addrs[t.ID], started: now}, true
+}
+
+// done books the end of an attempt at its target.
+func (cl *callee) done(ch choice, r *result) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	now := cl.now()
+	cl.table.Done(now, ch.idx, &route.Result{
+		Kind:     r.kind(),
+		Latency:  r.headAt - ch.started,
+		Level:    r.answer.Level,
+		HasLevel: r.answered,
+		InFlight: r.answer.InFlight,
+		Limit:    r.answer.Limit,
+	})
+}
+
+// settle takes in what the attempt tells of the service as a whole.
+func (cl *callee) settle(ch choice, c *outgoing, r *result) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.brake.Observe(cl.now(), r.outcome, r.code)
+	if r.outcome != request.Completed {
+		return
+	}
+	cl.cost(c.class.Name).Observe(&cl.cfg.Retry, r.answer.Made)
+	took := r.headAt - ch.started
+	if cl.usual == 0 {
+		cl.usual = took
+	}
+	cl.usual += (took - cl.usual) / usualWeight
+}
+
+// below returns the usual number of calls that a call makes below the callee.
+func (cl *callee) below(class request.Class) int {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return cl.cost(class).Below()
+}
+
+func (cl *callee) cost(class request.Class) *retry.Cost {
+	c, ok := cl.costs[class]
+	if !ok {
+		c = new(retry.Cost)
+		cl.costs[class] = c
+	}
+	return c
+}
+
+// decide asks whether there is a next attempt.
+func (cl *callee) decide(r *retry.Result) retry.Decision {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	r.Usual = cl.usual
+	return cl.decider.Decide(cl.now(), r, &cl.brake)
+}
+
+// kind says what the result tells of the target.
+func (r *result) kind() route.Kind {
+	switch r.code {
+	case "":
+		return route.Success
+	case status.CodeCanceled:
+		return route.Ignored
+	case status.CodeOverloaded, status.CodeOverShare:
+		return route.Shed
+	case status.CodeDraining, status.CodeNotReady:
+		return route.Leaves
+	case status.CodeConnectFailed, status.CodeConnectionLost:
+		if r.answered {
+			return route.Failure // the callee's node lost its target, not we its node
+		}
+		return route.Broken
+	case status.CodeDeadlineExceeded, status.CodeTargetFailed, status.CodeNoTarget,
+		status.CodeOutcomeUnknown, status.CodeInternal, status.CodeProtocol:
+		return route.Failure
+	default:
+		return route.Ignored
+	}
+}
--- /dev/null
+++ b/internal/dataplane/engine.go
@@ -0,0 +1,189 @@
+package dataplane
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"peardrift/internal/adapter/hertzhttp"
+	"peardrift/internal/core/admission"
+	"peardrift/internal/core/confset"
+	"peardrift/internal/core/early"
+	"peardrift/internal/core/request"
+	"peardrift/internal/core/retry"
+	"peardrift/internal/core/route"
+)
+
+// Transport sends a call to an address and reads the head of its answer, and
+// its body where that is short. It never repeats a call, ends with ctx, and
+// reports truthfully whether anything was sent.
+type Transport interface {
+	Do(ctx context.Context, addr string, req *protocol.Request, resp *protocol.Response) (hertzhttp.Result, error)
+}
+
+// Observer is told of each hop when it has ended. Called from traffic
+// goroutines; it must not block.
+type Observer interface {
+	Hop(*Hop)
+}
+
+// Peer is a target of some service with the address of its node's face for
+// nodes.
+type Peer struct {
+	route.Target
+	Addr string
+}
+
+// View is what the control goroutine publishes for traffic. It is immutable.
+type View struct {
+	Gen    uint64 // rises with each view
+	Index  *confset.Index
+	Peers  map[request.Service][]Peer
+	Caller map[request.Service]int // nodes that call the service; 0 unknown
+	// Ready: the configuration in force is known and the target is up.
+	Ready bool
+	// Leaving: the target takes no new calls.
+	Leaving bool
+}
+
+// Self says what the node stands beside.
+type Self struct {
+	Name    string
+	ID      request.TargetID
+	Service request.Service
+	Tenant  request.Tenant
+	Place   route.Place
+	Target  string // address ip:port of the target
+}
+
+// Config bounds the engine.
+type Config struct {
+	// BufferBytes is the largest request body held in memory, so that the call
+	// can be tried again (default 64 KiB). Larger bodies are streamed and get
+	// one attempt.
+	BufferBytes int
+	// MaxCalls bounds the calls in flight at all faces together (default 4096).
+	MaxCalls int
+	Retry    retry.Config
+	Route    route.Config
+	Gate     admission.Config
+	Early    early.Config
+}
+
+// DefaultConfig returns the defaults.
+func DefaultConfig() Config {
+	return Config{
+		BufferBytes: 64 << 10,
+		MaxCalls:    4096,
+		Retry:       retry.DefaultConfig(),
+		Route:       route.DefaultConfig(),
+		Gate:        admission.DefaultConfig(),
+		Early:       early.DefaultConfig(),
+	}
+}
+
+// Engine carries the calls of one node. Safe for concurrent use.
+type Engine struct {
+	cfg    Config
+	self   Self
+	peers  Transport // to other nodes
+	local  Transport // to the own target
+	claims Claims
+	obs    Observer
+	epoch  time.Time
+
+	view    atomic.Pointer[View]
+	gate    *gate
+	levels  *levels
+	tenants tenants
+	reqs    *registry
+	calls   atomic.Int64
+
+	mu      sync.Mutex
+	callees map[request.Service]*callee
+}
+
+// New returns an engine without a view: it refuses everything until Publish.
+func New(cfg Config, self Self, peers, local Transport, cl Claims, obs Observer) *Engine {
+	e := &Engine{
+		cfg:     cfg,
+		self:    self,
+		peers:   peers,
+		local:   local,
+		claims:  cl,
+		obs:     obs,
+		epoch:   time.Now(),
+		reqs:    newRegistry(),
+		callees: make(map[request.Service]*callee),
+	}
+	e.view.Store(&View{})
+	e.levels = newLevels(&e.cfg.Early, e.now)
+	e.gate = newGate(cfg.Gate, newRand(), e.now)
+	return e
+}
+
+// Publish puts a view in force for the calls that begin from now on.
+func (e *Engine) Publish(v *View) {
+	e.view.Store(v)
+	if info, ok := v.Index.Service(e.self.Service); ok {
+		e.gate.configure(info.Slots, e.tenants.weights(v.Index))
+	}
+	if v.Leaving {
+		e.gate.drain()
+	}
+}
+
+// Close ends the engine's timers; calls must have ended.
+func (e *Engine) Close() { e.gate.close() }
+
+// GateStats returns a snapshot of the admission gate.
+func (e *Engine) GateStats() admission.Stats { return e.gate.stats() }
+
+// InFlight returns the calls in flight at all faces.
+func (e *Engine) InFlight() int { return int(e.calls.Load()) }
+
+func (e *Engine) now() time.Duration { return time.Since(e.epoch) }
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// tenants gives tenants the small indexes by which the gate knows them.
+type tenants struct {
+	mu    sync.Mutex
+	index map[request.Tenant]uint16
+}
+
+func (t *tenants) of(name request.Tenant) uint16 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.locked(name)
+}
+
+func (t *tenants) locked(name request.Tenant) uint16 {
+	if t.index == nil {
+		t.index = make(map[request.Tenant]uint16)
+	}
+	i, ok := t.index[name]
+	if !ok {
+		i = uint16(len(t.index))
+		t.index[name] = i
+	}
+	return i
+}
+
+// weights returns the tenants' shares by their indexes.
+func (t *tenants) weights(idx *confset.Index) []float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, name := range idx.Tenants() {
+		t.locked(name)
+	}
+	w := make([]float64, len(t.index))
+	for name, i := range t.index {
+		w[i] = idx.Share(name)
+	}
+	return w
+}
--- /dev/null
+++ b/internal/dataplane/entry.go
@@ -0,0 +1,247 @@
+package dataplane
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"peardrift/internal/core/claim"
+	"peardrift/internal/core/confset"
+	"peardrift/internal/core/request"
+	"peardrift/internal/core/retry"
+	"peardrift/internal/status"
+	"peardrift/internal/wire"
+)
+
+// ServeCaller is the face for callers: it makes a request of what comes in, and
+// calls its service. Nothing but the request itself is believed.
+func (e *Engine) ServeCaller(ctx context.Context, c *app.RequestContext) {
+	hop := &Hop{Kind: HopEntry, ID: newID(), Span: newSpan(), Start: time.Now()}
+	e.serveOutgoing(ctx, nil, c, hop, func(v *View) (*outgoing, *status.Error) {
+		return e.newRequest(v, c, hop.ID)
+	})
+}
+
+// ServeTarget is the face for the own target: its calls belong to the request
+// that it runs, as traceparent says.
+func (e *Engine) ServeTarget(ctx context.Context, c *app.RequestContext) {
+	hop := &Hop{Kind: HopEgress, Span: newSpan(), Start: time.Now()}
+	tc, ok := traceOf(&c.Request.Header)
+	var x *running
+	if ok {
+		x = e.reqs.parent(tc.id, tc.span)
+	}
+	if x == nil {
+		// The target calls on its own account, or lost the trace: a request of
+		// its own begins here.
+		hop.ID = newID()
+		e.serveOutgoing(ctx, nil, c, hop, func(v *View) (*outgoing, *status.Error) {
+			return e.newRequest(v, c, hop.ID)
+		})
+		return
+	}
+	hop.ID, hop.Parent = x.id, x.span
+	e.serveOutgoing(ctx, x.ctx, c, hop, func(v *View) (*outgoing, *status.Error) {
+		return e.subCall(v, c, x)
+	})
+}
+
+// serveOutgoing runs one call for a caller or the own target and answers it.
+// The call also ends with the context within, if there is one: that of the
+// request on whose behalf the target calls.
+func (e *Engine) serveOutgoing(ctx, within context.Context, c *app.RequestContext, hop *Hop, prepare func(*View) (*outgoing, *status.Error)) {
+	e.calls.Add(1)
+	defer e.calls.Add(-1)
+	out, fault := e.admitCall(prepare)
+	if fault != nil {
+		hop.Outcome, hop.Code = fault.Outcome, fault.Code
+		hop.End = time.Now()
+		e.observe(hop)
+		writeProblem(&c.Response, hop.ID, fault)
+		c.Response.Header.Set(wire.HeaderRequest, hop.ID.String())
+		return
+	}
+	defer protocol.ReleaseRequest(out.req)
+	out.span = hop.Span
+	ctx, cancel := context.WithDeadline(ctx, e.epoch.Add(out.deadline))
+	if within != nil {
+		context.AfterFunc(within, cancel)
+	}
+	resp := protocol.AcquireResponse()
+	r := e.call(ctx, out, resp)
+	hop.fill(out, r)
+	e.answer(&c.Response, resp, out, r, hop)
+	if r.stream == nil {
+		cancel()
+		protocol.ReleaseResponse(resp)
+	} else {
+		r.stream.OnClose(cancel)
+	}
+}
+
+// admitCall bounds the calls in flight: each costs a goroutine and buffers, and
+// without a bound a flood would end in the instance's memory, not in refusals.
+func (e *Engine) admitCall(prepare func(*View) (*outgoing, *status.Error)) (*outgoing, *status.Error) {
+	v := e.view.Load()
+	if !v.Ready {
+		return nil, status.Refuse(status.CodeNotReady, time.Second, "the node does not yet know its configuration")
+	}
+	if e.calls.Load() > int64(e.cfg.MaxCalls) {
+		return nil, status.Refuse(status.CodeOverloaded, time.Second, "the node has %d calls in flight", e.cfg.MaxCalls)
+	}
+	return prepare(v)
+}
+
+// newRequest begins a whole request.
+func (e *Engine) newRequest(v *View, c *app.RequestContext, id request.ID) (*outgoing, *status.Error) {
+	info, class, fault := e.lookup(v, c)
+	if fault != nil {
+		return nil, fault
+	}
+	key := string(c.Request.Header.Peek(wire.HeaderIdempotencyKey))
+	if class.AtMostOnce {
+		if err := claim.CheckKey(key); err != nil {
+			return nil, err
+		}
+	}
+	out := &outgoing{
+		info:     info,
+		class:    class,
+		id:       id,
+		priority: request.PriorityOf(class.Importance, id),
+		deadline: e.now() + patience(c, class.Deadline),
+		purse:    &entryPurse{purse: retry.NewPurse(class.Attempts, false)},
+		meta: wire.Meta{
+			Tenant:     info.Tenant,
+			Class:      class.Name,
+			Importance: class.Importance,
+			RootKey:    key,
+			Origin:     info.Name,
+		},
+	}
+	if fault := e.levels.check(out); fault != nil {
+		return nil, fault
+	}
+	return out, e.fillRequest(out, c)
+}
+
+// subCall continues the request x with a call that its target makes.
+func (e *Engine) subCall(v *View, c *app.RequestContext, x *running) (*outgoing, *status.Error) {
+	info, class, fault := e.lookup(v, c)
+	if fault != nil {
+		return nil, fault
+	}
+	if !info.Accepts(x.meta.Tenant) {
+		return nil, status.Refuse(status.CodeForbidden, 0, "%s takes no requests of tenant %s", info.Name, x.meta.Tenant)
+	}
+	if x.meta.Depth >= wire.MaxDepth {
+		return nil, status.Refuse(status.CodeMalformed, 0, "the chain is deeper than %d calls", wire.MaxDepth)
+	}
+	out := &outgoing{
+		info:     info,
+		class:    class,
+		id:       x.id,
+		priority: x.priority,
+		deadline: min(x.deadline, e.now()+patience(c, class.Deadline)),
+		purse:    x,
+		parent:   x,
+		meta:     x.meta,
+	}
+	if x.firstUse(out.key()) {
+		e.levels.used(x.class, out)
+	}
+	out.meta.Depth++
+	out.meta.Origin = e.self.Service
+	return out, e.fillRequest(out, c)
+}
+
+// lookup finds the service that Host names, and the class of the request. A
+// name without a tenant is one of the own tenant's.
+func (e *Engine) lookup(v *View, c *app.RequestContext) (*confset.ServiceInfo, *confset.Class, *status.Error) {
+	name := hostService(string(c.Request.Header.Host()), e.self.Tenant)
+	info, ok := v.Index.Service(name)
+	if !ok {
+		return nil, nil, status.Refuse(status.CodeUnknownService, 0, "there is no service %q", name)
+	}
+	class, ok := info.Match(string(c.Request.Header.Method()), string(c.Path()))
+	if !ok {
+		return nil, nil, status.Refuse(status.CodeUnknownClass, 0, "%s declares no class for %s %s", name, c.Method(), c.Path())
+	}
+	return info, class, nil
+}
+
+// fillRequest makes the message that all attempts send.
+func (e *Engine) fillRequest(out *outgoing, c *app.RequestContext) *status.Error {
+	b, fault := takeBody(c, e.cfg.BufferBytes, out.class.MaxBody)
+	if fault != nil {
+		return fault
+	}
+	if out.class.AtMostOnce && b.stream != nil {
+		return status.Refuse(status.CodeTooLarge, 0, "an at-most-once request may have %d bytes", e.cfg.BufferBytes)
+	}
+	out.req = protocol.AcquireRequest()
+	wire.CopyRequest(&out.req.Header, &c.Request.Header)
+	out.req.Header.SetHost(string(out.info.Name))
+	b.attach(out.req)
+	out.once = b.stream != nil
+	if out.class.AtMostOnce && len(out.req.Header.Peek(wire.HeaderIdempotencyKey)) == 0 {
+		out.req.Header.Set(wire.HeaderIdempotencyKey, derivedKey(out, b.whole))
+	}
+	return nil
+}
+
+// derivedKey is the key of a nested at-most-once call whose target passes on
+// traceparent only. A request without a key of its own still bounds the nested
+// call, by its identity.
+func derivedKey(out *outgoing, body []byte) string {
+	root := out.meta.RootKey
+	if root == "" {
+		root = out.id.String()
+	}
+	return claim.DeriveKey(root, claim.Call{
+		Service: out.info.Name,
+		Class:   out.class.Name,
+		Method:  string(out.req.Header.Method()),
+		Path:    string(out.req.Header.RequestURI()),
+		Body:    claim.Sum(body),
+	})
+}
+
+// patience is how long the caller waits: what the class allows, or less if the
+// caller says so.
+func patience(c *app.RequestContext, most time.Duration) time.Duration {
+	ms, err := strconv.ParseInt(string(c.Request.Header.Peek(wire.HeaderTargetDeadline)), 10, 64)
+	if err != nil || ms <= 0 || ms > most.Milliseconds() {
+		return most
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// entryPurse is the purse of a request at its entry; only call's loop uses it,
+// but a streamed answer may settle later.
+type entryPurse struct {
+	mu    sync.Mutex
+	purse retry.Purse
+}
+
+func (p *entryPurse) start(c *retry.Call, below int) (retry.Grant, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.purse.Start(c, below)
+}
+
+func (p *entryPurse) settle(c *retry.Call, g *retry.Grant, a retry.Answer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.purse.Settle(c, g, a)
+}
+
+func (p *entryPurse) left() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.purse.Left()
+}
--- /dev/null
+++ b/internal/dataplane/gate.go
@@ -0,0 +1,165 @@
+package dataplane
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"peardrift/internal/core/admission"
+	"peardrift/internal/core/request"
+	"peardrift/internal/status"
+)
+
+// gate runs the admission core for traffic goroutines: its mutex, its timer,
+// and the channels on which queued calls wait.
+type gate struct {
+	now func() time.Duration
+
+	mu      sync.Mutex
+	core    *admission.Gate
+	last    admission.Ticket
+	waiting map[admission.Ticket]chan admission.Decision
+	actions []admission.Action
+	timer   *time.Timer
+	armed   time.Duration // when the timer fires
+	closed  bool
+}
+
+func newGate(cfg admission.Config, rng *rand.Rand, now func() time.Duration) *gate {
+	g := &gate{
+		now:     now,
+		core:    admission.New(cfg, rng),
+		waiting: make(map[admission.Ticket]chan admission.Decision),
+	}
+	g.armed = math.MaxInt64
+	g.timer = time.AfterFunc(math.MaxInt64, g.tick)
+	return g
+}
+
+// enter asks for the target. It returns when the call may run, or with a typed
+// refusal; the call must then leave with the ticket.
+func (g *gate) enter(ctx context.Context, a admission.Arrival) (admission.Ticket, *status.Error) {
+	d, t, wait := g.arrive(&a)
+	if d.Verdict == admission.Queue {
+		d = g.await(ctx, t, wait)
+	}
+	if d.Verdict != admission.Admit {
+		return 0, refusal(d)
+	}
+	return t, nil
+}
+
+func (g *gate) arrive(a *admission.Arrival) (admission.Decision, admission.Ticket, chan admission.Decision) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.last++
+	a.Ticket = g.last
+	var d admission.Decision
+	d, g.actions = g.core.Arrive(g.now(), *a, g.actions[:0])
+	var wait chan admission.Decision
+	if d.Verdict == admission.Queue {
+		wait = make(chan admission.Decision, 1)
+		g.waiting[a.Ticket] = wait
+	}
+	g.settle()
+	return d, a.Ticket, wait
+}
+
+// await waits for a queued call's decision, or for its caller to go away.
+func (g *gate) await(ctx context.Context, t admission.Ticket, wait chan admission.Decision) admission.Decision {
+	select {
+	case d := <-wait:
+		return d
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	g.actions = g.core.Cancel(g.now(), t, g.actions[:0])
+	g.settle()
+	g.mu.Unlock()
+	// The call may have been admitted just before: Cancel then gave its slot
+	// back already, and it must not run.
+	d := <-wait
+	d.Verdict = admission.Refuse
+	d.Reason = status.CodeCanceled
+	return d
+}
+
+// leave gives the slot back.
+func (g *gate) leave(t admission.Ticket, r admission.Result) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.actions = g.core.Finish(g.now(), t, r, g.actions[:0])
+	g.settle()
+}
+
+func (g *gate) tick() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return
+	}
+	g.armed = math.MaxInt64
+	g.actions = g.core.Tick(g.now(), g.actions[:0])
+	g.settle()
+}
+
+// settle hands decisions to those who wait and sets the timer.
+func (g *gate) settle() {
+	for _, a := range g.actions {
+		if wait, ok := g.waiting[a.Ticket]; ok {
+			delete(g.waiting, a.Ticket)
+			wait <- a.Decision
+		}
+	}
+	g.arm()
+}
+
+// arm sets the timer if the core is due earlier than it fires. One that fires
+// too early does no harm, so it is never moved back: that would cost each call.
+func (g *gate) arm() {
+	next := g.core.Next()
+	if g.closed || next >= g.armed {
+		return
+	}
+	g.armed = next
+	g.timer.Reset(max(next-g.now(), time.Millisecond))
+}
+
+func (g *gate) configure(slots int, shares []float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.SetCapacity(slots)
+	g.core.SetShares(shares)
+}
+
+func (g *gate) drain() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.actions = g.core.Drain(g.now(), g.actions[:0])
+	g.settle()
+}
+
+func (g *gate) level(tenant uint16) request.Level {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.LevelOf(tenant)
+}
+
+func (g *gate) stats() admission.Stats {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.Stats()
+}
+
+func (g *gate) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+	g.timer.Stop()
+}
+
+func refusal(d admission.Decision) *status.Error {
+	return status.Refuse(d.Reason, d.RetryAfter, "refused at the target's gate")
+}
--- /dev/null
+++ b/internal/dataplane/hop.go
@@ -0,0 +1,74 @@
+package dataplane
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"math/rand/v2"
+	"time"
+
+	"peardrift/internal/core/request"
+	"peardrift/internal/status"
+)
+
+// HopKind is the side of a call that a Hop tells of.
+type HopKind uint8
+
+// The hops of one call from a caller: an entry, and for each attempt an attempt
+// at the calling node and a serve at the callee's node. An egress stands for
+// each call that a target makes, as an entry does for a caller's.
+const (
+	HopEntry HopKind = iota
+	HopEgress
+	HopAttempt
+	HopServe
+)
+
+// String returns the kind as it stands in spans and metrics.
+func (k HopKind) String() string {
+	return [...]string{"entry", "egress", "attempt", "serve"}[k]
+}
+
+// Hop tells what was decided about a call at one place, for metrics, logs and
+// traces.
+type Hop struct {
+	Kind       HopKind
+	ID         request.ID
+	Span       SpanID
+	Parent     SpanID
+	Start, End time.Time
+
+	Service   request.Service
+	Class     request.Class
+	Tenant    request.Tenant
+	Target    request.TargetID
+	Zone      string
+	Attempt   int
+	Outcome   request.Outcome
+	Code      status.Code // why, where the node itself answered
+	Retry     string      // why there was no further attempt
+	Level     request.Level
+	Allowance int
+	Queued    time.Duration
+}
+
+func (e *Engine) observe(h *Hop) {
+	if e.obs != nil {
+		e.obs.Hop(h)
+	}
+}
+
+// String returns the span as in traceparent.
+func (s SpanID) String() string { return hex.EncodeToString(s[:]) }
+
+func newSpan() SpanID {
+	var s SpanID
+	binary.BigEndian.PutUint64(s[:], rand.Uint64()|1) // all zero is invalid
+	return s
+}
+
+func newID() request.ID {
+	var id request.ID
+	binary.BigEndian.PutUint64(id[:], rand.Uint64()|1)
+	binary.BigEndian.PutUint64(id[8:], rand.Uint64())
+	return id
+}
--- /dev/null
+++ b/internal/dataplane/inflight.go
@@ -0,0 +1,150 @@
+package dataplane
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"peardrift/internal/core/early"
+	"peardrift/internal/core/request"
+	"peardrift/internal/core/retry"
+	"peardrift/internal/wire"
+)
+
+// SpanID is the span that a target sees as its parent.
+type SpanID [8]byte
+
+// running is a request that runs on the own target. Its purse pays for the
+// target's outgoing calls.
+type running struct {
+	id       request.ID
+	class    request.Class // of the own service, while meta's is the whole request's
+	span     SpanID
+	meta     wire.Meta
+	priority request.Priority
+	deadline time.Duration
+	ctx      context.Context // ends with the request, and with it the target's calls
+
+	mu      sync.Mutex
+	purse   retry.Purse
+	unknown bool        // some call below may have run with no known result
+	used    []early.Key // services called so far
+}
+
+func (x *running) start(c *retry.Call, below int) (retry.Grant, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.purse.Start(c, below)
+}
+
+func (x *running) settle(c *retry.Call, g *retry.Grant, a retry.Answer) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.purse.Settle(c, g, a)
+}
+
+func (x *running) left() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.purse.Left()
+}
+
+// firstUse reports whether no call to the key was made before.
+func (x *running) firstUse(k early.Key) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if slices.Contains(x.used, k) {
+		return false
+	}
+	x.used = append(x.used, k)
+	return true
+}
+
+// note takes in how a call below ended.
+func (x *running) note(r *result) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.unknown = x.unknown || r.outcome == request.Unknown
+}
+
+// close ends the request here and returns what its answer reports.
+func (x *running) close() (unspent, made int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	made = x.purse.Made()
+	return x.purse.Close(), made
+}
+
+// doubtful reports whether a call below may have run with no known result.
+func (x *running) doubtful() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.unknown
+}
+
+// registry holds the requests that run on the own target, by identity. Safe
+// for concurrent use.
+type registry struct {
+	mu   sync.Mutex
+	byID map[request.ID][]*running
+}
+
+func newRegistry() *registry {
+	return &registry{byID: make(map[request.ID][]*running)}
+}
+
+func (r *registry) add(x *running) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.byID[x.id] = append(r.byID[x.id], x)
+}
+
+func (r *registry) remove(x *running) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	xs := r.byID[x.id]
+	for i, y := range xs {
+		if y == x {
+			xs = append(xs[:i], xs[i+1:]...)
+			break
+		}
+	}
+	if len(xs) == 0 {
+		delete(r.byID, x.id)
+		return
+	}
+	r.byID[x.id] = xs
+}
+
+// parent finds the request that an outgoing call belongs to: by the span where
+// the target passes traceparent on unchanged, else by the trace alone. A target
+// that draws spans of its own while the same request runs on it twice leaves
+// open which of the two it is; the one begun last is taken. Both carry the same
+// class and deadline, only their allowances differ, and those sum up to the
+// request's all the same.
+func (r *registry) parent(id request.ID, span SpanID) *running {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	xs := r.byID[id]
+	for _, x := range xs {
+		if x.span == span {
+			return x
+		}
+	}
+	if len(xs) == 0 {
+		return nil
+	}
+	return xs[len(xs)-1]
+}
+
+// all returns the requests that run now, for a crash report.
+func (r *registry) all() []*running {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []*running
+	for _, xs := range r.byID {
+		out = append(out, xs...)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/dataplane/levels.go
@@ -0,0 +1,82 @@
+package dataplane
+
+import (
+	"sync"
+	"time"
+
+	"peardrift/internal/core/early"
+	"peardrift/internal/core/request"
+	"peardrift/internal/status"
+)
+
+// levels holds what this node knows of its callees' admission levels. Safe for
+// concurrent use.
+type levels struct {
+	now   func() time.Duration
+	mu    sync.Mutex
+	table *early.Table
+	chain *early.Chain
+}
+
+func newLevels(cfg *early.Config, now func() time.Duration) *levels {
+	table := early.NewTable(cfg, newRand())
+	return &levels{now: now, table: table, chain: early.NewChain(cfg, table)}
+}
+
+// check refuses a call that its callee, or a service below it, would refuse.
+func (l *levels) check(c *outgoing) *status.Error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := l.table.Check(l.now(), c.key(), c.priority)
+	if !v.Refuse {
+		return nil
+	}
+	return status.Refuse(status.CodeOverloaded, v.RetryAfter, "%s is overloaded", c.info.Name)
+}
+
+// level returns the level learned for a call's service and class.
+func (l *levels) level(c *outgoing) request.Level {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table.Level(l.now(), c.key())
+}
+
+// learn takes in what an answer said.
+func (l *levels) learn(c *outgoing, r *result) {
+	if !r.answered {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table.Learn(l.now(), c.key(), early.Report{
+		Target: r.target,
+		Own:    r.answer.Level,
+		Chain:  r.answer.Chain,
+		Slots:  r.answer.Limit,
+	})
+}
+
+// served counts a request that the own target begins to serve.
+func (l *levels) served(class request.Class) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.chain.Served(l.now(), class)
+}
+
+// used counts a call that a request of the class makes.
+func (l *levels) used(class request.Class, c *outgoing) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.chain.Used(l.now(), class, c.key())
+}
+
+// below returns the level at which the services below refuse the class.
+func (l *levels) below(class request.Class) request.Level {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.chain.Level(l.now(), class)
+}
+
+func (c *outgoing) key() early.Key {
+	return early.Key{Service: c.info.Name, Class: c.class.Name}
+}
--- /dev/null
+++ b/internal/dataplane/serve.go
@@ -0,0 +1,307 @@
+package dataplane
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"peardrift/internal/claims"
+	"peardrift/internal/core/admission"
+	"peardrift/internal/core/claim"
+	"peardrift/internal/core/confset"
+	"peardrift/internal/core/request"
+	"peardrift/internal/core/retry"
+	"peardrift/internal/status"
+	"peardrift/internal/wire"
+)
+
+// Claims runs requests of at-most-once classes; *claims.Runner is one.
+type Claims interface {
+	Do(ctx context.Context, req claims.Request, run func(context.Context) claims.Result) claims.Result
+}
+
+// serving is one call that another node sent, on its way through this one.
+type serving struct {
+	c       *app.RequestContext
+	class   *confset.Class
+	meta    wire.Meta
+	trace   traceContext
+	body    body
+	running *running
+	tenant  uint16
+	ticket  admission.Ticket
+	hop     *Hop
+}
+
+// ServeNode is the face for other nodes: a call passes the gate and runs on the
+// own target.
+func (e *Engine) ServeNode(ctx context.Context, c *app.RequestContext) {
+	e.calls.Add(1)
+	defer e.calls.Add(-1)
+	s := &serving{c: c, hop: &Hop{Kind: HopServe, Span: newSpan(), Start: time.Now(), Target: e.self.ID, Zone: e.self.Place.Zone}}
+	if fault := e.accept(s); fault != nil {
+		e.refuse(s, fault)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, e.epoch.Add(s.running.deadline))
+	s.running.ctx = ctx
+	if fault := e.enter(ctx, s); fault != nil {
+		cancel()
+		e.refuse(s, fault)
+		return
+	}
+	e.levels.served(s.class.Name)
+	e.reqs.add(s.running)
+	if s.class.AtMostOnce {
+		e.runOnce(ctx, s)
+		cancel()
+		return
+	}
+	r, resp := e.runOnTarget(ctx, s)
+	e.finish(s, r, resp, cancel)
+}
+
+// accept reads and checks what the other node sent.
+func (e *Engine) accept(s *serving) *status.Error {
+	h := &s.c.Request.Header
+	tc, ok := traceOf(h)
+	if !ok {
+		return status.Refuse(status.CodeProtocol, 0, "a call between nodes without a trace")
+	}
+	s.trace, s.hop.ID, s.hop.Parent = tc, tc.id, tc.span
+	meta, err := wire.GetMeta(h)
+	if err != nil {
+		return status.Refuse(status.CodeProtocol, 0, "%s", status.From(err).Detail)
+	}
+	s.meta = meta
+	v := e.view.Load()
+	if !v.Ready {
+		return status.Refuse(status.CodeNotReady, time.Second, "the target is not ready")
+	}
+	info, class, fault := e.lookup(v, s.c)
+	if fault != nil {
+		return fault
+	}
+	if info.Name != e.self.Service {
+		// A caller with an old view: an address that another service's target
+		// has taken over must not run the call.
+		return status.Refuse(status.CodeNotReady, 0, "no target of %s is here", info.Name)
+	}
+	if !info.Accepts(meta.Tenant) {
+		return status.Refuse(status.CodeForbidden, 0, "%s takes no requests of tenant %s", info.Name, meta.Tenant)
+	}
+	s.class = class
+	return e.prepare(s)
+}
+
+func (e *Engine) prepare(s *serving) *status.Error {
+	var fault *status.Error
+	if s.body, fault = takeBody(s.c, e.cfg.BufferBytes, s.class.MaxBody); fault != nil {
+		return fault
+	}
+	s.tenant = e.tenants.of(s.meta.Tenant)
+	s.running = &running{
+		id:       s.trace.id,
+		class:    s.class.Name,
+		span:     s.hop.Span,
+		meta:     s.meta,
+		priority: request.PriorityOf(s.meta.Importance, s.trace.id),
+		deadline: e.now() + s.meta.Remaining,
+		purse:    retry.NewPurse(s.meta.Allowance, s.meta.Repeat),
+	}
+	return nil
+}
+
+// enter asks the gate.
+func (e *Engine) enter(ctx context.Context, s *serving) *status.Error {
+	t, fault := e.gate.enter(ctx, admission.Arrival{
+		Priority: s.running.priority,
+		Tenant:   s.tenant,
+		Deadline: s.running.deadline,
+		Deep:     s.meta.Depth > 0,
+	})
+	s.ticket = t
+	s.hop.Queued = time.Since(s.hop.Start)
+	return fault
+}
+
+// runOnce runs a request of an at-most-once class under a claim.
+func (e *Engine) runOnce(ctx context.Context, s *serving) {
+	var r *result
+	var resp *protocol.Response
+	res := e.claims.Do(ctx, e.claimRequest(s), func(ctx context.Context) claims.Result {
+		s.running.ctx = ctx
+		r, resp = e.runOnTarget(ctx, s)
+		return recorded(r, resp)
+	})
+	if r == nil || res.Origin != claim.FromRun {
+		r, resp = fromClaim(e.now(), res)
+	}
+	e.finish(s, r, resp, func() {})
+}
+
+func (e *Engine) claimRequest(s *serving) claims.Request {
+	h := &s.c.Request.Header
+	return claims.Request{
+		Scope:    claim.Scope{Tenant: s.meta.Tenant, Service: e.self.Service, Class: s.class.Name},
+		Key:      string(h.Peek(wire.HeaderIdempotencyKey)),
+		Method:   string(h.Method()),
+		Path:     string(h.RequestURI()),
+		Body:     claim.Sum(s.body.whole),
+		Deadline: e.epoch.Add(s.running.deadline),
+	}
+}
+
+// recorded turns a run's result into what its claim remembers. A streamed
+// answer is read to its end first, as only then it is known to be whole.
+func recorded(r *result, resp *protocol.Response) claims.Result {
+	if r.stream != nil {
+		b, err := readAll(r.stream)
+		_ = r.stream.Close()
+		r.stream = nil
+		if err != nil {
+			r.outcome, r.code, r.detail = request.Unknown, status.CodeConnectionLost, "the target's answer broke off"
+			return claims.Failure(r.failure())
+		}
+		resp.SetBody(b)
+	}
+	if r.code != "" {
+		return claims.Failure(r.failure())
+	}
+	res := claims.Answered(resp.StatusCode(), string(resp.Header.ContentType()), resp.Body())
+	res.Outcome.Kind = r.outcome
+	return res
+}
+
+// fromClaim makes a result of what the claim knows of an earlier call.
+func fromClaim(now time.Duration, res claims.Result) (*result, *protocol.Response) {
+	if res.Err != nil {
+		return fail(now, res.Err), nil
+	}
+	resp := protocol.AcquireResponse()
+	resp.SetStatusCode(res.Outcome.Status)
+	resp.Header.SetContentType(res.Outcome.ContentType)
+	resp.SetBodyString(res.Outcome.Body)
+	return &result{outcome: res.Outcome.Kind, headAt: now}, resp
+}
+
+// runOnTarget sends the request to the own target.
+func (e *Engine) runOnTarget(ctx context.Context, s *serving) (*result, *protocol.Response) {
+	req := protocol.AcquireRequest()
+	defer protocol.ReleaseRequest(req)
+	wire.CopyRequest(&req.Header, &s.c.Request.Header)
+	req.Header.Set(wire.HeaderTraceparent, traceContext{s.trace.id, s.running.span, s.trace.sampled}.String())
+	left := max(s.running.deadline-e.now(), time.Millisecond)
+	req.Header.Set(wire.HeaderTargetDeadline, strconv.FormatInt(left.Milliseconds(), 10))
+	s.body.attach(req)
+	resp := protocol.AcquireResponse()
+	res, err := e.local.Do(ctx, e.self.Target, req, resp)
+	return e.judge(s, res.Sent, err, &result{
+		outcome: request.Completed,
+		stream:  res.Stream,
+		length:  res.Length,
+		headAt:  e.now(),
+	}, resp), resp
+}
+
+// judge types what the target did.
+func (e *Engine) judge(s *serving, sent bool, err error, r *result, resp *protocol.Response) *result {
+	if err != nil && !sent {
+		return fail(r.headAt, status.Refuse(status.CodeNoTarget, time.Second, "the target takes no connection"))
+	}
+	if err != nil {
+		f := status.From(err)
+		f.Outcome = request.Unknown
+		return fail(r.headAt, f)
+	}
+	if resp.StatusCode() < firstServerError {
+		return r
+	}
+	// The target's own failure: it ran. Whether all of it is known depends on
+	// the calls below: one that may have run leaves the whole in doubt.
+	r.outcome = request.Failed
+	if s.running.doubtful() {
+		r.outcome = request.Unknown
+	}
+	return r
+}
+
+// firstServerError is the least status by which a target says it failed.
+const firstServerError = 500
+
+// finish answers the other node, and gives the slot back when the answer is out
+// of the target.
+func (e *Engine) finish(s *serving, r *result, resp *protocol.Response, cancel func()) {
+	e.relay(&s.c.Response, orEmpty(resp), s.trace.id, r)
+	end := func() {
+		if r.stream != nil && !r.stream.Whole() {
+			r.outcome = request.Unknown
+		}
+		e.reqs.remove(s.running)
+		e.gate.leave(s.ticket, gateResult(r))
+		cancel()
+		e.seal(s, r.outcome, r.code)
+	}
+	if r.stream != nil {
+		r.stream.OnClose(end)
+	} else {
+		end()
+	}
+	e.mark(s, r)
+}
+
+func orEmpty(resp *protocol.Response) *protocol.Response {
+	if resp == nil {
+		return &protocol.Response{}
+	}
+	return resp
+}
+
+// gateResult is what the gate learns from a run.
+func gateResult(r *result) admission.Result {
+	switch {
+	case r.outcome == request.Completed:
+		return admission.OK
+	case r.code == status.CodeCanceled, r.code == status.CodeDeadlineExceeded:
+		return admission.Canceled
+	default:
+		return admission.Failed
+	}
+}
+
+// refuse answers a call that didn't get to the target.
+func (e *Engine) refuse(s *serving, fault *status.Error) {
+	writeProblem(&s.c.Response, s.trace.id, fault)
+	e.mark(s, &result{outcome: fault.Outcome, code: fault.Code, after: fault.RetryAfter})
+	e.seal(s, fault.Outcome, fault.Code)
+}
+
+// mark adds what the calling node is to know beside the answer.
+func (e *Engine) mark(s *serving, r *result) {
+	a := wire.Answer{Outcome: r.outcome, Code: r.code, Pushback: r.after}
+	st := e.gate.stats()
+	a.InFlight, a.Limit = st.Running, st.Limit
+	a.Level = e.gate.level(s.tenant)
+	if s.running != nil {
+		a.Chain = e.levels.below(s.class.Name)
+	}
+	// While the answer is a stream the target may still make calls: its
+	// allowance stays open, and what is left then counts as spent.
+	if s.running != nil && r.stream == nil {
+		a.Unspent, a.Made = s.running.close()
+	}
+	h := &s.c.Response.Header
+	wire.SetAnswer(h, &a)
+	h.Set(wire.HeaderAttempt, s.trace.span.String())
+}
+
+// seal ends the hop.
+func (e *Engine) seal(s *serving, o request.Outcome, code status.Code) {
+	s.hop.Service, s.hop.Class, s.hop.Tenant = e.self.Service, s.meta.Class, s.meta.Tenant
+	s.hop.Outcome, s.hop.Code = o, code
+	s.hop.End = time.Now()
+	e.observe(s.hop)
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -28,6 +28,7 @@
 	HeaderImportance = Prefix + "Importance"
 	HeaderDeadline   = Prefix + "Deadline-Ms"
 	HeaderAllowance  = Prefix + "Allowance"
+	HeaderRepeat     = Prefix + "Repeat"
 	HeaderDepth      = Prefix + "Depth"
 	HeaderRootKey    = Prefix + "Root-Key"
 	HeaderOrigin     = Prefix + "Origin"
@@ -38,8 +39,15 @@
 	HeaderCode = Prefix + "Code"
 	// HeaderLevel carries the answering node's admission level.
 	HeaderLevel = Prefix + "Level"
+	// HeaderChain carries the level of the services below the answering target
+	// for the call's class.
+	HeaderChain = Prefix + "Chain-Level"
+	// HeaderAttempt echoes the span of the attempt that the answer belongs to.
+	HeaderAttempt = Prefix + "Attempt"
 	// HeaderUnspent carries the part of the allowance that was not spent.
 	HeaderUnspent = Prefix + "Unspent"
+	// HeaderMade carries the attempts made below the answering node.
+	HeaderMade = Prefix + "Made"
 	// HeaderLoad carries the answering target's calls in flight and its limit.
 	HeaderLoad = Prefix + "Load"
 	// HeaderRequest carries the request's identity to the caller, for support.
@@ -68,13 +76,14 @@
 	Importance request.Importance
 	Remaining  time.Duration // until the request's deadline; relative, as clocks differ
 	Allowance  int           // extra attempts that the callee may spend below itself
+	Repeat     bool          // an earlier attempt of the same call may have run
 	Depth      int           // 0 at the entry's own call
 	RootKey    string        // idempotency key of the whole request, may be empty
 	Origin     request.Service
 }
 
-// maxDepth bounds the depth that is believed; deeper chains are loops.
-const maxDepth = 32
+// MaxDepth bounds a chain; a deeper one is a loop of services calling each other.
+const MaxDepth = 32
 
 // SetMeta writes m to a request between nodes.
 func SetMeta(h *protocol.RequestHeader, m *Meta) {
@@ -84,6 +93,9 @@
 	h.Set(HeaderDeadline, strconv.FormatInt(m.Remaining.Milliseconds(), 10))
 	h.Set(HeaderAllowance, strconv.Itoa(m.Allowance))
 	h.Set(HeaderDepth, strconv.Itoa(m.Depth))
+	if m.Repeat {
+		h.Set(HeaderRepeat, "1")
+	}
 	if m.RootKey != "" {
 		h.Set(HeaderRootKey, m.RootKey)
 	}
@@ -102,7 +114,8 @@
 		Importance: request.Importance(r.int(HeaderImportance, 0, int64(request.MaxImportance))),
 		Remaining:  time.Duration(r.int(HeaderDeadline, 0, int64(time.Hour/time.Millisecond))) * time.Millisecond,
 		Allowance:  int(r.int(HeaderAllowance, 0, 1<<10)),
-		Depth:      int(r.int(HeaderDepth, 0, maxDepth)),
+		Repeat:     len(h.Peek(HeaderRepeat)) > 0,
+		Depth:      int(r.int(HeaderDepth, 0, MaxDepth)),
 		RootKey:    string(h.Peek(HeaderRootKey)),
 		Origin:     request.Service(h.Peek(HeaderOrigin)),
 	}
@@ -128,7 +141,9 @@
 	Outcome  request.Outcome
 	Code     status.Code
 	Level    request.Level // 0: admits all
+	Chain    request.Level // of the services below, for the call's class
 	Unspent  int
+	Made     int
 	InFlight int           // calls running on the target
 	Limit    int           // calls that may run on it
 	Pushback time.Duration // 0: none
@@ -143,9 +158,15 @@
 	if a.Level > 0 {
 		h.Set(HeaderLevel, strconv.FormatUint(uint64(a.Level), 10))
 	}
+	if a.Chain > 0 {
+		h.Set(HeaderChain, strconv.FormatUint(uint64(a.Chain), 10))
+	}
 	if a.Unspent > 0 {
 		h.Set(HeaderUnspent, strconv.Itoa(a.Unspent))
 	}
+	if a.Made > 0 {
+		h.Set(HeaderMade, strconv.Itoa(a.Made))
+	}
 	if a.Limit > 0 {
 		h.Set(HeaderLoad, strconv.Itoa(a.InFlight)+"/"+strconv.Itoa(a.Limit))
 	}
@@ -161,7 +182,9 @@
 		Outcome:  request.ParseOutcome(string(h.Peek(HeaderOutcome))),
 		Code:     status.Code(h.Peek(HeaderCode)),
 		Level:    request.Level(number(h.Peek(HeaderLevel), uint64(request.MaxPriority))),
+		Chain:    request.Level(number(h.Peek(HeaderChain), uint64(request.MaxPriority))),
 		Unspent:  int(number(h.Peek(HeaderUnspent), 1<<10)),
+		Made:     int(number(h.Peek(HeaderMade), 1<<16)),
 		Pushback: time.Duration(number(h.Peek(HeaderPushback), uint64(time.Hour/time.Millisecond))) * time.Millisecond,
 	}
 	if inFlight, limit, ok := bytes.Cut(h.Peek(HeaderLoad), []byte{'/'}); ok {
