Prove the HTTP client: no repeats, no reuse after a cut, cancellation seen

Each test names its symptom. The sense of client disconnection for requests with a body is the server adapter's own.

--- /dev/null
+++ b/internal/adapter/hertzhttp/client_test.go
@@ -0,0 +1,259 @@
+package hertzhttp
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/matryer/is"
+
+	"peardrift/internal/status"
+)
+
+// peer serves each connection with script, which gets the request's head read.
+func peer(t *testing.T, script func(n int, c net.Conn, r *http.Request)) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serveScript(n, c, script)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func serveScript(n int, c net.Conn, script func(int, net.Conn, *http.Request)) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		script(n, c, r)
+	}
+}
+
+func get(path string) *protocol.Request {
+	req := &protocol.Request{}
+	req.Header.SetMethod("GET")
+	req.Header.SetRequestURI(path)
+	req.Header.SetHost("svc")
+	return req
+}
+
+func write(c net.Conn, s string) { _, _ = io.WriteString(c, s) }
+
+// Symptom: a GET runs twice although nobody retried it.
+// Events: a pooled connection is closed by the peer just after the second call
+// was written on it.
+// Cause: an HTTP client repeats idempotent calls on its own.
+func TestNoRepeatOnAConnectionClosedByThePeer(t *testing.T) {
+	is := is.New(t)
+	seen := make(chan string, 10)
+	addr := peer(t, func(n int, c net.Conn, r *http.Request) {
+		seen <- r.URL.Path
+		if r.URL.Path == "/first" {
+			write(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			return
+		}
+		_ = c.Close()
+	})
+	cl := NewClient(DefaultClientConfig())
+	defer cl.Close()
+	var resp protocol.Response
+	_, err := cl.Do(context.Background(), addr, get("/first"), &resp)
+	is.NoErr(err)
+	res, err := cl.Do(context.Background(), addr, get("/second"), &resp)
+	is.Equal(status.CodeOf(err), status.CodeConnectionLost)
+	is.True(res.Sent && res.Reused)
+	is.Equal(<-seen, "/first")
+	is.Equal(<-seen, "/second")
+	is.Equal(len(seen), 0) // not sent again
+}
+
+func TestNothingSentWithoutAConnection(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := ln.Addr().String()
+	_ = ln.Close()
+	cl := NewClient(DefaultClientConfig())
+	res, err := cl.Do(context.Background(), addr, get("/"), &protocol.Response{})
+	is.Equal(status.CodeOf(err), status.CodeConnectFailed)
+	is.True(!res.Sent) // the call may be refused as not run
+}
+
+// Symptom: a caller gets the end of another call's answer.
+// Events: an answer is left half read, or its call is canceled; its connection
+// carries the next call.
+// Cause: the connection went back to the pool with bytes of the old answer.
+func TestHalfReadAnswerEndsItsConnection(t *testing.T) {
+	is := is.New(t)
+	big := strings.Repeat("x", 1<<20)
+	conns := make(chan int, 10)
+	addr := peer(t, func(n int, c net.Conn, r *http.Request) {
+		conns <- n
+		if r.URL.Path == "/big" {
+			write(c, "HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n"+big)
+			return
+		}
+		write(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	cl := NewClient(DefaultClientConfig())
+	defer cl.Close()
+	var resp protocol.Response
+	res, err := cl.Do(context.Background(), addr, get("/big"), &resp)
+	is.NoErr(err)
+	_, err = io.ReadFull(res.Stream, make([]byte, 1000))
+	is.NoErr(err)
+	is.NoErr(res.Stream.Close())
+	is.True(!res.Stream.Whole())
+	var next protocol.Response
+	_, err = cl.Do(context.Background(), addr, get("/"), &next)
+	is.NoErr(err)
+	is.Equal(string(next.Body()), "ok")
+	is.Equal(<-conns, 0)
+	is.Equal(<-conns, 1) // a new connection
+}
+
+func TestWholeStreamGivesItsConnectionBack(t *testing.T) {
+	is := is.New(t)
+	conns := make(chan int, 10)
+	addr := peer(t, func(n int, c net.Conn, r *http.Request) {
+		conns <- n
+		write(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+	})
+	cl := NewClient(DefaultClientConfig())
+	defer cl.Close()
+	for range 3 {
+		var resp protocol.Response
+		res, err := cl.Do(context.Background(), addr, get("/"), &resp)
+		is.NoErr(err)
+		b, err := io.ReadAll(res.Stream)
+		is.NoErr(err)
+		is.Equal(string(b), "abc")
+		is.NoErr(res.Stream.Close())
+		is.Equal(<-conns, 0)
+	}
+}
+
+// Symptom: a truncated answer passes for a whole one.
+// Events: the peer dies in the middle of an answer.
+// Cause: an answer that ends with its connection has no length to miss.
+func TestCutAnswersAreSeen(t *testing.T) {
+	for name, head := range map[string]string{
+		"short":   "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nabc",
+		"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n5\r\nde",
+		"long":    "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\nabc",
+		"endless": "HTTP/1.1 200 OK\r\n\r\nabc",
+		"head":    "HTTP/1.1 200 OK\r\nContent-Le",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			addr := peer(t, func(_ int, c net.Conn, _ *http.Request) {
+				write(c, head)
+				_ = c.Close()
+			})
+			cl := NewClient(DefaultClientConfig())
+			defer cl.Close()
+			res, err := cl.Do(context.Background(), addr, get("/"), &protocol.Response{})
+			if err == nil {
+				_, err = io.ReadAll(res.Stream)
+				is.NoErr(res.Stream.Close())
+				is.True(!res.Stream.Whole())
+			}
+			is.True(err != nil) // the cut is seen
+		})
+	}
+}
+
+// Symptom: work for callers that have gone fills the targets.
+// Events: the caller cancels while the peer works, with or without a body.
+// Cause: the client did not end the call, or the server did not look.
+func TestCanceledCallEndsAtThePeer(t *testing.T) {
+	for _, body := range []string{"", "a small body"} {
+		t.Run("body "+body, func(t *testing.T) {
+			is := is.New(t)
+			begun := make(chan struct{})
+			ended := make(chan struct{})
+			s, err := Listen("127.0.0.1:0", DefaultServerConfig(), func(ctx context.Context, c *app.RequestContext) {
+				close(begun)
+				<-ctx.Done()
+				close(ended)
+			})
+			is.NoErr(err)
+			s.Start()
+			defer func() { _ = s.Shutdown(context.Background()) }()
+			cl := NewClient(DefaultClientConfig())
+			defer cl.Close()
+			ctx, cancel := context.WithCancel(context.Background())
+			go func() {
+				<-begun
+				cancel()
+			}()
+			req := get("/")
+			if body != "" {
+				req.Header.SetMethod("POST")
+				req.SetBodyString(body)
+			}
+			res, err := cl.Do(ctx, s.Addr(), req, &protocol.Response{})
+			is.Equal(status.CodeOf(err), status.CodeCanceled)
+			is.True(res.Sent) // may have run
+			<-ended           // the peer saw it
+		})
+	}
+}
+
+func TestDeadlineEndsACallOnASilentConnection(t *testing.T) {
+	is := is.New(t)
+	addr := peer(t, func(int, net.Conn, *http.Request) { select {} })
+	cl := NewClient(DefaultClientConfig())
+	defer cl.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	_, err := cl.Do(ctx, addr, get("/"), &protocol.Response{})
+	is.Equal(status.CodeOf(err), status.CodeDeadlineExceeded)
+}
+
+func TestBusyPortIsATypedFailure(t *testing.T) {
+	is := is.New(t)
+	s, err := Listen("127.0.0.1:0", DefaultServerConfig(), nil)
+	is.NoErr(err)
+	defer s.ln.Close()
+	_, err = Listen(s.Addr(), DefaultServerConfig(), nil)
+	is.Equal(status.CodeOf(err), status.CodeListen)
+}
+
+func TestIdleConnectionsAreReaped(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	addr := peer(t, func(_ int, c net.Conn, _ *http.Request) {
+		write(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		_, _ = c.Read(make([]byte, 1))
+		close(closed)
+	})
+	cl := NewClient(DefaultClientConfig())
+	_, err := cl.Do(context.Background(), addr, get("/"), &protocol.Response{})
+	is.NoErr(err)
+	cl.Reap(time.Now())
+	is.Equal(cl.pool(addr).open, 1)
+	cl.Reap(time.Now().Add(time.Minute))
+	is.Equal(cl.pool(addr).open, 0)
+	<-closed
+}
