Accept sets by one conditional transaction and settle lost answers

The object with the set's bytes is written first, then head, history row and, if the share changes, the share ledger in one transaction. A write in doubt is settled by its token; while its row is absent it may still land, so the same write is made again. A property test interleaves operators with lost, late and failed writes.

--- /dev/null
+++ b/internal/apply/apply_test.go
@@ -0,0 +1,198 @@
+package apply
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peardrift/internal/core/confset"
+	"peardrift/internal/core/request"
+	"peardrift/internal/port"
+	"peardrift/internal/port/porttest"
+	"peardrift/internal/status"
+)
+
+// testStore returns a store over fakes whose tokens and time are fixed.
+func testStore(table port.Table, objects port.Objects) *Store {
+	s := New(table, objects, Config{Attempts: 3, Pause: time.Nanosecond, MaxPause: time.Nanosecond})
+	n := 0
+	s.token = func() string { n++; return fmt.Sprintf("token-%d", n) }
+	s.now = func() time.Time { return time.Unix(1700000000, 0) }
+	return s
+}
+
+// testSet returns a valid set that differs from others by its slots.
+func testSet(t request.Tenant, share float64, slots int) confset.Set {
+	return confset.Set{Tenant: t, Share: share, Services: []confset.Service{{
+		Name: "feed", Slots: slots, Connections: slots + 1000,
+		Classes: []confset.Class{{Name: "read", Path: "/", Deadline: time.Second}},
+	}}}
+}
+
+func TestApplyAndRead(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	table, objects := porttest.NewTable(), porttest.NewObjects()
+	s := testStore(table, objects)
+	for v := int64(1); v <= 3; v++ {
+		acc, err := s.Apply(ctx, testSet("khaosan", 0.5, int(v)), v-1, "ada")
+		is.NoErr(err)
+		is.Equal(acc.Version, v)
+	}
+	head, err := s.Head(ctx, "khaosan")
+	is.NoErr(err)
+	set, err := s.Set(ctx, head)
+	is.NoErr(err)
+	is.Equal(set.Version, int64(3))
+	is.Equal(set.Services[0].Slots, 3)
+	history, err := s.History(ctx, "khaosan", 2)
+	is.NoErr(err)
+	is.Equal(len(history), 2)
+	is.Equal(history[1].Version, int64(2))
+	is.Equal(history[1].By, "ada")
+	tenants, _, err := s.Tenants(ctx)
+	is.NoErr(err)
+	is.Equal(tenants, []request.Tenant{"khaosan"})
+
+	acc, err := s.Apply(ctx, testSet("khaosan", 0.5, 3), 3, "ada")
+	is.NoErr(err)
+	is.True(acc.Unchanged && acc.Version == 3) // the same content makes no version
+	_, err = s.Apply(ctx, confset.Set{Tenant: "khaosan"}, 3, "ada")
+	is.Equal(status.CodeOf(err), status.CodeInvalidSet)
+	is.Equal(objects.Len(), 3)
+}
+
+// Symptom: one operator's change is gone, and nobody was told. Events: two
+// operators start from version 1 and apply different sets. Cause: the later
+// write replaced the earlier one without looking at what it started from.
+func TestSecondOperatorSeesConflict(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	s := testStore(porttest.NewTable(), porttest.NewObjects())
+	_, err := s.Apply(ctx, testSet("khaosan", 0.5, 1), 0, "ada")
+	is.NoErr(err)
+	_, err = s.Apply(ctx, testSet("khaosan", 0.5, 2), 1, "ada")
+	is.NoErr(err)
+	_, err = s.Apply(ctx, testSet("khaosan", 0.5, 3), 1, "grace")
+	var conflict *Conflict
+	is.True(errors.As(err, &conflict))
+	is.Equal(conflict.Current, int64(2))
+	is.Equal(status.CodeOf(err), status.CodeConflict)
+	_, err = s.Apply(ctx, testSet("khaosan", 0.5, 3), 7, "grace")
+	is.True(errors.As(err, &conflict)) // a base that was never accepted
+	acc, err := s.Apply(ctx, testSet("khaosan", 0.5, 2), 1, "ada")
+	is.NoErr(err)
+	is.True(acc.Settled) // asking again for what won is no conflict
+}
+
+// Symptom: an operator is told that an apply failed, and it is in force; or
+// that it succeeded, and it never was. Events: the deciding write's answer, or
+// the write itself, is lost; or the write lands after its writer gave up on it.
+// Cause: a lost answer was taken for a failure, or the head that had not moved
+// yet for proof that it never will.
+func TestLostAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		faults []porttest.Fault // of the deciding writes, in their order
+		want   status.Code      // "" for accepted
+	}{
+		{"answer lost", []porttest.Fault{porttest.LostAnswer}, ""},
+		{"request lost", []porttest.Fault{porttest.LostRequest}, ""},
+		{"late", []porttest.Fault{porttest.Late}, ""},
+		{"late twice", []porttest.Fault{porttest.Late, porttest.Late}, ""},
+		{"down once", []porttest.Fault{porttest.Unavailable}, ""},
+		{"down", []porttest.Fault{porttest.Unavailable, porttest.Unavailable, porttest.Unavailable}, status.CodePlatformDown},
+		{"all lost", []porttest.Fault{porttest.LostRequest, porttest.LostRequest, porttest.LostRequest}, status.CodeOutcomeUnknown},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			ctx := context.Background()
+			table := porttest.NewTable()
+			s := testStore(table, porttest.NewObjects())
+			faults := tc.faults
+			table.SetScript(func(op porttest.Op, _ string) porttest.Fault {
+				if op != porttest.OpPutAll || len(faults) == 0 {
+					return porttest.None
+				}
+				f := faults[0]
+				faults = faults[1:]
+				return f
+			})
+			acc, err := s.Apply(ctx, testSet("khaosan", 0.5, 1), 0, "ada")
+			if tc.want != "" {
+				is.Equal(status.CodeOf(err), tc.want)
+			} else {
+				is.NoErr(err)
+				is.Equal(acc.Version, int64(1))
+			}
+			acc, err = s.Apply(ctx, testSet("khaosan", 0.5, 1), 0, "ada") // asking again settles all of them
+			is.NoErr(err)
+			is.Equal(acc.Version, int64(1))
+		})
+	}
+}
+
+// Symptom: an operator is told "nothing was accepted" and the set is in force.
+// Events: the write takes effect, its answer is lost, and then the platform goes
+// down, so that the row can't be read back. Cause: the read's failure was
+// reported in place of the doubt.
+func TestOutageAfterLostAnswerIsUnknown(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	table := porttest.NewTable()
+	s := testStore(table, porttest.NewObjects())
+	down := false
+	table.SetScript(func(op porttest.Op, _ string) porttest.Fault {
+		if down {
+			return porttest.Unavailable
+		}
+		down = op == porttest.OpPutAll
+		if down {
+			return porttest.LostAnswer
+		}
+		return porttest.None
+	})
+	_, err := s.Apply(ctx, testSet("khaosan", 0.5, 1), 0, "ada")
+	is.Equal(status.CodeOf(err), status.CodeOutcomeUnknown)
+	_, err = s.Apply(ctx, testSet("khaosan", 0.5, 1), 0, "ada")
+	is.Equal(status.CodeOf(err), status.CodePlatformDown)
+	table.SetScript(nil)
+	acc, err := s.Apply(ctx, testSet("khaosan", 0.5, 1), 0, "ada")
+	is.NoErr(err)
+	is.True(acc.Settled || acc.Unchanged)
+}
+
+// Symptom: a head names an object that no node can fetch. Events: the object
+// store is down while the table is up. Cause: the head was written first.
+func TestObjectFirst(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	table, objects := porttest.NewTable(), porttest.NewObjects()
+	s := testStore(table, objects)
+	objects.SetScript(func(porttest.Op, string) porttest.Fault { return porttest.Unavailable })
+	_, err := s.Apply(ctx, testSet("khaosan", 0.5, 1), 0, "ada")
+	is.Equal(status.CodeOf(err), status.CodePlatformDown)
+	_, err = s.Head(ctx, "khaosan")
+	is.True(errors.Is(err, port.ErrNotFound))
+}
+
+func TestSharesAreCheckedAgainstTheWhole(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	table := porttest.NewTable()
+	s := testStore(table, porttest.NewObjects())
+	_, err := s.Apply(ctx, testSet("khaosan", 0.6, 1), 0, "ada")
+	is.NoErr(err)
+	_, err = s.Apply(ctx, testSet("kalahari", 0.5, 1), 0, "grace")
+	is.Equal(status.CodeOf(err), CodeShares)
+	_, err = s.Apply(ctx, testSet("kalahari", 0.4, 1), 0, "grace")
+	is.NoErr(err)
+	_, err = s.Apply(ctx, testSet("khaosan", 0.5, 1), 1, "ada")
+	is.NoErr(err) // a tenant may give some back
+	_, err = s.Apply(ctx, testSet("kalahari", 0.5, 1), 1, "grace")
+	is.NoErr(err)
+}
--- /dev/null
+++ b/internal/apply/race_test.go
@@ -0,0 +1,156 @@
+package apply
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"peardrift/internal/core/confset"
+	"peardrift/internal/core/request"
+	"peardrift/internal/port"
+	"peardrift/internal/port/porttest"
+	"peardrift/internal/status"
+)
+
+// interrupted is a table that lets something else happen before each call: the
+// other operators' applies, so that they interleave in one goroutine.
+type interrupted struct {
+	port.Table
+	before func()
+}
+
+func (i *interrupted) Get(ctx context.Context, key string) (port.Item, error) {
+	i.before()
+	return i.Table.Get(ctx, key)
+}
+
+func (i *interrupted) PutAll(ctx context.Context, ps []port.Put) error {
+	i.before()
+	return i.Table.PutAll(ctx, ps)
+}
+
+// operator applies one set, again and again until the outcome is known.
+type operator struct {
+	set  confset.Set
+	base int64
+	acc  Accepted
+	err  error
+}
+
+// Symptom: two operators are both told that their set is in force, or one is
+// told of a conflict and is in force. Events: applies of several operators in
+// two tenants in any interleaving, with answers and writes lost, writes that
+// land late and outages. Cause: any step between reading the head and telling
+// the operator that trusts what it has not verified.
+func TestExactlyOneWins(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		table, objects := porttest.NewTable(), porttest.NewObjects()
+		faulty := true
+		script := func(op porttest.Op, _ string) porttest.Fault {
+			if !faulty {
+				return porttest.None
+			}
+			return rapid.SampledFrom([]porttest.Fault{porttest.None, porttest.None, porttest.None, porttest.None,
+				porttest.Unavailable, porttest.LostAnswer, porttest.LostRequest, porttest.Late}).Draw(rt, "fault")
+		}
+		table.SetScript(script)
+		objects.SetScript(script)
+
+		ops := drawOperators(rt)
+		next := 0
+		via := &interrupted{Table: table}
+		s := testStore(via, objects)
+		runNext := func() {
+			op := ops[next]
+			next++
+			op.acc, op.err = s.Apply(context.Background(), op.set, op.base, "ada")
+		}
+		via.before = func() {
+			if next < len(ops) && rapid.IntRange(0, 3).Draw(rt, "interrupt") == 0 {
+				runNext()
+			}
+		}
+		for next < len(ops) {
+			runNext()
+		}
+		table.Flush()
+		faulty = false
+		checkOutcomes(rt, s, ops)
+	})
+}
+
+func drawOperators(rt *rapid.T) []*operator {
+	ops := make([]*operator, rapid.IntRange(2, 6).Draw(rt, "operators"))
+	for i := range ops {
+		tenant := rapid.SampledFrom([]request.Tenant{"khaosan", "kalahari"}).Draw(rt, "tenant")
+		share := rapid.SampledFrom([]float64{0.4, 0.5, 0.7}).Draw(rt, "share")
+		ops[i] = &operator{
+			set:  testSet(tenant, share, i+1),
+			base: rapid.Int64Range(0, 2).Draw(rt, "base"),
+		}
+	}
+	return ops
+}
+
+func checkOutcomes(rt *rapid.T, s *Store, ops []*operator) {
+	ctx := context.Background()
+	winners := make(map[string]bool)
+	for i, op := range ops {
+		_, digest, err := confset.Encode(op.set)
+		if err != nil {
+			rt.Fatal(err)
+		}
+		won := false
+		r, err := s.Version(ctx, op.set.Tenant, op.base+1)
+		if err == nil {
+			won = r.Digest == digest
+		} else if !errors.Is(err, port.ErrNotFound) {
+			rt.Fatal(err)
+		}
+		switch code := codeOf(op.err); {
+		case code == "" && (!won || op.acc.Version != op.base+1):
+			rt.Fatalf("operator %d was told that it won", i)
+		case code != "" && code != status.CodeOutcomeUnknown && won:
+			rt.Fatalf("operator %d won and was told %v", i, op.err)
+		}
+		key := fmt.Sprint(op.set.Tenant, op.base)
+		if won && winners[key] {
+			rt.Fatalf("two operators won on %s", key)
+		}
+		winners[key] = winners[key] || won
+		again, err := s.Apply(ctx, op.set, op.base, "ada")
+		if won && (err != nil || again.Version != op.base+1) {
+			rt.Fatalf("operator %d won, asking again says %v %v", i, again, err)
+		}
+	}
+	checkLedger(rt, s)
+}
+
+// checkLedger verifies that the ledger says what the heads say, within the whole.
+func checkLedger(rt *rapid.T, s *Store) {
+	tenants, shares, err := s.Tenants(context.Background())
+	if err != nil {
+		rt.Fatal(err)
+	}
+	sum := 0.0
+	for _, t := range tenants {
+		head, err := s.Head(context.Background(), t)
+		if err != nil || head.Share != shares[t] {
+			rt.Fatalf("the ledger has %v for %s, its head %v (%v)", shares[t], t, head.Share, err)
+		}
+		sum += shares[t]
+	}
+	if sum > 1+shareSlack {
+		rt.Fatalf("shares of %v in all", sum)
+	}
+}
+
+func codeOf(err error) status.Code {
+	if err == nil {
+		return ""
+	}
+	return status.CodeOf(err)
+}
--- /dev/null
+++ b/internal/apply/store.go
@@ -0,0 +1,130 @@
+package apply
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"peardrift/internal/core/confset"
+	"peardrift/internal/core/request"
+	"peardrift/internal/port"
+	"peardrift/internal/status"
+)
+
+// Config holds what an acceptance may spend.
+type Config struct {
+	// Attempts bounds how often one step (writing the object, the deciding
+	// write) is made. Default 5. Lower leaves more applies unknown or
+	// unavailable in a short outage; higher makes an operator wait longer.
+	Attempts int
+
+	// Pause is the wait before the second attempt; it doubles, up to MaxPause,
+	// and is drawn between half and the whole of that. Default 50ms. Lower
+	// settles sooner; higher spares a platform in trouble.
+	Pause time.Duration
+
+	// MaxPause bounds the wait between attempts. Default 1s.
+	MaxPause time.Duration
+}
+
+// DefaultConfig returns the defaults.
+func DefaultConfig() Config {
+	return Config{Attempts: 5, Pause: 50 * time.Millisecond, MaxPause: time.Second}
+}
+
+// Store reads and accepts sets.
+type Store struct {
+	table   port.Table
+	objects port.Objects
+	cfg     Config
+	now     func() time.Time
+	token   func() string
+}
+
+// New returns a store over the platform.
+func New(table port.Table, objects port.Objects, cfg Config) *Store {
+	return &Store{table: table, objects: objects, cfg: cfg, now: time.Now, token: uuid.NewString}
+}
+
+// Head returns the accepted version of a tenant's set; port.ErrNotFound if none
+// was ever accepted.
+func (s *Store) Head(ctx context.Context, t request.Tenant) (Record, error) {
+	it, err := s.table.Get(ctx, headKey(t))
+	if err != nil {
+		return Record{}, err
+	}
+	return decodeRecord(t, it.Version, it)
+}
+
+// Version returns what is known of one accepted version; port.ErrNotFound if
+// there is none.
+func (s *Store) Version(ctx context.Context, t request.Tenant, version int64) (Record, error) {
+	it, err := s.table.Get(ctx, historyKey(t, version))
+	if err != nil {
+		return Record{}, err
+	}
+	return decodeRecord(t, version, it)
+}
+
+// History returns up to limit accepted versions, the newest first, one read for
+// each.
+func (s *Store) History(ctx context.Context, t request.Tenant, limit int) ([]Record, error) {
+	head, err := s.Head(ctx, t)
+	if err != nil {
+		return nil, err
+	}
+	var out []Record
+	for v := head.Version; v > 0 && len(out) < limit; v-- {
+		r, err := s.Version(ctx, t, v)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, r)
+	}
+	return out, nil
+}
+
+// Tenants returns the tenants that have an accepted set with their shares,
+// sorted; none if nothing was ever accepted.
+func (s *Store) Tenants(ctx context.Context) ([]request.Tenant, map[request.Tenant]float64, error) {
+	_, l, err := s.ledger(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	return slices.Sorted(maps.Keys(l.Shares)), l.Shares, nil
+}
+
+// Set fetches an accepted set and verifies its digest.
+func (s *Store) Set(ctx context.Context, r Record) (confset.Set, error) {
+	body, err := s.Body(ctx, r.Tenant, r.Digest)
+	if err != nil {
+		return confset.Set{}, err
+	}
+	set, err := confset.Decode(body, r.Digest, r.Version)
+	if err == nil && set.Tenant != r.Tenant {
+		return confset.Set{}, status.New(status.CodeProtocol, "the set of %s belongs to %s", r.Tenant, set.Tenant)
+	}
+	return set, err
+}
+
+// Body fetches the canonical bytes of an accepted set, not yet verified.
+func (s *Store) Body(ctx context.Context, t request.Tenant, d confset.Digest) ([]byte, error) {
+	return s.objects.Get(ctx, objectName(t, d))
+}
+
+// ledger returns the share ledger's row version (0: no row yet) and content.
+func (s *Store) ledger(ctx context.Context) (int64, ledger, error) {
+	l := ledger{Shares: make(map[request.Tenant]float64)}
+	it, err := s.table.Get(ctx, sharesKey)
+	if errors.Is(err, port.ErrNotFound) {
+		return 0, l, nil
+	}
+	if err != nil {
+		return 0, l, err
+	}
+	return it.Version, l, decodeRow(it, &l)
+}
--- /dev/null
+++ b/internal/port/porttest/table.go
@@ -0,0 +1,132 @@
+package porttest
+
+import (
+	"bytes"
+	"context"
+	"sync"
+
+	"peardrift/internal/port"
+)
+
+// Table is a fake port.Table.
+type Table struct {
+	mu     sync.Mutex
+	rows   map[string]port.Item
+	late   [][]port.Put
+	script Script
+	counts map[Op]int
+}
+
+var _ port.Table = (*Table)(nil)
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{rows: make(map[string]port.Item), counts: make(map[Op]int)}
+}
+
+// SetScript replaces the script; nil ends all faults.
+func (t *Table) SetScript(s Script) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.script = s
+}
+
+// Count returns how many calls of a method were made.
+func (t *Table) Count(op Op) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.counts[op]
+}
+
+// Flush tries the late writes, in their order.
+func (t *Table) Flush() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.flush()
+}
+
+// Get implements port.Table.
+func (t *Table) Get(ctx context.Context, key string) (port.Item, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.begin(ctx, OpGet, key) != None {
+		return port.Item{}, port.ErrUnavailable
+	}
+	it, ok := t.rows[key]
+	if !ok {
+		return port.Item{}, port.ErrNotFound
+	}
+	it.Value = bytes.Clone(it.Value)
+	return it, nil
+}
+
+// Put implements port.Table.
+func (t *Table) Put(ctx context.Context, p port.Put) error {
+	return t.write(ctx, OpPut, []port.Put{p})
+}
+
+// PutAll implements port.Table.
+func (t *Table) PutAll(ctx context.Context, ps []port.Put) error {
+	if len(ps) == 0 {
+		return nil
+	}
+	return t.write(ctx, OpPutAll, ps)
+}
+
+func (t *Table) write(ctx context.Context, op Op, ps []port.Put) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch t.begin(ctx, op, ps[0].Item.Key) {
+	case Unavailable:
+		return port.ErrUnavailable
+	case LostRequest:
+		return port.ErrAmbiguous
+	case LostAnswer:
+		t.apply(ps)
+		return port.ErrAmbiguous
+	case Late:
+		t.late = append(t.late, ps)
+		return port.ErrAmbiguous
+	default:
+		if !t.apply(ps) {
+			return port.ErrConditionFailed
+		}
+		return nil
+	}
+}
+
+// begin counts a call, lets late writes land and asks the script.
+func (t *Table) begin(ctx context.Context, op Op, key string) Fault {
+	t.counts[op]++
+	t.flush()
+	if ctx.Err() != nil {
+		return Unavailable
+	}
+	if t.script == nil {
+		return None
+	}
+	return t.script(op, key)
+}
+
+func (t *Table) flush() {
+	for _, ps := range t.late {
+		t.apply(ps)
+	}
+	t.late = nil
+}
+
+// apply does all the writes if all their conditions hold.
+func (t *Table) apply(ps []port.Put) bool {
+	for _, p := range ps {
+		row, ok := t.rows[p.Item.Key]
+		if ok != (p.IfVersion != 0) || row.Version != p.IfVersion {
+			return false
+		}
+	}
+	for _, p := range ps {
+		it := p.Item
+		it.Value = bytes.Clone(it.Value)
+		t.rows[it.Key] = it
+	}
+	return true
+}
