Plug the decision cores into the replay, and print what a policy is worth

Calls pass early refusal, allowance, brake, choice of target, network, gate, slot, and answer with levels and unspent allowance, as in a node.

--- /dev/null
+++ b/bench/cmd/replay/table.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"text/tabwriter"
+
+	"golang.org/x/sync/errgroup"
+
+	"peardrift/bench/replay"
+)
+
+// row is a policy and its results, one for each seed.
+type row struct {
+	policy  replay.Policy
+	results []*replay.Result
+}
+
+// runAll runs each policy with each seed. Runs share nothing, so their order
+// doesn't show in the results.
+func runAll(c *testCase, policies []replay.Policy, o *options) []row {
+	rows := make([]row, len(policies))
+	var g errgroup.Group
+	g.SetLimit(max(1, o.Jobs))
+	for i, p := range policies {
+		rows[i] = row{policy: p, results: make([]*replay.Result, o.Seeds)}
+		for s := range o.Seeds {
+			g.Go(func() error {
+				seed := o.Seed + uint64(s)
+				rows[i].results[s] = replay.Run(c.dep, c.trace(seed), p, seed)
+				return nil
+			})
+		}
+	}
+	_ = g.Wait() // the functions return no error
+	return rows
+}
+
+// spread is the mean of a figure over the seeds and its standard deviation.
+func (r *row) spread(figure func(*replay.Result) float64) (mean, dev float64) {
+	n := float64(len(r.results))
+	for _, x := range r.results {
+		mean += figure(x) / n
+	}
+	for _, x := range r.results {
+		d := figure(x) - mean
+		dev += d * d / max(1, n-1)
+	}
+	return mean, math.Sqrt(dev)
+}
+
+func (r *row) cell(format string, figure func(*replay.Result) float64) string {
+	mean, dev := r.spread(figure)
+	return fmt.Sprintf(format+"±"+format, mean, dev)
+}
+
+func percent(f func(*replay.Result) float64) func(*replay.Result) float64 {
+	return func(r *replay.Result) float64 { return 100 * f(r) }
+}
+
+func inverted(r *replay.Result) float64 { return float64(r.Inverted) / math.Max(1, float64(r.Refused)) }
+
+func table(c *testCase, rows []row, o *options) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s, seeds %d to %d, scale 1/%d; mean ± standard deviation over the seeds\n",
+		c.name(), o.Seed, o.Seed+uint64(o.Seeds)-1, max(1, c.scale))
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "policy\tgoodput/s\t% of best\t% important\tfirst try %\trecovery s\tuseless %\trefused imp.\tinverted %\tattempts\textra\t")
+	for i := range rows {
+		r := &rows[i]
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t\n", r.policy.Name,
+			r.cell("%.0f", func(x *replay.Result) float64 { return x.Surge }),
+			r.cell("%.1f", percent((*replay.Result).OfBest)),
+			r.cell("%.1f", percent((*replay.Result).Important)),
+			r.cell("%.1f", percent((*replay.Result).ImportantFirst)),
+			r.cell("%.1f", func(x *replay.Result) float64 { return x.Recovery.Seconds() }),
+			r.cell("%.1f", percent(func(x *replay.Result) float64 { return x.Useless })),
+			r.cell("%.0f", func(x *replay.Result) float64 { return float64(x.Refused) }),
+			r.cell("%.0f", percent(inverted)),
+			r.cell("%.2f", func(x *replay.Result) float64 { return x.Attempts }),
+			r.cell("%.0f", func(x *replay.Result) float64 { return float64(x.Extra) }))
+	}
+	w.Flush()
+	if o.Classes {
+		classTable(&b, c, rows)
+	}
+	b.WriteString("\n")
+	return b.String()
+}
+
+func classTable(b *strings.Builder, c *testCase, rows []row) {
+	w := tabwriter.NewWriter(b, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "policy\tclass\tdemand/s\tbest/s\tdone/s\tserved %\tfirst try %\t")
+	for i := range rows {
+		r := &rows[i]
+		for k := range c.dep.Classes {
+			name := c.dep.Classes[k].Name
+			of := func(f func(replay.ClassResult) float64) func(*replay.Result) float64 {
+				return func(x *replay.Result) float64 { return f(x.Classes[name]) }
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t\n", r.policy.Name, name,
+				r.cell("%.0f", of(func(x replay.ClassResult) float64 { return x.Demand })),
+				r.cell("%.0f", of(func(x replay.ClassResult) float64 { return x.Best })),
+				r.cell("%.0f", of(func(x replay.ClassResult) float64 { return x.Done })),
+				r.cell("%.1f", of(func(x replay.ClassResult) float64 { return 100 * x.Served })),
+				r.cell("%.1f", of(func(x replay.ClassResult) float64 { return 100 * x.First })))
+		}
+	}
+	w.Flush()
+}
--- a/bench/replay/gates.go
+++ b/bench/replay/gates.go
@@ -14,7 +14,7 @@
 	case GateAdaptive:
 		return &limitGate{n: n, limit: adaptiveStart, adapt: true}
 	case GateCore:
-		return openGate{n: n}
+		return newCoreGate(n)
 	default:
 		return openGate{n: n}
 	}
--- a/bench/replay/node.go
+++ b/bench/replay/node.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"peardrift/internal/core/early"
 	"peardrift/internal/core/request"
 	"peardrift/internal/core/retry"
 	"peardrift/internal/status"
@@ -16,6 +17,8 @@
 	gate     gate
 	target   target
 	out      map[string]*outbound
+	levels   *early.Table
+	chain    *early.Chain
 	live     map[uint64]*attempt // received and not ended
 	entries  map[uint64]*call    // whole requests that entered here
 	draining bool
@@ -49,6 +52,7 @@
 func (n *node) begin(a *attempt) {
 	a.gated = true
 	n.w.m.decide(decidedAdmit)
+	n.chain.Served(n.w.now, request.Class(a.call.tree.class.Name))
 	n.offer(a)
 }
 
