Refuse the request that crashes its targets, in the data path

Cause: a target's death leaves its node alive, which alone knows what was in flight. A call that loses the target's connection first waits for one probe; if the target takes no connection, what was in flight is reported before any of it counts as ended.

--- a/internal/adapter/hertzhttp/client.go
+++ b/internal/adapter/hertzhttp/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -155,6 +156,16 @@
 	c.pool.put(c, time.Now())
 }
 
+// Reachable reports whether a new connection to addr can be made.
+func (c *Client) Reachable(addr string) bool {
+	conn, err := net.DialTimeout("tcp", addr, c.cfg.DialTimeout)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // Reap closes connections that were idle too long. Call it every few seconds.
 func (c *Client) Reap(now time.Time) {
 	c.mu.RLock()
@@ -212,6 +223,7 @@
 	stop   func() bool
 	keep   bool
 	whole  bool
+	broken bool
 	closed atomic.Bool
 	after  []func()
 }
@@ -223,12 +235,14 @@
 // Read implements io.Reader; io.EOF comes only after the whole answer.
 func (s *Stream) Read(p []byte) (int, error) {
 	n, err := s.r.Read(p)
-	if err == io.EOF {
-		s.whole = true
-	}
+	s.whole = s.whole || err == io.EOF
+	s.broken = s.broken || err != nil && err != io.EOF
 	return n, err
 }
 
+// Broken reports whether reading failed before the answer's end.
+func (s *Stream) Broken() bool { return s.broken }
+
 // Whole reports whether the answer was read to its end.
 func (s *Stream) Whole() bool { return s.whole }
 
--- a/internal/dataplane/engine.go
+++ b/internal/dataplane/engine.go
@@ -16,6 +16,7 @@
 	"peardrift/internal/core/request"
 	"peardrift/internal/core/retry"
 	"peardrift/internal/core/route"
+	"peardrift/internal/core/suspect"
 )
 
 // Transport sends a call to an address and reads the head of its answer, and
@@ -23,6 +24,8 @@
 // reports truthfully whether anything was sent.
 type Transport interface {
 	Do(ctx context.Context, addr string, req *protocol.Request, resp *protocol.Response) (hertzhttp.Result, error)
+	// Reachable reports whether a new connection to the address can be made.
+	Reachable(addr string) bool
 }
 
 // Observer is told of each hop when it has ended. Called from traffic
@@ -71,6 +74,7 @@
 	Retry    retry.Config
 	Route    route.Config
 	Gate     admission.Config
+	Suspect  suspect.Config
 	Early    early.Config
 }
 
@@ -83,6 +87,7 @@
 		Route:       route.DefaultConfig(),
 		Gate:        admission.DefaultConfig(),
 		Early:       early.DefaultConfig(),
+		Suspect:     suspect.DefaultConfig(),
 	}
 }
 
@@ -96,12 +101,13 @@
 	obs    Observer
 	epoch  time.Time
 
-	view    atomic.Pointer[View]
-	gate    *gate
-	levels  *levels
-	tenants tenants
-	reqs    *registry
-	calls   atomic.Int64
+	view     atomic.Pointer[View]
+	gate     *gate
+	levels   *levels
+	suspects *suspects
+	tenants  tenants
+	reqs     *registry
+	calls    atomic.Int64
 
 	mu      sync.Mutex
 	callees map[request.Service]*callee
@@ -121,6 +127,7 @@
 		callees: make(map[request.Service]*callee),
 	}
 	e.view.Store(&View{})
+	e.suspects = newSuspects(cfg.Suspect, self.ID, e.now, func() bool { return local.Reachable(self.Target) })
 	e.levels = newLevels(&e.cfg.Early, e.now)
 	e.gate = newGate(cfg.Gate, newRand(), e.now)
 	return e
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -60,7 +60,7 @@
 		cancel()
 		return
 	}
-	r, resp := e.runOnTarget(ctx, s)
+	r, resp := e.run(ctx, s)
 	e.finish(s, r, resp, cancel)
 }
 
@@ -134,7 +134,7 @@
 	var resp *protocol.Response
 	res := e.claims.Do(ctx, e.claimRequest(s), func(ctx context.Context) claims.Result {
 		s.running.ctx = ctx
-		r, resp = e.runOnTarget(ctx, s)
+		r, resp = e.run(ctx, s)
 		return recorded(r, resp)
 	})
 	if r == nil || res.Origin != claim.FromRun {
@@ -188,6 +188,21 @@
 	return &result{outcome: res.Outcome.Kind, headAt: now}, resp
 }
 
+// run runs a request on the own target, unless it is known to crash targets.
+func (e *Engine) run(ctx context.Context, s *serving) (*result, *protocol.Response) {
+	t, fault := e.suspects.start(s.fingerprint(e.self.Service))
+	if fault != nil {
+		return fail(e.now(), fault), nil
+	}
+	r, resp := e.runOnTarget(ctx, s)
+	if r.stream == nil {
+		e.suspects.end(t, r.code == "", r.code == status.CodeConnectionLost)
+		return r, resp
+	}
+	r.stream.OnClose(func() { e.suspects.end(t, r.stream.Whole(), r.stream.Broken()) })
+	return r, resp
+}
+
 // runOnTarget sends the request to the own target.
 func (e *Engine) runOnTarget(ctx context.Context, s *serving) (*result, *protocol.Response) {
 	req := protocol.AcquireRequest()
