Scale the tolerated queue delay with service time; try lower limits only after patience

With a fixed 5 ms a single waiting request of a 300 ms service counted as overload, and a trial right at the onset of a slowdown took capacity from the most important class when it was scarcest.

--- a/internal/core/admission/config.go
+++ b/internal/core/admission/config.go
@@ -25,7 +25,10 @@
 	// later reaction and a longer queue in overload; lower: bursts count as
 	// overload.
 	TargetDelay time.Duration
-	// StandFor is how long the delay must stand above TargetDelay before the
+	// TargetPart raises TargetDelay for slow requests, as a part of the mean
+	// service time. Default 0.25. Higher and lower: as TargetDelay.
+	TargetPart float64
+	// StandFor is how long the delay must stand above its target before the
 	// level rises. Default 100 ms. Higher: later reaction; lower: bursts count
 	// as overload.
 	StandFor time.Duration
@@ -60,6 +63,7 @@
 		QueuePerSlot:   4,
 		MaxWait:        time.Second,
 		TargetDelay:    5 * time.Millisecond,
+		TargetPart:     0.25,
 		StandFor:       100 * time.Millisecond,
 		MinWindow:      50 * time.Millisecond,
 		MaxWindow:      250 * time.Millisecond,
--- a/internal/core/admission/window.go
+++ b/internal/core/admission/window.go
@@ -88,7 +88,9 @@
 // queue in order of importance the wait of those that get a slot says little;
 // the time that the whole queue takes is the delay that counts.
 func (g *Gate) noteDelay(now time.Duration) {
-	if g.queue.work <= time.Duration(g.limiter.Limit())*g.cfg.TargetDelay {
+	part := time.Duration(g.cfg.TargetPart * g.service.mean * float64(time.Second))
+	target := max(g.cfg.TargetDelay, part)
+	if g.queue.work <= time.Duration(g.limiter.Limit())*target {
 		g.window.low = now
 	}
 }
--- a/internal/core/limit/config.go
+++ b/internal/core/limit/config.go
@@ -5,15 +5,15 @@
 // Config sets Probe up. DefaultConfig needs no tuning for targets with 1 to
 // some thousand slots and service times from 1 ms to some seconds.
 type Config struct {
-	// InitialFraction of the declared slots is the first limit. Default 0.125.
+	// InitialFraction of the declared slots is the first limit. Default 0.25.
 	// Higher: a fresh target takes load sooner. Lower: a cold target (empty
 	// caches) is spared for longer.
 	InitialFraction float64
-	// MinInitial bounds the first limit from below, in requests. Default 4.
+	// MinInitial bounds the first limit from below, in requests. Default 8.
 	// Higher: small targets start faster, and colder.
 	MinInitial int
 	// MinSamples is the number of completions that a measurement needs.
-	// Default 200 (about 7% error). Higher: surer steps, later.
+	// Default 150 (about 8% error). Higher: surer steps, later.
 	MinSamples int
 	// MinMeasure is the least time a measurement takes. Default 100 ms.
 	// Higher: surer steps, later; it also sets the pace of the ramp at start.
@@ -22,12 +22,13 @@
 	// Higher: targets with few completions are judged on more of them.
 	MaxMeasure time.Duration
 	// Inflation is how much longer than at its best a request must take in the
-	// target before a lower limit is tried (a ratio). Default 1.5. Higher: more
+	// target before a lower limit is tried (a ratio). Default 2. Higher: more
 	// queueing inside the target is let pass; lower: more trials.
 	Inflation float64
-	// Step is the part of the limit by which a trial lowers or raises it.
-	// Default 0.3. Higher: trials are clearer and dearer.
-	Step float64
+	// Patience is for how long requests must take that much longer before the
+	// first trial. Default 3 s. Higher: a passing slowdown costs no trial;
+	// lower: queueing inside the target ends sooner.
+	Patience time.Duration
 	// ShedFraction is the part of requests shed by the target from which the
 	// limit is cut at once. Default 0.02. Higher: a target that sheds is
 	// believed later.
@@ -41,13 +42,13 @@
 // DefaultConfig returns the defaults that the fields name.
 func DefaultConfig() Config {
 	return Config{
-		InitialFraction: 0.125,
-		MinInitial:      4,
-		MinSamples:      200,
+		InitialFraction: 0.25,
+		MinInitial:      8,
+		MinSamples:      150,
 		MinMeasure:      100 * time.Millisecond,
 		MaxMeasure:      5 * time.Second,
-		Inflation:       1.5,
-		Step:            0.3,
+		Inflation:       2,
+		Patience:        3 * time.Second,
 		ShedFraction:    0.02,
 		Backoff:         time.Second,
 		MaxBackoff:      30 * time.Second,
--- a/internal/core/limit/probe.go
+++ b/internal/core/limit/probe.go
@@ -16,10 +16,14 @@
 	raise                // trying a higher limit
 )
 
-// elastic is the part of a change of limit that the throughput must follow for
-// the slots to count as real: 1 if every slot is, 0 if requests only queue
-// inside the target.
-const elastic = 0.5
+// trial is the part of the limit that a trial goes down to. Further down the
+// answer is clearer and the trial dearer.
+const trial = 0.6
+
+// queueing is the most that the time in target may fall to, as a ratio, in a
+// trial for requests to count as queueing inside the target: down to trial if
+// they all did, 1 if every slot is real.
+const queueing = 0.78
 
 // rampSamples is how many completions a step of the ramp needs: enough to see
 // that requests take much longer, not to compare throughputs.
@@ -39,6 +43,7 @@
 	lowered reading       // at the lower limit of the trial
 	last    reading       // the previous one, whatever the phase
 	best    time.Duration // least time in target that is still believed
+	suspect time.Duration // for how long requests have taken far longer than their best
 	pause   time.Duration // left until the next trial
 	backoff time.Duration // next pause
 }
@@ -105,9 +110,7 @@
 
 func (p *Probe) judge(m Window) {
 	r := reading{limit: p.limit, flight: m.inFlight(), took: m.timeInTarget()}
-	if p.best == 0 || r.took < p.best {
-		p.best = r.took
-	}
+	p.remember(r, m.Length)
 	if m.Saturated < m.Length/2 {
 		p.idle()
 		return
@@ -128,6 +131,22 @@
 	}
 }
 
+// bestWeight lets the best time in target grow slowly: the least of many rough
+// readings is too low to compare with.
+const bestWeight = 0.02
+
+func (p *Probe) remember(r reading, length time.Duration) {
+	if p.best == 0 || r.took < p.best {
+		p.best = r.took
+	}
+	p.best += time.Duration(bestWeight * float64(r.took-p.best))
+	if p.inflated(r, p.cfg.Inflation) {
+		p.suspect += length
+	} else {
+		p.suspect = 0
+	}
+}
+
 // idle ends a trial that demand did not fill: it proves nothing.
 func (p *Probe) idle() {
 	if p.phase != ramping {
@@ -163,26 +182,22 @@
 		return
 	}
 	switch {
-	case p.inflated(r, p.cfg.Inflation) && p.limit > 1:
-		p.try(lower, p.down(), r)
+	case p.suspect >= p.cfg.Patience && p.limit > 1:
+		p.try(lower, int(trial*float64(p.limit)), r)
 	case p.limit < p.max:
-		p.try(raise, max(p.limit+1, int(float64(p.limit)/(1-p.cfg.Step))), r)
+		p.try(raise, max(p.limit+1, int(float64(p.limit)/trial)), r)
 	}
 }
 
-func (p *Probe) down() int {
-	return min(p.limit-1, int(float64(p.limit)*(1-p.cfg.Step)))
-}
-
 func (p *Probe) try(ph phase, limit int, r reading) {
 	p.phase = ph
 	p.before = r
 	p.move(limit, r)
 }
 
-// afterLower goes back if the throughput fell, and else makes sure.
+// afterLower goes back up; if the time in target fell, only to make sure.
 func (p *Probe) afterLower(r reading) {
-	if follows(p.before, r) {
+	if !queues(r, p.before) {
 		p.slower(r)
 		return
 	}
@@ -191,25 +206,28 @@
 	p.move(p.before.limit, r)
 }
 
-// afterConfirm takes the lower limit if going back up brought no throughput
-// either. A cut by mistake costs throughput, a cut that comes late only time in
-// the target; so a cut needs both.
+// afterConfirm takes a lower limit if going back up brought queueing again. A
+// cut by mistake costs throughput, a cut that comes late only time in the
+// target; so a cut needs both.
 func (p *Probe) afterConfirm(r reading) {
-	if follows(p.lowered, r) {
+	if !queues(p.lowered, r) {
 		p.slower(r)
 		return
 	}
 	p.phase = steady
 	p.backoff = p.cfg.Backoff
+	limit := useful(p.lowered, r)
 	p.before = reading{}
-	p.last = p.lowered
-	p.move(p.lowered.limit, r)
+	p.last = reading{}
+	p.move(limit, r)
+	p.suspect = 0
+	p.wait()
 }
 
 // slower ends a trial that found real slots: the target takes longer, but
 // requests don't queue in it. What it takes now counts as its best.
 func (p *Probe) slower(r reading) {
-	p.best = r.took
+	p.best, p.suspect = r.took, 0
 	p.phase = steady
 	if p.before.limit < p.max {
 		p.phase = ramping
@@ -224,14 +242,14 @@
 	p.settle = min(r.took, p.cfg.MaxMeasure)
 }
 
-// afterRaise keeps a higher limit if the throughput followed.
+// afterRaise keeps a higher limit if requests take no longer with it.
 func (p *Probe) afterRaise(r reading) {
 	p.phase = steady
-	if follows(p.before, r) {
+	if !queues(p.before, r) {
 		p.backoff = p.cfg.Backoff
 		return
 	}
-	p.move(p.before.limit, r)
+	p.move(useful(p.before, r), r)
 	p.wait()
 }
 
@@ -241,10 +259,13 @@
 	return w.Overloaded > 1 && float64(w.Overloaded) > p.cfg.ShedFraction*float64(n)
 }
 
+// shedCut is the most that one window with sheds takes off the limit.
+const shedCut = 0.3
+
 // cut lowers the limit at once: a shed request has already cost the target and
 // its caller, and the target says that it holds too many.
 func (p *Probe) cut(w Window) {
-	p.set(min(p.limit-1, max(int(w.inFlight()), int(float64(p.limit)*(1-p.cfg.Step)))))
+	p.set(min(p.limit-1, max(int(w.inFlight()), int(float64(p.limit)*(1-shedCut)))))
 	p.phase = steady
 	p.sum = Window{}
 	p.settle = min(w.timeInTarget(), p.cfg.MaxMeasure)
@@ -267,11 +288,18 @@
 	return a.took > 0 && math.Abs(math.Log(float64(b.took)/float64(a.took))) < unchanged
 }
 
-// follows reports whether the throughput followed the requests in flight from a
-// to b, as it does if slots are real. By Little's law throughput is requests in
-// flight over time in target; comparing those two instead of counting
-// completions leaves the result right when demand falls short for a moment.
-func follows(a, b reading) bool {
-	return math.Abs(math.Log(float64(b.took)/float64(a.took))) <
-		(1-elastic)*math.Abs(math.Log(b.flight/a.flight))
+// queues reports whether requests queue inside the target at the higher limit,
+// by their time in it. By Little's law that says what the throughputs say, and
+// stays right when demand falls short for a moment.
+func queues(low, high reading) bool {
+	return float64(low.took) < queueing*float64(high.took)
+}
+
+// spare is how much a limit found by a trial exceeds what it found in use.
+const spare = 1.1
+
+// useful returns the limit that carries the throughput of the higher reading
+// with requests that take as long as in the lower one.
+func useful(low, high reading) int {
+	return int(math.Ceil(spare * high.flight * float64(low.took) / float64(high.took)))
 }
