--- a/internal/core/member/join.go
+++ b/internal/core/member/join.go
@@ -19,7 +19,8 @@
 	busy     bool
 	source   Peer
 	after    request.TargetID
-	next     time.Duration
+	next     time.Duration // no attempt before
+	begun    time.Duration // the last attempt
 }
 
 func (j *joinState) partial() bool { return j.wanted && (!j.in || j.fetching) }
@@ -76,11 +77,14 @@
 
 func (s *State) tickJoin(now time.Duration) {
 	j := &s.join
+	if j.busy && now-j.begun > 4*s.cfg.CallTimeout {
+		s.joinFailed(now, j.source) // its outcome was never reported
+	}
 	if !j.partial() || j.busy || now < j.next || s.stat == Dead {
 		return
 	}
 	if !j.in {
-		j.busy = true
+		j.busy, j.begun = true, now
 		j.source = j.seeds[s.rng.IntN(len(j.seeds))]
 		m := s.message(Join)
 		m.Records = []*Record{s.selfRecord()}
@@ -91,7 +95,7 @@
 	if int(s.budget.tokens) < s.cfg.ExchangeCost+s.cfg.MaxItems {
 		return
 	}
-	j.busy = true
+	j.busy, j.begun = true, now
 	m := s.message(Pull)
 	m.After, m.Services = j.after, j.services
 	m.Room = uint32(s.cfg.MaxItems)
