Add the stand-in caller

A broken connection is unknown; only an answer that ends as if whole counts as partial.

net/http repeats a request by itself on a reused connection when it bears an Idempotency-Key in the usual spelling, which no counter would see; the caller and the target's calls write the name in lower case.

--- /dev/null
+++ b/bench/standin/client/attempt.go
@@ -0,0 +1,124 @@
+package client
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"peardrift/bench/standin/target"
+	"peardrift/internal/core/request"
+	"peardrift/internal/status"
+	"peardrift/internal/wire"
+)
+
+const (
+	headerMark = "X-Mark"
+	bodyByte   = "u"
+)
+
+// attempt sends a request once and tells what came of it.
+func (r *runner) attempt(ctx context.Context, c Class, mark string, n int) (a Attempt) {
+	a = Attempt{Class: c.Name, Mark: mark, N: n, At: time.Now(), Result: Unknown}
+	defer func() { a.Took = time.Since(a.At) }()
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	req, err := r.newRequest(ctx, c, mark)
+	if err != nil {
+		a.Err = err
+		return a
+	}
+	resp, err := r.http.Do(req)
+	if err != nil {
+		a.Err = status.Wrap(status.CodeConnectionLost, err, "send")
+		return a
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	a.Status = resp.StatusCode
+	a.Code = resp.Header.Get(wire.HeaderCode)
+	if err != nil {
+		// The answer broke visibly, which claims nothing.
+		a.Err = status.Wrap(status.CodeConnectionLost, err, "read the answer")
+		return a
+	}
+	if s, err := strconv.Atoi(resp.Header.Get(wire.HeaderRetryAfter)); err == nil {
+		a.retryAfter = time.Duration(s) * time.Second
+	}
+	a.Result = told(resp)
+	if a.Result == Completed {
+		a.Result, a.Degraded, a.Err = verify(c, body, mark)
+	}
+	return a
+}
+
+func (r *runner) newRequest(ctx context.Context, c Class, mark string) (*http.Request, error) {
+	base := r.cfg.URLs[r.next.Add(1)%uint64(len(r.cfg.URLs))]
+	body := strings.NewReader(strings.Repeat(bodyByte, c.Body))
+	req, err := http.NewRequestWithContext(ctx, c.Method, base+c.Path, body)
+	if err != nil {
+		return nil, status.Wrap(status.CodeInvalidSettings, err, "request of class %s", c.Name)
+	}
+	req.Host = c.Host
+	req.Header.Set(headerMark, mark)
+	if c.Key {
+		// In lower case: by the usual spelling net/http takes the request as
+		// safe to repeat, and would add attempts that nobody counts.
+		req.Header[strings.ToLower(wire.HeaderIdempotencyKey)] = []string{"key-" + mark}
+	}
+	return req, nil
+}
+
+// told is the result that an answer claims: by the node's outcome or, where
+// there is no node, by the status.
+func told(resp *http.Response) Result {
+	if h := resp.Header.Get(wire.HeaderOutcome); h != "" {
+		return outcomes[request.ParseOutcome(h)]
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return Completed
+	case http.StatusServiceUnavailable:
+		return Refused
+	case http.StatusGatewayTimeout:
+		return Unknown
+	default:
+		return Failed
+	}
+}
+
+var outcomes = map[request.Outcome]Result{
+	request.Unknown:   Unknown,
+	request.Completed: Completed,
+	request.Refused:   Refused,
+	request.Failed:    Failed,
+}
+
+// verify checks an answer that claims to be whole and this request's own.
+func verify(c Class, body []byte, mark string) (r Result, degraded bool, err error) {
+	a, err := target.Verify(body, mark)
+	switch {
+	case errors.Is(err, &status.Error{Code: target.CodePartial}):
+		return Partial, false, err
+	case err != nil:
+		return Wrong, false, err
+	case a.Service != c.Host || a.Path != c.Path || a.Received != int64(c.Body):
+		return Wrong, false, status.New(target.CodeAnswer, "%s%s answered for %s%s, with %d bytes received of %d",
+			a.Service, a.Path, c.Host, c.Path, a.Received, c.Body)
+	default:
+		return Completed, incomplete(a), nil
+	}
+}
+
+// incomplete reports whether an optional call is missing anywhere below.
+func incomplete(a target.Answer) bool {
+	for _, r := range a.Calls {
+		if r.Answer == nil || incomplete(*r.Answer) {
+			return true
+		}
+	}
+	return false
+}
--- a/bench/standin/target/answer.go
+++ b/bench/standin/target/answer.go
@@ -10,8 +10,12 @@
 	"peardrift/internal/status"
 )
 
-// CodeAnswer is the code of an answer that isn't what its target built.
-const CodeAnswer status.Code = "wrong-answer"
+// Codes of answers that aren't what their target built: another request's, or
+// a fragment.
+const (
+	CodeAnswer  status.Code = "wrong-answer"
+	CodePartial status.Code = "partial-answer"
+)
 
 const fillLetters = "abcdefghijklmnopqrstuvwxyz012345"
 
@@ -68,7 +72,7 @@
 func Verify(body []byte, mark string) (Answer, error) {
 	var a Answer
 	if err := json.Unmarshal(body, &a); err != nil {
-		return a, status.Wrap(CodeAnswer, err, "%d bytes are no whole answer", len(body))
+		return a, status.Wrap(CodePartial, err, "%d bytes are no whole answer", len(body))
 	}
 	if err := a.verify(mark); err != nil {
 		return a, err
--- a/bench/standin/target/calls.go
+++ b/bench/standin/target/calls.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -117,7 +118,9 @@
 		req.Header.Set("traceparent", o.traceparent)
 	}
 	if call.Key {
-		req.Header.Set("Idempotency-Key", o.key+"/"+call.Service+call.Path)
+		// In lower case: by the usual spelling net/http takes the call as safe
+		// to repeat, and would make calls that nobody counts.
+		req.Header[strings.ToLower(headerKey)] = []string{o.key + "/" + call.Service + call.Path}
 	}
 	return req, nil
 }
--- a/bench/standin/target/handler.go
+++ b/bench/standin/target/handler.go
@@ -34,7 +34,7 @@
 func (s *Server) serve(ctx context.Context, c *app.RequestContext) {
 	path := string(c.Path())
 	switch path {
-	case "/healthz":
+	case "/healthz", "/health":
 		s.health(c)
 	case "/load":
 		c.JSON(http.StatusOK, s.toldLoad(time.Now()))
