Tell a slow peer from a dead connection, in a bounded time

Cause: a connection that something on the way forgot never breaks; the call on it waits for its deadline, and looks like a slow one. The peer is asked over a fresh connection which of the silent calls it has in hand. Silence alone was ruled out: with a limit short enough to help, slow calls are failed too; a property test has both at once. Only a whole answer makes a connection idle.

--- /dev/null
+++ b/internal/core/conn/peer_test.go
@@ -0,0 +1,297 @@
+package conn
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+// Symptom: a caller gets a part of another request's answer.
+// Events: a call on a connection times out, is cancelled or its answer is read
+// in part; the connection goes back to the pool, and the next call reads what
+// is left. Cause: anything but a whole answer must close the connection.
+func TestOnlyWholeAnswersAreReused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := DefaultConfig()
+		cfg.MaxConns, cfg.MaxIdle = 6, 3
+		p := NewPeer(&cfg)
+		now := time.Duration(0)
+		inUse := map[ID]bool{}
+		clean := map[ID]bool{}
+		var order []ID
+		for range 200 {
+			now += time.Duration(rapid.Int64Range(0, int64(100*ms)).Draw(t, "pause"))
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0, 1:
+				id, offer := p.Take(now)
+				if offer == Dial {
+					if rapid.Bool().Draw(t, "dial fails") {
+						p.DialFailed()
+						break
+					}
+					id = p.Opened(now)
+				} else if offer == Reuse && (inUse[id] || !clean[id]) {
+					t.Fatalf("connection %d reused: in use %v, clean %v", id, inUse[id], clean[id])
+				}
+				if offer != Full {
+					inUse[id], clean[id] = true, false
+					order = append(order, id)
+				}
+			case 2, 3:
+				if len(order) == 0 {
+					break
+				}
+				id := rapid.SampledFrom(order).Draw(t, "which") // may have ended before
+				end := rapid.SampledFrom([]End{Aborted, Whole, WholeLast}).Draw(t, "end")
+				if keep := p.End(now, id, end); keep && (end != Whole || !inUse[id]) {
+					t.Fatalf("connection %d kept after end %d", id, end)
+				} else {
+					inUse[id], clean[id] = false, clean[id] || keep
+				}
+			case 4:
+				for _, a := range p.Tick(now, nil) {
+					for _, id := range a.Conns {
+						if a.Kind == Fail && !inUse[id] || a.Kind == Close && inUse[id] {
+							t.Fatalf("%v of connection %d, in use %v", a.Kind, id, inUse[id])
+						}
+						if a.Kind != Probe {
+							inUse[id], clean[id] = false, false
+						}
+					}
+				}
+			case 5:
+				if len(order) > 0 {
+					id := rapid.SampledFrom(order).Draw(t, "which")
+					if !inUse[id] {
+						clean[id] = false
+					}
+					p.Broke(id)
+				}
+			}
+			if p.Open() > cfg.MaxConns || p.Idle() > cfg.MaxIdle {
+				t.Fatalf("%d open, %d idle", p.Open(), p.Idle())
+			}
+		}
+	})
+}
+
+// call is one call in a network that forgets connections.
+type call struct {
+	id    ID
+	began time.Duration
+	ends  time.Duration // when the peer answers
+}
+
+// network is a peer behind something that at one moment forgets all open
+// connections; new ones work.
+type network struct {
+	t       *rapid.T
+	rng     *rand.Rand
+	p       *Peer
+	calls   []call
+	forgets time.Duration
+	opened  map[ID]time.Duration
+	asked   []ID
+	toldAt  time.Duration
+}
+
+func (n *network) dead(now time.Duration, id ID) bool {
+	return now >= n.forgets && n.opened[id] < n.forgets
+}
+
+func (n *network) start(now time.Duration) {
+	id, offer := n.p.Take(now)
+	switch offer {
+	case Full:
+		return
+	case Dial:
+		id = n.p.Opened(now)
+		n.opened[id] = now
+	}
+	took := 5*ms + time.Duration(n.rng.Int64N(int64(20*ms)))
+	if n.rng.IntN(20) == 0 {
+		took = time.Duration(n.rng.Int64N(int64(4 * time.Second))) // slow, not dead
+	}
+	n.calls = append(n.calls, call{id: id, began: now, ends: now + took})
+}
+
+// answers ends the calls whose answer gets through.
+func (n *network) answers(now time.Duration) {
+	n.calls = slices.DeleteFunc(n.calls, func(c call) bool {
+		if now < c.ends || n.dead(c.ends, c.id) {
+			return false
+		}
+		n.p.End(now, c.id, Whole)
+		return true
+	})
+}
+
+// tell is the peer's answer to the probe under way.
+func (n *network) tell(now time.Duration) {
+	if n.asked == nil || now < n.toldAt {
+		return
+	}
+	for _, id := range n.asked {
+		word := NotInHand
+		for _, c := range n.calls {
+			if c.id == id && now < c.ends && !n.dead(c.began, id) {
+				word = InHand
+			}
+		}
+		n.p.Told(now, id, word)
+	}
+	n.asked = nil
+	n.p.Probed(now, true)
+}
+
+func (n *network) act(now time.Duration, bound time.Duration) {
+	for _, a := range n.p.Tick(now, nil) {
+		switch a.Kind {
+		case Probe:
+			n.asked, n.toldAt = a.Conns, now+3*ms
+		case Fail:
+			for _, id := range a.Conns {
+				i := slices.IndexFunc(n.calls, func(c call) bool { return c.id == id })
+				if !n.dead(now, id) {
+					n.t.Fatalf("slow call failed at %v: began %v, ends %v", now, n.calls[i].began, n.calls[i].ends)
+				}
+				n.calls = slices.Delete(n.calls, i, i+1)
+			}
+		}
+	}
+	for _, c := range n.calls {
+		// From when the peer was done with the call, or never got it.
+		if n.dead(c.ends, c.id) && now > max(c.began, n.forgets)+max(c.ends-c.began, 0)+bound {
+			n.t.Fatalf("call sits on a dead connection at %v: began %v, forgotten %v", now, c.began, n.forgets)
+		}
+	}
+}
+
+// Symptom: calls hang until their deadline on connections that nothing closes,
+// while others to the same peer are answered.
+// Events: something between the ends forgets all open connections at once;
+// some calls are slow at the same time. Cause: silence alone tells neither.
+func TestSilentConnections(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := DefaultConfig()
+		n := &network{
+			t: t, p: NewPeer(&cfg), opened: map[ID]time.Duration{},
+			rng:     rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
+			forgets: 2*time.Second + time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "forgets")),
+		}
+		const tick = 5 * ms
+		bound := cfg.Recheck + cfg.ProbeTimeout + cfg.Grace + cfg.ProbeGap + 2*tick
+		for now := time.Duration(0); now < 12*time.Second; now += tick {
+			if now < 6*time.Second {
+				n.start(now)
+			}
+			n.answers(now)
+			n.tell(now)
+			n.act(now, bound)
+		}
+		if len(n.calls) > 0 {
+			t.Fatalf("%d calls never ended", len(n.calls))
+		}
+	})
+}
+
+// silent returns a peer with one call that is silent from time 0.
+func silent(cfg *Config) (*Peer, ID) {
+	p := NewPeer(cfg)
+	p.Take(0)
+	return p, p.Opened(0)
+}
+
+func TestPeerThatCannotTell(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig()
+	p, id := silent(&cfg)
+	var failedAt time.Duration
+	for now := time.Duration(0); now < 20*time.Second && failedAt == 0; now += 10 * ms {
+		for _, a := range p.Tick(now, nil) {
+			switch a.Kind {
+			case Probe:
+				p.Told(now, id, CannotTell)
+				p.Probed(now, true)
+			case Fail:
+				failedAt = now
+			}
+		}
+	}
+	is.Equal(failedAt, cfg.GiveUp)
+	is.Equal(p.Open(), 0)
+}
+
+func TestDeadConnectionCastsSuspicion(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig()
+	p := NewPeer(&cfg)
+	var ids []ID
+	for range 3 {
+		p.Take(0)
+		ids = append(ids, p.Opened(0))
+	}
+	is.True(p.End(10*ms, ids[1], Whole)) // idle since
+	acts := p.Tick(250*ms, nil)
+	is.Equal(acts, []Action{{Probe, []ID{ids[0], ids[2]}}})
+	p.Told(253*ms, ids[0], NotInHand)
+	p.Told(253*ms, ids[2], InHand)
+	p.Probed(253*ms, true)
+	acts = p.Tick(353*ms, nil)
+	is.Equal(acts, []Action{{Fail, []ID{ids[0]}}, {Close, []ID{ids[1]}}})
+	is.Equal(p.Open(), 1)                  // the slow one waits on
+	is.True(!p.End(400*ms, ids[0], Whole)) // too late: the connection is gone
+}
+
+func TestUnreachablePeer(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig()
+	p, id := silent(&cfg)
+	probes := 0
+	for now := time.Duration(0); now <= cfg.GiveUp; now += 10 * ms {
+		for _, a := range p.Tick(now, nil) {
+			if a.Kind == Probe {
+				probes++ // and nothing answers it
+			}
+		}
+	}
+	is.True(probes > 1 && probes <= 10)
+	is.True(!p.End(cfg.GiveUp, id, Whole))
+}
+
+func usual(p *Peer, now time.Duration) time.Duration {
+	now += ms
+	id, offer := p.Take(now)
+	if offer == Dial {
+		id = p.Opened(now)
+	}
+	p.Heard(now, id, true)
+	p.End(now, id, Whole)
+	p.Tick(now, nil)
+	return now
+}
+
+func TestAllocs(t *testing.T) {
+	cfg := DefaultConfig()
+	p := NewPeer(&cfg)
+	now := usual(p, 0)
+	if n := testing.AllocsPerRun(1000, func() { now = usual(p, now) }); n != 0 {
+		t.Fatalf("%v allocations", n)
+	}
+}
+
+func BenchmarkCall(b *testing.B) {
+	cfg := DefaultConfig()
+	p := NewPeer(&cfg)
+	now := time.Duration(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = usual(p, now)
+	}
+}
