Wire a node: listeners, data plane, membership, configuration, shutdown

Cause: the parts need one process. One goroutine owns control state and publishes an immutable view; what waits for others runs on an ants pool. Listeners are bound before anything is announced. Not run yet as processes.

--- a/bench/e2e/cluster_test.go
+++ b/bench/e2e/cluster_test.go
@@ -94,14 +94,19 @@
 // publish gives all engines the view of all hosts.
 func (c *cluster) publish() {
 	c.gen++
-	v := dataplane.View{Gen: c.gen, Index: c.idx, Ready: true, Peers: map[request.Service][]dataplane.Peer{}}
+	peers := map[request.Service][]dataplane.Peer{}
 	for _, h := range c.hosts {
 		info, _ := c.idx.Service(h.svc)
-		v.Peers[h.svc] = append(v.Peers[h.svc], dataplane.Peer{
+		peers[h.svc] = append(peers[h.svc], dataplane.Peer{
 			Target: route.Target{ID: request.TargetIDOf(h.name), Incarnation: 1, Region: "r", Zone: "z", Slots: info.Slots, Conns: info.Connections},
 			Addr:   h.nodes.Addr(),
 		})
 	}
+	v := dataplane.View{
+		Gen: c.gen, Index: c.idx, Ready: true,
+		Peers:   func(s request.Service) []dataplane.Peer { return peers[s] },
+		Callers: func(request.Service) int { return 0 },
+	}
 	for _, h := range c.hosts {
 		h.engine.Publish(&v)
 	}
--- /dev/null
+++ b/cmd/peardriftd/main.go
@@ -0,0 +1,10 @@
+// Command peardriftd is a node: one process beside each target instance.
+package main
+
+import (
+	"os"
+
+	"peardrift/internal/daemon"
+)
+
+func main() { os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/internal/adapter/hertzhttp/server.go
+++ b/internal/adapter/hertzhttp/server.go
@@ -154,3 +154,6 @@
 	n := c.Request.Header.ContentLength()
 	return n >= 0 && n <= prefetchBytes
 }
+
+// Close stops listening without waiting; a server that was never started too.
+func (s *Server) Close() { _ = s.ln.Close() }
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,101 @@
+// Package daemon is peardriftd's command line: flags, signals, exit codes.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"peardrift/internal/node"
+	"peardrift/internal/settings"
+	"peardrift/internal/status"
+)
+
+// Exit codes of peardriftd.
+const (
+	ExitOK       = 0
+	ExitFailure  = 1 // it ran and failed
+	ExitUsage    = 2 // the command line can't be used
+	ExitSettings = 3 // the settings can't be used; nothing was announced
+	ExitListen   = 4 // an address is taken; nothing was announced
+)
+
+type options struct {
+	Settings string `short:"s" long:"settings" required:"true" value-name:"FILE" description:"the node's settings (YAML)"`
+	Check    bool   `long:"check" description:"check the settings and exit"`
+}
+
+// Main runs peardriftd and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	var opts options
+	p := flags.NewNamedParser("peardriftd", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := p.AddGroup("Options", "", &opts); err != nil {
+		return fail(stderr, err)
+	}
+	if rest, err := p.ParseArgs(args); err != nil || len(rest) > 0 {
+		return usage(rest, err, stdout, stderr)
+	}
+	set, err := settings.Load(opts.Settings)
+	if err != nil {
+		return fail(stderr, err)
+	}
+	if opts.Check {
+		fmt.Fprintf(stdout, "%s: settings are usable\n", opts.Settings)
+		return ExitOK
+	}
+	return serve(set, stderr)
+}
+
+func usage(rest []string, err error, stdout, stderr io.Writer) int {
+	var help *flags.Error
+	if errors.As(err, &help) && help.Type == flags.ErrHelp {
+		fmt.Fprintln(stdout, help.Message)
+		return ExitOK
+	}
+	if err == nil {
+		err = status.New(status.CodeInvalidSettings, "unexpected arguments %q", rest)
+	}
+	fmt.Fprintln(stderr, err)
+	return ExitUsage
+}
+
+// serve runs the node until SIGTERM or SIGINT; a second one ends it at once.
+func serve(set settings.Settings, stderr io.Writer) int {
+	n, err := node.New(set)
+	if err != nil {
+		return fail(stderr, err)
+	}
+	sigs := make(chan os.Signal, 2)
+	signal.Notify(sigs, syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := context.WithCancel(context.Background())
+	kill, end := context.WithCancel(context.Background())
+	go func() {
+		<-sigs
+		stop()
+		<-sigs
+		end()
+	}()
+	if err := n.Run(ctx, kill); err != nil {
+		return fail(stderr, err)
+	}
+	return ExitOK
+}
+
+func fail(stderr io.Writer, err error) int {
+	fmt.Fprintln(stderr, err)
+	var invalid *settings.Invalid
+	switch {
+	case errors.As(err, &invalid), status.CodeOf(err) == status.CodeInvalidSettings:
+		return ExitSettings
+	case status.CodeOf(err) == status.CodeListen:
+		return ExitListen
+	default:
+		return ExitFailure
+	}
+}
--- a/internal/dataplane/callee.go
+++ b/internal/dataplane/callee.go
@@ -49,18 +49,18 @@
 
 // refresh takes in the view's targets if they are newer. Called with mu held.
 func (cl *callee) refresh(v *View, name request.Service) {
-	if v.Gen <= cl.gen {
+	if v.Gen <= cl.gen || v.Peers == nil {
 		return
 	}
 	cl.gen = v.Gen
-	peers := v.Peers[name]
+	peers := v.Peers(name)
 	ts := make([]route.Target, len(peers))
 	cl.addrs = make(map[request.TargetID]string, len(peers))
 	for i, p := range peers {
 		ts[i] = p.Target
 		cl.addrs[p.ID] = p.Addr
 	}
-	cl.table.Update(cl.now(), ts, v.Caller[name])
+	cl.table.Update(cl.now(), ts, v.Callers(name))
 }
 
 // choice is a target picked for one attempt.
--- a/internal/dataplane/engine.go
+++ b/internal/dataplane/engine.go
@@ -43,10 +43,13 @@
 
 // View is what the control goroutine publishes for traffic. It is immutable.
 type View struct {
-	Gen    uint64 // rises with each view
-	Index  *confset.Index
-	Peers  map[request.Service][]Peer
-	Caller map[request.Service]int // nodes that call the service; 0 unknown
+	Gen   uint64 // rises with each view
+	Index *confset.Index
+	// Peers returns the targets of a service. It is asked once a view for each
+	// service that the node calls, from traffic goroutines.
+	Peers func(request.Service) []Peer
+	// Callers returns how many nodes call the service, 0 if not known.
+	Callers func(request.Service) int
 	// Ready: the configuration in force is known and the target is up.
 	Ready bool
 	// Leaving: the target takes no new calls.
--- /dev/null
+++ b/internal/node/control.go
@@ -0,0 +1,227 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"peardrift/internal/adapter/rpc"
+	"peardrift/internal/core/confset"
+	"peardrift/internal/core/member"
+	"peardrift/internal/core/request"
+	"peardrift/internal/core/route"
+	"peardrift/internal/dataplane"
+)
+
+// control owns the node's control state. All its fields belong to the goroutine
+// that runs loop, except events.
+type control struct {
+	log     *zap.Logger
+	self    dataplane.Self
+	engine  *dataplane.Engine
+	epoch   time.Time
+	events  chan func()
+	done    chan struct{}
+	state   *member.State
+	carrier *rpc.Carrier
+	meter   *rpc.Meter
+	conf    *follower
+
+	gen      uint64
+	shown    shown
+	seen     map[request.TargetID]sighting
+	targetUp bool
+	leaving  bool
+}
+
+// shown is what the last published view was made of.
+type shown struct {
+	members *member.View
+	index   *confset.Index
+	ready   bool
+	leaving bool
+}
+
+// sighting is when a target's incarnation was first seen.
+type sighting struct {
+	incarnation uint32
+	since       time.Duration
+}
+
+// eventQueue is how many events may wait for the control goroutine. Posting
+// blocks when it is full; only control traffic posts.
+const eventQueue = 256
+
+func (c *control) now() time.Duration { return time.Since(c.epoch) }
+
+// post runs f on the control goroutine, later.
+func (c *control) post(f func()) {
+	select {
+	case c.events <- f:
+	case <-c.done:
+	}
+}
+
+// ask runs f on the control goroutine and waits for it; false once the
+// goroutine has ended.
+func (c *control) ask(f func()) bool {
+	ran := make(chan struct{})
+	c.post(func() {
+		f()
+		close(ran)
+	})
+	select {
+	case <-ran:
+		return true
+	case <-c.done:
+		return false
+	}
+}
+
+// loop runs until ctx ends.
+func (c *control) loop(ctx context.Context, every time.Duration) {
+	defer close(c.done)
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-c.events:
+			f()
+		case <-tick.C:
+			c.tick()
+		}
+	}
+}
+
+func (c *control) tick() {
+	c.state.Spend(c.meter.Take())
+	c.carrier.Do(c.state.Tick(c.now()))
+	c.conf.tick(c.now())
+	c.publish()
+}
+
+// publish gives traffic a new view if anything in it changed.
+func (c *control) publish() {
+	next := shown{
+		members: c.state.Snapshot(),
+		index:   c.conf.index,
+		ready:   c.ready(),
+		leaving: c.leaving,
+	}
+	if next == c.shown {
+		return
+	}
+	if next.members != c.shown.members {
+		c.sight(next.members)
+	}
+	c.shown = next
+	c.gen++
+	c.engine.Publish(c.view(next))
+}
+
+// ready: calls can be judged and run. A node that took calls before it knew the
+// configuration would refuse them as of unknown services.
+func (c *control) ready() bool {
+	_, known := c.conf.index.Service(c.self.Service)
+	return known && c.targetUp && c.state.Joined()
+}
+
+func (c *control) view(s shown) *dataplane.View {
+	seen := c.seen
+	return &dataplane.View{
+		Gen:     c.gen,
+		Index:   s.index,
+		Ready:   s.ready,
+		Leaving: s.leaving,
+		Peers: func(svc request.Service) []dataplane.Peer {
+			return peers(s.members.Members(svc), seen)
+		},
+		Callers: func(svc request.Service) int { return callers(s, svc) },
+	}
+}
+
+// sight notes new incarnations, so that they get their full share of calls only
+// after a while: a target that has just started is cold. The map is replaced,
+// not changed, as traffic reads it.
+func (c *control) sight(v *member.View) {
+	next := make(map[request.TargetID]sighting, len(c.seen))
+	first := c.seen == nil || !c.state.Complete()
+	v.All(func(m member.Member) bool {
+		s, ok := c.seen[m.ID]
+		if !ok || s.incarnation != m.Record.Incarnation {
+			s = sighting{incarnation: m.Record.Incarnation}
+			if !first {
+				s.since = c.now()
+			}
+		}
+		next[m.ID] = s
+		return true
+	})
+	c.seen = next
+}
+
+func peers(ms []member.Member, seen map[request.TargetID]sighting) []dataplane.Peer {
+	out := make([]dataplane.Peer, 0, len(ms))
+	for _, m := range ms {
+		if m.Status == member.Dead {
+			continue
+		}
+		out = append(out, dataplane.Peer{Addr: m.Data, Target: route.Target{
+			ID:          m.ID,
+			Incarnation: uint64(m.Record.Incarnation),
+			Region:      m.Region,
+			Zone:        m.Zone,
+			Slots:       int(m.Slots),
+			Conns:       int(m.Connections),
+			Since:       seen[m.ID].since,
+			Suspected:   m.Status == member.Suspect || m.Status == member.Unreachable,
+			Leaving:     m.Status == member.Leaving,
+		}})
+	}
+	return out
+}
+
+// callers counts the nodes whose services call svc.
+func callers(s shown, svc request.Service) int {
+	n := 0
+	for _, name := range s.index.Services() {
+		info, _ := s.index.Service(name)
+		if slices.Contains(info.Calls, svc) {
+			n += len(s.members.Members(name))
+		}
+	}
+	return n
+}
+
+// exchange answers another node's membership message; called from the control
+// server's goroutines.
+func (c *control) exchange(m *member.Message) *member.Message {
+	var reply *member.Message
+	c.ask(func() { reply = c.state.HandleRequest(c.now(), m) })
+	return reply
+}
+
+// setTarget takes in whether the target takes calls.
+func (c *control) setTarget(up bool) {
+	if c.targetUp == up {
+		return
+	}
+	c.targetUp = up
+	c.log.Info("target", zap.Bool("up", up))
+	c.publish()
+}
+
+// leave announces that the target takes no new work, for this incarnation.
+func (c *control) leave() {
+	if c.leaving {
+		return
+	}
+	c.leaving = true
+	c.state.Leave(c.now())
+	c.carrier.Do(c.state.Tick(c.now()))
+	c.publish()
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,187 @@
+package node
+
+import (
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"peardrift/internal/adapter/awsobject"
+	"peardrift/internal/adapter/awstable"
+	"peardrift/internal/adapter/awstable/awscall"
+	"peardrift/internal/adapter/hertzhttp"
+	"peardrift/internal/adapter/rpc"
+	"peardrift/internal/adapter/zaplog"
+	"peardrift/internal/apply"
+	"peardrift/internal/claims"
+	"peardrift/internal/core/confset"
+	"peardrift/internal/core/member"
+	"peardrift/internal/core/request"
+	"peardrift/internal/core/route"
+	"peardrift/internal/dataplane"
+	"peardrift/internal/settings"
+	"peardrift/internal/status"
+)
+
+// Node is one peardriftd process.
+type Node struct {
+	set      settings.Settings
+	log      *zap.Logger
+	closeLog func() error
+	self     dataplane.Self
+	pool     *ants.Pool
+	table    *awstable.Table
+	objects  *awsobject.Store
+	peers    *hertzhttp.Client
+	local    *hertzhttp.Client
+	claims   *claims.Runner
+	engine   *dataplane.Engine
+	control  *control
+	calls    *rpc.Pool
+	server   *rpc.Server
+	ln       net.Listener // of the control server
+	faces    faces
+	wg       sync.WaitGroup
+}
+
+// faces are the HTTP listeners.
+type faces struct {
+	callers, nodes, target, ops *hertzhttp.Server
+}
+
+// New binds the listeners and builds the node; nothing is announced yet. Its
+// failures are typed: the settings can't be used, or an address is taken.
+func New(set settings.Settings) (*Node, error) {
+	log, closeLog, err := zaplog.New(set.Logs)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{set: set, log: log, closeLog: closeLog}
+	n.self = selfOf(set)
+	if n.pool, err = newPool(); err != nil {
+		return nil, err
+	}
+	n.connectPlatform()
+	n.buildTraffic()
+	if err := n.listen(); err != nil {
+		n.close()
+		return nil, err
+	}
+	n.buildControl()
+	return n, nil
+}
+
+// background is how many tasks may wait for others at a time.
+const background = 512
+
+func newPool() (*ants.Pool, error) {
+	p, err := ants.NewPool(background, ants.WithNonblocking(true))
+	if err != nil {
+		return nil, status.Wrap(status.CodeInternal, err, "background pool")
+	}
+	return p, nil
+}
+
+func selfOf(set settings.Settings) dataplane.Self {
+	id := request.TargetIDOf(set.Node.Name)
+	_, tenant, _ := strings.Cut(set.Target.Service, ".")
+	return dataplane.Self{
+		Name:    set.Node.Name,
+		ID:      id,
+		Service: request.Service(set.Target.Service),
+		Tenant:  request.Tenant(tenant),
+		Place:   route.Place{Caller: uint64(id), Region: set.Node.Region, Zone: set.Node.Zone},
+		Target:  set.Target.Address,
+	}
+}
+
+func (n *Node) connectPlatform() {
+	p := n.set.Platform
+	cfg := awscall.DefaultConfig()
+	cfg.AccessKey, cfg.SecretKey, cfg.Timeout = string(p.AccessKey), string(p.SecretKey), p.Timeout
+	cfg.Endpoint, cfg.Region = p.Table.Endpoint, p.Table.Region
+	n.table = awstable.New(cfg, p.Table.Name)
+	cfg.Endpoint, cfg.Region = p.Objects.Endpoint, p.Objects.Region
+	n.objects = awsobject.New(cfg, p.Objects.Bucket)
+}
+
+func (n *Node) buildTraffic() {
+	cc := hertzhttp.DefaultClientConfig()
+	cc.DialTimeout = n.set.Traffic.ConnectTimeout
+	cc.BufferBytes = n.set.Traffic.BufferBytes
+	n.peers, n.local = hertzhttp.NewClient(cc), hertzhttp.NewClient(cc)
+	n.claims = claims.New(n.table, n.pool, claims.DefaultConfig(), n.log, tally.NoopScope)
+	cfg := dataplane.DefaultConfig()
+	cfg.BufferBytes, cfg.MaxCalls = n.set.Traffic.BufferBytes, n.set.Traffic.MaxCalls
+	n.engine = dataplane.New(cfg, n.self, n.peers, n.local, n.claims, nil)
+}
+
+func (n *Node) listen() error {
+	cfg := hertzhttp.DefaultServerConfig()
+	cfg.IdleTimeout, cfg.MaxHeaderBytes = n.set.Traffic.IdleTimeout, n.set.Traffic.MaxHeaderBytes
+	l := n.set.Listen
+	var err error
+	bind := func(to **hertzhttp.Server, addr string, h hertzhttp.Handler) {
+		if err == nil {
+			*to, err = hertzhttp.Listen(addr, cfg, h)
+		}
+	}
+	bind(&n.faces.callers, l.Callers, n.engine.ServeCaller)
+	bind(&n.faces.nodes, l.Nodes, n.engine.ServeNode)
+	bind(&n.faces.target, l.Target, n.engine.ServeTarget)
+	bind(&n.faces.ops, l.Ops, n.serveOps)
+	if err != nil {
+		return err
+	}
+	if n.ln, err = net.Listen("tcp", l.Control); err != nil {
+		return status.Wrap(status.CodeListen, err, "cannot listen on %s", l.Control)
+	}
+	return nil
+}
+
+// epoch2020 is where incarnations count from, in seconds.
+var epoch2020 = time.Date(2020, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func (n *Node) buildControl() {
+	meter := &rpc.Meter{}
+	rcfg := rpc.DefaultConfig()
+	n.calls = rpc.NewPool(rcfg, meter)
+	n.server = rpc.NewServer(rcfg, meter)
+	c := &control{
+		log: n.log, self: n.self, engine: n.engine, epoch: time.Now(), meter: meter,
+		events: make(chan func(), eventQueue), done: make(chan struct{}),
+	}
+	c.state = member.New(member.DefaultConfig(), n.record(), rand.New(rand.NewPCG(rand.Uint64(), uint64(n.self.ID))))
+	c.carrier = rpc.NewCarrier(n.calls, n.pool.Submit, func(f func(*member.State, time.Duration)) {
+		c.post(func() { f(c.state, c.now()) })
+	})
+	c.conf = &follower{
+		log: n.log, store: apply.New(n.table, n.objects, apply.DefaultConfig()),
+		submit: n.pool.Submit, post: c.post, index: confset.NewIndex(),
+	}
+	n.control = c
+}
+
+// record is what the node announces of its target.
+func (n *Node) record() member.Record {
+	return member.Record{
+		ID: n.self.ID, Name: n.self.Name, Service: n.self.Service, Tenant: n.self.Tenant,
+		Zone: n.self.Place.Zone, Region: n.self.Place.Region,
+		Data:        or(n.set.Advertise.Data, n.faces.nodes.Addr()),
+		Control:     or(n.set.Advertise.Control, n.ln.Addr().String()),
+		Incarnation: uint32(time.Since(epoch2020) / time.Second),
+		Slots:       uint32(n.set.Target.Slots),
+	}
+}
+
+func or(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/node/ops.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"peardrift/internal/adapter/hertzhttp"
+)
+
+// Paths of the operators' face.
+const (
+	pathLive  = "/live"  // 200 while the process runs
+	pathReady = "/ready" // 200 while the node takes calls
+	pathDrain = "/drain" // POST: the target leaves
+)
+
+// serveOps answers operators and the platform's probes.
+func (n *Node) serveOps(_ context.Context, c *app.RequestContext) {
+	switch string(c.Path()) {
+	case pathLive:
+		c.String(http.StatusOK, "ok\n")
+	case pathReady:
+		n.serveReady(c)
+	case pathDrain:
+		n.serveDrain(c)
+	default:
+		c.String(http.StatusNotFound, "not found\n")
+	}
+}
+
+func (n *Node) serveReady(c *app.RequestContext) {
+	var s shown
+	if n.control.ask(func() { s = n.control.shown }) && s.ready && !s.leaving {
+		c.String(http.StatusOK, "ready\n")
+		return
+	}
+	c.String(http.StatusServiceUnavailable, "not ready\n")
+}
+
+// serveDrain lets whoever stops the target first say so: the node announces the
+// leave and goes on until the process is stopped itself.
+func (n *Node) serveDrain(c *app.RequestContext) {
+	if string(c.Method()) != http.MethodPost {
+		c.String(http.StatusMethodNotAllowed, "use POST\n")
+		return
+	}
+	n.control.ask(n.control.leave)
+	c.String(http.StatusAccepted, "leaving\n")
+}
+
+func (f *faces) all() []*hertzhttp.Server {
+	var out []*hertzhttp.Server
+	for _, s := range []*hertzhttp.Server{f.callers, f.nodes, f.target, f.ops} {
+		if s != nil {
+			out = append(out, s)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/run.go
@@ -0,0 +1,175 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"peardrift/internal/adapter/rpc"
+	"peardrift/internal/core/member"
+)
+
+// Run joins, serves until ctx ends, and then shuts down gracefully. kill ends
+// the shutdown at once.
+func (n *Node) Run(ctx, kill context.Context) error {
+	if err := n.server.Register(rpc.GossipName, rpc.NewGossipService(n.control.exchange)); err != nil {
+		return err
+	}
+	inner, stop := context.WithCancel(context.Background())
+	defer stop()
+	n.start(inner)
+	n.log.Info("serving",
+		zap.String("callers", n.faces.callers.Addr()), zap.String("nodes", n.faces.nodes.Addr()),
+		zap.String("target", n.faces.target.Addr()), zap.String("control", n.ln.Addr().String()),
+		zap.String("ops", n.faces.ops.Addr()))
+	<-ctx.Done()
+	n.shutdown(kill)
+	stop()
+	n.close()
+	n.wg.Wait()
+	return n.closeLog()
+}
+
+func (n *Node) start(ctx context.Context) {
+	n.run(func() { _ = n.server.Serve(n.ln) })
+	n.run(func() { n.control.loop(ctx, member.DefaultConfig().TickEvery) })
+	n.run(func() { n.join(ctx) })
+	h := &health{set: n.set.Target, client: n.local, report: func(up bool) {
+		n.control.post(func() { n.control.setTarget(up) })
+	}}
+	n.run(func() { h.run(ctx) })
+	n.run(func() { n.reap(ctx) })
+	n.faces.ops.Start()
+	n.faces.nodes.Start()
+	n.faces.target.Start()
+	n.faces.callers.Start()
+}
+
+func (n *Node) run(f func()) {
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		f()
+	}()
+}
+
+// joinEvery is the time between looks for more nodes to join through, until the
+// platform has answered once.
+const joinEvery = time.Second
+
+// join announces the node: through the peers of the settings at once, and
+// through the platform as soon as it answers.
+func (n *Node) join(ctx context.Context) {
+	s := &seeds{table: n.table, self: seed{Control: n.record().Control, Region: n.self.Place.Region}}
+	var known []member.Peer
+	for _, p := range n.set.Peers {
+		known = append(known, member.Peer{Control: p})
+	}
+	n.joinThrough(known)
+	for {
+		found, err := s.join(ctx)
+		if len(found) > 0 {
+			n.joinThrough(found)
+		}
+		if err == nil {
+			return
+		}
+		n.log.Warn("no nodes from the platform", zap.Error(err))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(joinEvery):
+		}
+	}
+}
+
+func (n *Node) joinThrough(ps []member.Peer) {
+	n.control.post(func() {
+		info, ok := n.control.conf.index.Service(n.self.Service)
+		if !ok {
+			n.control.state.Join(ps, nil)
+			return
+		}
+		n.control.state.Join(ps, info.Calls)
+	})
+}
+
+// reapEvery is the time between sweeps of idle connections.
+const reapEvery = 5 * time.Second
+
+func (n *Node) reap(ctx context.Context) {
+	tick := time.NewTicker(reapEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			n.peers.Reap(now)
+			n.local.Reap(now)
+		}
+	}
+}
+
+// shutdown announces the leave, goes on serving while others hear of it, and
+// then waits for what runs.
+//
+// The order matters: a node that closed its listener first would break calls of
+// nodes that haven't heard, and one that ended before its target's calls are
+// through would leave their callers in doubt.
+func (n *Node) shutdown(kill context.Context) {
+	ctx, cancel := context.WithTimeout(kill, n.set.Shutdown.Grace)
+	defer cancel()
+	n.log.Info("leaving")
+	n.control.ask(n.control.leave)
+	wait(ctx, n.set.Shutdown.Announce)
+	n.drained(ctx)
+	n.log.Info("stopped", zap.Int("calls", n.engine.InFlight()))
+}
+
+// drained waits until no call is in flight and all claims are settled.
+func (n *Node) drained(ctx context.Context) {
+	for n.engine.InFlight() > 0 && wait(ctx, drainPoll) {
+	}
+	for _, s := range n.faces.all() {
+		_ = s.Shutdown(ctx)
+	}
+	if err := n.claims.Close(ctx); err != nil {
+		n.log.Error("claims not settled", zap.Error(err))
+	}
+}
+
+const drainPoll = 10 * time.Millisecond
+
+// wait sleeps, or returns false when ctx ends first.
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// close releases what New took.
+func (n *Node) close() {
+	for _, s := range n.faces.all() {
+		s.Close()
+	}
+	if n.ln != nil {
+		_ = n.ln.Close()
+	}
+	if n.server != nil {
+		n.server.Close()
+		n.calls.Close()
+	}
+	n.peers.Close()
+	n.local.Close()
+	n.engine.Close()
+	n.table.Close()
+	n.objects.Close()
+	n.pool.Release()
+}
