Count demand in requests and raise the level's aim fast while slots stay free

Demand remembered in slot time from a slow target kept the level up for a second after the target was fast again. Requests per second rescale at once, and slots that stay free while requests are refused raise the aim.

--- a/internal/core/admission/demand.go
+++ b/internal/core/admission/demand.go
@@ -17,21 +17,23 @@
 // demandWeight is the weight of the newest window in a demand rate.
 const demandWeight = 0.5
 
-// demand is the profile of one tenant's recent arrivals over priorities, in
-// slots: the service time that arrives in a second. It is not a histogram in
+// demand is the profile of one tenant's recent arrivals over priorities, in mean
+// requests per second: a request counts by what its importance takes in the
+// target, relative to the mean. Counted in time, what is remembered from a slow
+// target would stand for far too much once the target is fast again. It is not a histogram in
 // the sense of a library: rates decay, and buckets below the level are kept,
 // because callers that know the level send nothing there and silence must not
 // pass for lack of demand.
 type demand struct {
-	fresh [buckets]float32 // service time that arrived in this window, seconds
-	rate  [buckets]float32 // slots
+	fresh [buckets]float32 // arrived in this window
+	rate  [buckets]float32 // per second
 	total float64          // sum of rate
 }
 
 func bucketOf(p request.Priority) int { return min(int(p>>bucketShift), buckets-1) }
 
-func (d *demand) note(p request.Priority, expected time.Duration) {
-	d.fresh[bucketOf(p)] += float32(expected.Seconds())
+func (d *demand) note(p request.Priority, weight float64) {
+	d.fresh[bucketOf(p)] += float32(weight)
 }
 
 // roll ends a window. Buckets below the level keep what they had, times keep.
@@ -51,7 +53,7 @@
 	}
 }
 
-// cut returns the level that leaves demand for capacity slots: 0 if all fits.
+// cut returns the level that leaves demand for capacity: 0 if all fits.
 func (d *demand) cut(capacity float64) request.Level {
 	if d.total <= capacity {
 		return 0
--- a/internal/core/admission/level.go
+++ b/internal/core/admission/level.go
@@ -12,19 +12,21 @@
 // work; to refuse it here would waste it.
 const graceWindows = 6
 
-// Steps of the aim, the part of the limit that admitted demand is cut to.
+// Steps of the aim, the part of the measured capacity that demand is cut to.
 const (
 	minAim    = 0.5
-	maxAim    = 1.1
-	aimDown   = 0.93
-	aimUp     = 0.02
-	busyBelow = 0.97 // use of the limit below which the aim rises
+	maxAim    = 16
+	aimDown   = 0.97 // while the queue stands
+	aimUp     = 0.02 // while the limit is not quite used
+	aimJump   = 1.5  // the most, as a ratio, while the limit is far from used
+	highAim   = 1.1
+	busyBelow = 0.97
 )
 
 // maxRepay is the part of the limit set aside to work off a standing queue, and
 // repayOver the time in which to do it.
 const (
-	maxRepay  = 0.3
+	maxRepay  = 0.1
 	repayOver = 200 * time.Millisecond
 )
 
@@ -78,7 +80,7 @@
 	used     float64 // part of the limit that was in use
 	standing bool    // the queue delay stood above its target
 	waiting  float64 // service time waiting, in seconds
-	slowdown float64
+	service  float64 // mean service time in seconds, lengthened by a slowdown
 }
 
 // roll ends a window and sets the levels. It reports whether one has risen.
@@ -93,31 +95,50 @@
 	if !l.active && !m.standing {
 		return l.publish(false)
 	}
-	l.steer(m)
+	l.steer(m, idleBelow)
 	return l.publish(l.divide(m, ledger))
 }
 
 // steer moves the aim towards a queue that is short but seldom empty.
-func (l *levels) steer(m measure) {
-	if m.standing {
-		if l.active {
-			l.aim = max(minAim, l.aim*aimDown)
-		}
+//
+// After a slowdown has ended, requests from before go on to finish and make the
+// target look slow for as long as they did take. One would notice by slots that
+// stay free while requests are refused; so free slots raise the aim above the
+// measured capacity, fast.
+func (l *levels) steer(m measure, idleBelow float64) {
+	switch {
+	case m.standing && l.active:
+		l.aim = max(minAim, l.lowered()*aimDown)
+	case m.standing:
 		l.active = true
-		return
+	case m.used < idleBelow:
+		l.aim = min(maxAim, l.aim*min(aimJump, idleBelow/max(m.used, minUsed)))
+	case m.used < busyBelow:
+		l.aim = min(max(l.aim, highAim), l.aim+aimUp)
 	}
-	if m.used < busyBelow {
-		l.aim = min(maxAim, l.aim+aimUp)
+}
+
+// minUsed keeps an unused gate from dividing by 0.
+func (l *levels) lowered() float64 {
+	if l.aim > highAim {
+		return 1
 	}
+	return l.aim
 }
 
+const minUsed = 0.01
+
 // divide splits the capacity among tenants and cuts each one's demand to its
 // part. It reports whether a level is above 0.
 func (l *levels) divide(m measure, ledger *share.Ledger) bool {
-	capacity := m.limit * l.aim / m.slowdown
+	if m.service <= 0 {
+		return true // nothing has come back yet, so nothing is known
+	}
+	capacity := m.limit * l.aim
 	if m.standing {
 		capacity -= min(m.waiting/repayOver.Seconds(), maxRepay*m.limit)
 	}
+	capacity /= m.service
 	l.weights, l.demands, l.parts = l.weights[:0], l.demands[:0], l.parts[:0]
 	for i, t := range l.tenants {
 		l.weights = append(l.weights, ledger.Weight(i))
@@ -148,7 +169,7 @@
 	return rose
 }
 
-// total returns the demand of all tenants in slots.
+// total returns the demand of all tenants, in mean requests per second.
 func (l *levels) total() float64 {
 	sum := 0.0
 	for _, t := range l.tenants {
--- a/internal/core/admission/refuse.go
+++ b/internal/core/admission/refuse.go
@@ -23,7 +23,7 @@
 
 // pressure returns demand over capacity, from 1 to maxPressure.
 func (g *Gate) pressure() float64 {
-	p := g.levels.total() / float64(g.limiter.Limit())
+	p := g.demand() / float64(g.limiter.Limit())
 	return min(maxPressure, max(1, p))
 }
 
@@ -39,3 +39,6 @@
 	}
 	return status.CodeOverloaded
 }
+
+// demand returns the demand of all tenants in slots.
+func (g *Gate) demand() float64 { return g.levels.total() * g.service.mean }
--- a/internal/core/admission/service.go
+++ b/internal/core/admission/service.go
@@ -9,11 +9,13 @@
 // importances is the number of values an importance takes.
 const importances = int(request.MaxImportance) + 1
 
-// Weights of a new sample. The mean of all follows within some ten requests;
-// what sets one importance apart from the others changes slowly.
+// Weights of a new sample. The mean is slow, for precise levels; it follows a
+// change of the target because it jumps to a fast mean that leaves it behind.
 const (
-	meanWeight  = 1.0 / 16
+	slowWeight  = 1.0 / 128
+	fastWeight  = 1.0 / 16
 	ratioWeight = 1.0 / 64
+	jump        = 1.5 // ratio of the two means, either way, that is no chance
 )
 
 // service estimates how long a request runs in the target.
@@ -25,13 +27,15 @@
 // be refused as unable to finish and never measured again.
 type service struct {
 	mean    float64 // seconds; 0 before the first sample
+	fast    float64 // seconds
+	n       int     // samples in mean
 	ratio   [importances]float64
 	samples [importances]int
 	running [importances]int
 
 	// Sums over the running requests for slowdown. The sum of start instants
 	// may wrap around; the difference that is taken from it does not.
-	n        int
+	inFlight int
 	started  time.Duration
 	expected time.Duration
 }
@@ -51,14 +55,14 @@
 
 func (s *service) start(e *entry) {
 	s.running[e.importance()]++
-	s.n++
+	s.inFlight++
 	s.started += e.started
 	s.expected += e.expected
 }
 
 func (s *service) end(e *entry) {
 	s.running[e.importance()]--
-	s.n--
+	s.inFlight--
 	s.started -= e.started
 	s.expected -= e.expected
 }
@@ -71,13 +75,18 @@
 		return
 	}
 	if s.mean == 0 {
-		s.mean = x
+		s.mean, s.fast, s.n = x, x, 1
 		return
 	}
 	f := s.factor(imp)
 	s.samples[imp]++
 	s.ratio[imp] = f + max(ratioWeight, 1/float64(1+s.samples[imp]))*(x/s.mean-f)
-	s.mean += meanWeight * (x - s.mean)
+	s.n++
+	s.mean += max(slowWeight, 1/float64(s.n)) * (x - s.mean)
+	s.fast += max(fastWeight, 1/float64(s.n)) * (x - s.fast)
+	if s.fast > jump*s.mean || s.fast < s.mean/jump {
+		s.mean, s.n = s.fast, int(1/fastWeight)
+	}
 }
 
 // slowdown returns by how much the running requests outlast expectation, at
@@ -85,9 +94,9 @@
 // come. Requests in flight are on average no older than about their expected
 // service time, a little more with a long tail; twice that is a slowdown.
 func (s *service) slowdown(now time.Duration) float64 {
-	if s.n == 0 || s.expected <= 0 {
+	if s.inFlight == 0 || s.expected <= 0 {
 		return 1
 	}
-	age := time.Duration(s.n)*now - s.started
+	age := time.Duration(s.inFlight)*now - s.started
 	return max(1, age.Seconds()/(2*s.expected.Seconds()))
 }
--- a/internal/core/admission/stats.go
+++ b/internal/core/admission/stats.go
@@ -60,7 +60,7 @@
 		Running:  g.running,
 		Queued:   g.queue.len(),
 		Active:   g.levels.active,
-		Demand:   g.levels.total(),
+		Demand:   g.demand(),
 		Service:  time.Duration(g.service.mean * float64(time.Second)),
 		Backlog:  g.queue.work / time.Duration(g.limiter.Limit()),
 		Draining: g.draining,
--- a/internal/core/admission/window.go
+++ b/internal/core/admission/window.go
@@ -61,7 +61,7 @@
 		used:     w.busy.Seconds() / (length.Seconds() * float64(lim)),
 		standing: now-w.low >= g.cfg.StandFor,
 		waiting:  g.queue.work.Seconds(),
-		slowdown: g.service.slowdown(now),
+		service:  g.service.mean * g.service.slowdown(now),
 	}, &g.ledger, g.cfg.IdleBelow)
 	g.limiter.Observe(limit.Window{
 		Length:     length,
