Let nodes learn a set by what changed since the version they hold

A Packed set keeps each service's bytes, hash and an upper bound of the version it changed in, so a node answers any older version from one set instead of keeping old sets or a chain of deltas. The digest goes over the services' hashes: a change of one service costs one hash.

--- a/internal/core/confset/encode.go
+++ b/internal/core/confset/encode.go
@@ -16,7 +16,13 @@
 // MaxEncoded bounds the canonical bytes of a set.
 const MaxEncoded = 4 << 20
 
-// Digest is the SHA-256 of a set's canonical bytes.
+// format is the first field of canonical bytes and of what a digest is over.
+const format = 1
+
+// Digest identifies a set's content: the SHA-256 over its tenant, its share and
+// the SHA-256 of each of its services in the order of their names. So a change
+// of one service costs the hashing of that one, and a node that does not know
+// some field of a newer version still verifies what it was sent.
 type Digest [sha256.Size]byte
 
 // String returns the digest as 64 hexadecimal digits.
@@ -36,8 +42,45 @@
 	return d, nil
 }
 
-// DigestOf returns the digest of canonical bytes.
-func DigestOf(encoded []byte) Digest { return sha256.Sum256(encoded) }
+// Head names one accepted set: what nodes tell each other of it.
+type Head struct {
+	Tenant  request.Tenant
+	Version int64
+	Digest  Digest
+}
+
+// whole is the form of a set's canonical bytes.
+type whole struct {
+	Format   int                  `msgpack:"f"`
+	Tenant   request.Tenant       `msgpack:"t"`
+	Share    float64              `msgpack:"s"`
+	Services []msgpack.RawMessage `msgpack:"v"` // by name
+}
+
+// Encode returns the canonical bytes of a set, without its version, and its
+// digest.
+func Encode(s Set) ([]byte, Digest, error) {
+	p, err := Pack(s)
+	if err != nil {
+		return nil, Digest{}, err
+	}
+	body, err := p.Bytes()
+	return body, p.Head().Digest, err
+}
+
+// Decode is the inverse of Encode for a set that was accepted as the given
+// version. It refuses bytes with another digest and sets that are not valid.
+func Decode(body []byte, want Digest, version int64) (Set, error) {
+	var w whole
+	if err := unmarshal(body, &w); err != nil {
+		return Set{}, err
+	}
+	p, err := unpack(w, Head{Tenant: w.Tenant, Version: version, Digest: want})
+	if err != nil {
+		return Set{}, err
+	}
+	return p.Set(), nil
+}
 
 // Canonical returns a copy of s in which everything whose order has no meaning
 // is sorted: sets that mean the same have the same canonical form.
@@ -58,41 +101,6 @@
 	return s
 }
 
-// Encode returns the canonical bytes of a set, without its version, and their
-// digest.
-func Encode(s Set) ([]byte, Digest, error) {
-	body, err := marshal(Canonical(s))
-	if err != nil {
-		return nil, Digest{}, err
-	}
-	if len(body) > MaxEncoded {
-		return nil, Digest{}, status.New(status.CodeTooLarge,
-			"the set has %d bytes encoded, at most %d are allowed", len(body), MaxEncoded)
-	}
-	return body, DigestOf(body), nil
-}
-
-// Decode is the inverse of Encode for a set that was accepted as the given
-// version. It refuses bytes with another digest and sets that are not valid.
-func Decode(body []byte, want Digest, version int64) (Set, error) {
-	var s Set
-	if len(body) > MaxEncoded {
-		return s, status.New(status.CodeTooLarge, "an encoded set of %d bytes", len(body))
-	}
-	if got := DigestOf(body); got != want {
-		return s, status.New(status.CodeProtocol, "a set with digest %v, want %v", got, want)
-	}
-	if err := msgpack.Unmarshal(body, &s); err != nil {
-		return Set{}, status.Wrap(status.CodeProtocol, err, "undecodable set")
-	}
-	if ps := Validate(s); len(ps) > 0 {
-		return Set{}, status.New(status.CodeInvalidSet, "%s: %s (%d problems in all)",
-			ps[0].Field, ps[0].Message, len(ps))
-	}
-	s.Version = version
-	return s, nil
-}
-
 // marshal encodes deterministically: struct fields in their order, integers in
 // their shortest form.
 func marshal(v any) ([]byte, error) {
@@ -105,11 +113,12 @@
 	return buf.Bytes(), nil
 }
 
-// ServiceNames returns the names by which callers address the set's services.
-func (s Set) ServiceNames() []request.Service {
-	names := make([]request.Service, len(s.Services))
-	for i, svc := range s.Services {
-		names[i] = FullName(svc.Name, s.Tenant)
+func unmarshal(body []byte, v any) error {
+	if len(body) > MaxEncoded {
+		return status.New(status.CodeTooLarge, "%d bytes, at most %d are allowed", len(body), MaxEncoded)
+	}
+	if err := msgpack.Unmarshal(body, v); err != nil {
+		return status.Wrap(status.CodeProtocol, err, "undecodable set")
 	}
-	return names
+	return nil
 }
--- a/internal/core/confset/set.go
+++ b/internal/core/confset/set.go
@@ -7,76 +7,80 @@
 )
 
 // Set is the complete configuration of one tenant.
+//
+// The encoded names of its services' fields are single letters, as sets travel
+// between nodes under a tight budget; they are added, never given another
+// meaning, and a reader skips those that it doesn't know.
 type Set struct {
-	Tenant request.Tenant `msgpack:"tenant"`
+	Tenant request.Tenant
 
 	// Version is given by the acceptance of the set, 1 for a tenant's first
 	// one, and only rises. It is not part of the encoded set, so that the same
 	// content has the same digest whichever version it is accepted as.
-	Version int64 `msgpack:"-"`
+	Version int64
 
 	// Share is the fraction of the shared capacity that the tenant may draw on
 	// while there is contention, above 0 and at most 1. Idle capacity is lent.
-	Share float64 `msgpack:"share"`
+	Share float64
 
-	Services []Service `msgpack:"services"`
+	Services []Service
 }
 
 // Service declares one service and the requests it receives.
 type Service struct {
 	// Name is the service's name inside its tenant, a DNS label.
-	Name string `msgpack:"name"`
+	Name string `msgpack:"n"`
 
 	// Slots is how many requests one target runs at the same time.
-	Slots int `msgpack:"slots"`
+	Slots int `msgpack:"s"`
 
 	// Connections is how many connections one target accepts.
-	Connections int `msgpack:"connections"`
+	Connections int `msgpack:"c"`
 
 	// Calls names the services that this one calls, as "service.tenant".
-	Calls []request.Service `msgpack:"calls,omitempty"`
+	Calls []request.Service `msgpack:"l,omitempty"`
 
 	// Allow names the other tenants whose requests this service accepts.
-	Allow []request.Tenant `msgpack:"allow,omitempty"`
+	Allow []request.Tenant `msgpack:"w,omitempty"`
 
 	// Classes says what a request is by its method and path.
-	Classes []Class `msgpack:"classes"`
+	Classes []Class `msgpack:"k"`
 }
 
 // Class declares one kind of request.
 type Class struct {
 	// Name is unique in its service.
-	Name request.Class `msgpack:"name"`
+	Name request.Class `msgpack:"n"`
 
 	// Method is the HTTP method; empty matches any.
-	Method string `msgpack:"method,omitempty"`
+	Method string `msgpack:"m,omitempty"`
 
 	// Path is a prefix of whole path segments: "/a" matches "/a" and "/a/b",
 	// not "/ab". The longest matching prefix wins, and among equally long ones
 	// the class that names a method.
-	Path string `msgpack:"path"`
+	Path string `msgpack:"p"`
 
 	// Importance orders refusal: a lower one is refused earlier.
-	Importance request.Importance `msgpack:"importance"`
+	Importance request.Importance `msgpack:"i"`
 
 	// Deadline is how long a request of this class may take when it enters
 	// without a shorter deadline of its own. DefaultDeadline if not declared.
-	Deadline time.Duration `msgpack:"deadline"`
+	Deadline time.Duration `msgpack:"d"`
 
 	// Attempts is how many attempts the whole request may spend beyond the
 	// first ones, over its whole chain and not for each hop. DefaultAttempts if
 	// not declared; 0 declares that nothing is tried again.
-	Attempts int `msgpack:"attempts"`
+	Attempts int `msgpack:"a"`
 
 	// AtMostOnce requests carry an idempotency key and never run twice.
-	AtMostOnce bool `msgpack:"atMostOnce,omitempty"`
+	AtMostOnce bool `msgpack:"o,omitempty"`
 
 	// Remember is how long the key of an at-most-once request is kept.
 	// DefaultRemember if not declared; 0 for other classes.
-	Remember time.Duration `msgpack:"remember,omitempty"`
+	Remember time.Duration `msgpack:"r,omitempty"`
 
 	// MaxBody bounds a request's body in bytes. DefaultMaxBody if not declared.
-	MaxBody int64 `msgpack:"maxBody"`
+	MaxBody int64 `msgpack:"b"`
 }
 
 // What a class has where its operators declare nothing.
