Tolerate a queue delay of half the service time; wait longer before a trial of the limit

In trials a trial during a ten-fold slowdown cost the most important class up to a sixth of its requests; with ten seconds of patience a slowdown of five seconds costs none.

--- a/internal/core/admission/config.go
+++ b/internal/core/admission/config.go
@@ -26,7 +26,7 @@
 	// overload.
 	TargetDelay time.Duration
 	// TargetPart raises TargetDelay for slow requests, as a part of the mean
-	// service time. Default 0.25. Higher and lower: as TargetDelay.
+	// service time. Default 0.5. Higher and lower: as TargetDelay.
 	TargetPart float64
 	// StandFor is how long the delay must stand above its target before the
 	// level rises. Default 100 ms. Higher: later reaction; lower: bursts count
@@ -63,7 +63,7 @@
 		QueuePerSlot:   4,
 		MaxWait:        time.Second,
 		TargetDelay:    5 * time.Millisecond,
-		TargetPart:     0.25,
+		TargetPart:     0.5,
 		StandFor:       100 * time.Millisecond,
 		MinWindow:      50 * time.Millisecond,
 		MaxWindow:      250 * time.Millisecond,
--- a/internal/core/limit/config.go
+++ b/internal/core/limit/config.go
@@ -26,7 +26,7 @@
 	// queueing inside the target is let pass; lower: more trials.
 	Inflation float64
 	// Patience is for how long requests must take that much longer before the
-	// first trial. Default 3 s. Higher: a passing slowdown costs no trial;
+	// first trial. Default 10 s. Higher: a passing slowdown costs no trial;
 	// lower: queueing inside the target ends sooner.
 	Patience time.Duration
 	// ShedFraction is the part of requests shed by the target from which the
@@ -48,7 +48,7 @@
 		MinMeasure:      100 * time.Millisecond,
 		MaxMeasure:      5 * time.Second,
 		Inflation:       2,
-		Patience:        3 * time.Second,
+		Patience:        10 * time.Second,
 		ShedFraction:    0.02,
 		Backoff:         time.Second,
 		MaxBackoff:      30 * time.Second,
