--- /dev/null
+++ b/bench/harness/build.go
@@ -0,0 +1,58 @@
+package harness
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+
+	"peardrift/internal/status"
+)
+
+// CodeHarness is the code of the harness's own failures.
+const CodeHarness status.Code = "harness"
+
+// Bins are the programs that a fleet consists of.
+type Bins struct {
+	Node, Tool, Target, Platform string
+}
+
+// Build compiles the programs of the workspace at root into dir.
+func Build(root, dir string) (Bins, error) {
+	b := Bins{
+		Node:     filepath.Join(dir, "peardriftd"),
+		Tool:     filepath.Join(dir, "peardrift"),
+		Target:   filepath.Join(dir, "standin-target"),
+		Platform: filepath.Join(dir, "standin-platform"),
+	}
+	for out, pkg := range map[string]string{
+		b.Node:     "./cmd/peardriftd",
+		b.Target:   "./bench/cmd/standin-target",
+		b.Platform: "./bench/cmd/standin-platform",
+	} {
+		cmd := exec.Command("go", "build", "-o", out, pkg)
+		cmd.Dir = root
+		cmd.Stderr = os.Stderr
+		if err := cmd.Run(); err != nil {
+			return b, status.Wrap(CodeHarness, err, "build %s", pkg)
+		}
+	}
+	return b, nil
+}
+
+// Root finds the workspace's folder from the present one upwards.
+func Root() (string, error) {
+	dir, err := os.Getwd()
+	if err != nil {
+		return "", status.Wrap(CodeHarness, err, "no present folder")
+	}
+	for {
+		if _, err := os.Stat(filepath.Join(dir, "go.work")); err == nil {
+			return dir, nil
+		}
+		up := filepath.Dir(dir)
+		if up == dir {
+			return "", status.New(CodeHarness, "no go.work above the present folder")
+		}
+		dir = up
+	}
+}
--- /dev/null
+++ b/bench/harness/fleet.go
@@ -0,0 +1,245 @@
+package harness
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"peardrift/bench/deploy"
+	"peardrift/bench/standin/target"
+	"peardrift/internal/settings"
+	"peardrift/internal/status"
+)
+
+// Host is one instance: a target and its node.
+type Host struct {
+	Name, Zone, Service string
+	Target, Node        *Process
+	Addr                Addrs
+	targetFile          string
+	nodeFile            string
+}
+
+// Addrs are a host's addresses (ip:port).
+type Addrs struct {
+	Target, Callers, Nodes, Egress, Control, Ops string
+}
+
+// Fleet is a set of running hosts and their platform.
+type Fleet struct {
+	Dir      string
+	Bins     Bins
+	Platform *Process
+	URL      string // of the platform
+	Hosts    []*Host
+
+	// Tune, if set, changes the settings of each node before it starts.
+	Tune func(*Host, *settings.Settings)
+	// TuneTarget, if set, changes the settings of each target before it starts.
+	TuneTarget func(*Host, *target.Config)
+
+	addr   string // of the platform
+	ports  ports
+	mu     sync.Mutex
+	procs  []*Process
+	closed bool
+}
+
+// New returns an empty fleet whose files are in a temporary folder.
+func New(bins Bins) (*Fleet, error) {
+	dir, err := os.MkdirTemp("", "peardrift-fleet-")
+	if err != nil {
+		return nil, status.Wrap(CodeHarness, err, "folder of the fleet")
+	}
+	f := &Fleet{Dir: dir, Bins: bins}
+	if f.addr, err = f.ports.take(); err != nil {
+		return nil, err
+	}
+	f.URL = "http://" + f.addr
+	return f, nil
+}
+
+// Add plans the hosts of a deployment; Start starts them.
+func (f *Fleet) Add(d deploy.Deployment) error {
+	for _, s := range d.Services {
+		for i := range s.Targets {
+			name, zone := d.Instance(s, i)
+			h := &Host{Name: name, Zone: zone, Service: d.FullName(s)}
+			if err := f.plan(h, d.Region, s); err != nil {
+				return err
+			}
+			f.Hosts = append(f.Hosts, h)
+		}
+	}
+	return nil
+}
+
+// plan writes a host's files.
+func (f *Fleet) plan(h *Host, region string, s deploy.Service) error {
+	for _, a := range []*string{&h.Addr.Target, &h.Addr.Callers, &h.Addr.Nodes, &h.Addr.Egress, &h.Addr.Control, &h.Addr.Ops} {
+		var err error
+		if *a, err = f.ports.take(); err != nil {
+			return err
+		}
+	}
+	tc := target.DefaultConfig(h.Service)
+	tc.Listen, tc.Node, tc.Slots, tc.Routes = h.Addr.Target, "http://"+h.Addr.Egress, s.Slots, s.Routes
+	tc.Dist = target.DistExponential
+	if f.TuneTarget != nil {
+		f.TuneTarget(h, &tc)
+	}
+	h.targetFile = filepath.Join(f.Dir, h.Name+"-target.yaml")
+	h.nodeFile = filepath.Join(f.Dir, h.Name+"-node.yaml")
+	if err := writeYAML(h.targetFile, tc); err != nil {
+		return err
+	}
+	return writeYAML(h.nodeFile, f.nodeSettings(h, region))
+}
+
+func (f *Fleet) nodeSettings(h *Host, region string) settings.Settings {
+	ns := settings.Default()
+	ns.Node = settings.Node{Name: h.Name, Region: region, Zone: h.Zone}
+	ns.Target.Service, ns.Target.Address = h.Service, h.Addr.Target
+	ns.Listen = settings.Listen{
+		Callers: h.Addr.Callers, Nodes: h.Addr.Nodes, Target: h.Addr.Egress,
+		Control: h.Addr.Control, Ops: h.Addr.Ops,
+	}
+	ns.Platform.Table.Endpoint, ns.Platform.Objects.Endpoint = f.URL, f.URL
+	ns.Platform.AccessKeyFile = filepath.Join(f.Dir, "key")
+	ns.Platform.SecretKeyFile = filepath.Join(f.Dir, "key")
+	if f.Tune != nil {
+		f.Tune(h, &ns)
+	}
+	return ns
+}
+
+func writeYAML(file string, v any) error {
+	b, err := yaml.Marshal(v)
+	if err != nil {
+		return status.Wrap(CodeHarness, err, "encode %s", file)
+	}
+	if err := os.WriteFile(file, b, 0o600); err != nil {
+		return status.Wrap(CodeHarness, err, "write %s", file)
+	}
+	return nil
+}
+
+// Start starts the platform and all planned hosts.
+func (f *Fleet) Start() error {
+	if err := os.WriteFile(filepath.Join(f.Dir, "key"), []byte("bench"), 0o600); err != nil {
+		return status.Wrap(CodeHarness, err, "write the key")
+	}
+	f.ports.release()
+	var err error
+	if f.Platform, err = f.run("platform", f.Bins.Platform, "--listen", f.addr); err != nil {
+		return err
+	}
+	if err := await(10*time.Second, func() bool { return status2xx(f.URL + "/control/counters") }); err != nil {
+		return err
+	}
+	for _, h := range f.Hosts {
+		if err := f.StartTarget(h); err != nil {
+			return err
+		}
+		if err := f.StartNode(h); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartTarget starts a host's target, again if it has ended.
+func (f *Fleet) StartTarget(h *Host) (err error) {
+	h.Target, err = f.run(h.Name+"-target", f.Bins.Target, "--config", h.targetFile)
+	return err
+}
+
+// StartNode starts a host's node, again if it has ended.
+func (f *Fleet) StartNode(h *Host) (err error) {
+	h.Node, err = f.run(h.Name+"-node", f.Bins.Node, "--settings", h.nodeFile)
+	return err
+}
+
+func (f *Fleet) run(name, bin string, args ...string) (*Process, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return nil, status.New(CodeHarness, "the fleet is closed")
+	}
+	p, err := start(f.Dir, name, bin, args...)
+	if err == nil {
+		f.procs = append(f.procs, p)
+	}
+	return p, err
+}
+
+// Ready waits until all nodes take calls.
+func (f *Fleet) Ready(within time.Duration) error {
+	for _, h := range f.Hosts {
+		if err := await(within, func() bool { return status2xx("http://" + h.Addr.Ops + "/ready") }); err != nil {
+			return status.Wrap(CodeHarness, err, "%s is not ready, see %s", h.Name, h.Node.Log)
+		}
+	}
+	return nil
+}
+
+// Entries returns the callers' faces of all nodes of a tenant's fleet.
+func (f *Fleet) Entries(d deploy.Deployment) []string {
+	var urls []string
+	for _, h := range f.Hosts {
+		for _, s := range d.Services {
+			if d.FullName(s) == h.Service {
+				urls = append(urls, "http://"+h.Addr.Callers)
+			}
+		}
+	}
+	return urls
+}
+
+// Close ends all processes and removes the fleet's files.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	f.closed = true
+	procs := f.procs
+	f.procs = nil
+	f.mu.Unlock()
+	for _, p := range procs {
+		p.Signal(9)
+	}
+	for _, p := range procs {
+		p.Kill()
+	}
+	f.ports.release()
+	_ = os.RemoveAll(f.Dir)
+}
+
+const awaitStep = 20 * time.Millisecond
+
+// await polls until ok, or fails after a time that only a broken fleet needs.
+func await(within time.Duration, ok func() bool) error {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	for !ok() {
+		select {
+		case <-ctx.Done():
+			return status.New(CodeHarness, "not within %v", within)
+		case <-time.After(awaitStep):
+		}
+	}
+	return nil
+}
+
+func status2xx(url string) bool {
+	c := http.Client{Timeout: time.Second}
+	resp, err := c.Get(url)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode < 300
+}
