Give each call one extra attempt along, and price repeats by what they make

Cause: with half of the allowance given along, a lost answer near the entry took the means to repeat the call with it.

--- a/internal/core/retry/brake.go
+++ b/internal/core/retry/brake.go
@@ -22,7 +22,7 @@
 	at      time.Duration
 }
 
-// NewBrake returns a brake with a budget of one retry, so that a node that has
+// NewBrake returns a brake with a budget of one attempt, so that a node that has
 // just started can't add a burst of its own.
 func NewBrake(cfg *Config, now time.Duration) Brake {
 	return Brake{cfg: cfg, tokens: min(1, cfg.Burst), at: now}
@@ -47,17 +47,20 @@
 	return b.total >= b.cfg.MinSample && b.refused > b.cfg.RefusedShare*b.total
 }
 
-// Take draws one retry from the budget, false if it holds none.
-func (b *Brake) Take(now time.Duration) bool {
+// Take draws a retry from the budget, which costs n attempts; false if the
+// budget doesn't hold that many. A retry that costs more than Burst needs a full
+// budget.
+func (b *Brake) Take(now time.Duration, n int) bool {
 	b.advance(now)
-	if b.tokens < 1 {
+	price := min(float64(n), b.cfg.Burst)
+	if b.tokens < price {
 		return false
 	}
-	b.tokens--
+	b.tokens -= price
 	return true
 }
 
-// Budget returns the retries that the budget holds now, for metrics.
+// Budget returns the attempts that the budget holds now, for metrics.
 func (b *Brake) Budget(now time.Duration) float64 {
 	b.advance(now)
 	return b.tokens
--- a/internal/core/retry/config.go
+++ b/internal/core/retry/config.go
@@ -5,21 +5,23 @@
 // Config holds the settings of the package.
 type Config struct {
 	// Attempts is the allowance of a request whose class declares none: extra
-	// attempts over the whole chain. Default 3. Higher completes more requests
-	// when single calls fail, lower sheds load sooner.
+	// attempts over the whole chain. Default 6: a call is repeated only where
+	// this covers the calls below it too, so it should be above the number of
+	// calls that a request makes, for failures near the entry. Higher completes
+	// more requests when single calls fail; the budget below bounds the load.
 	Attempts int
 	// PerCall bounds the attempts of one sub-call, the first included.
 	// Default 3. Higher lets one bad call use up the request's allowance.
 	PerCall int
 	// Ratio is how much one success adds to a service's retry budget, in
-	// retries. Default 0.1. Higher allows more extra load on a service that
+	// attempts; a repeat draws those that it will make below too. Default 0.1. Higher allows more extra load on a service that
 	// still succeeds in part; 0 leaves only MinRate.
 	Ratio float64
-	// MinRate fills the budget without any success, in retries a second for
+	// MinRate fills the budget without any success, in attempts a second for
 	// each calling node and service. Default 0.2. Higher helps services that
 	// are called rarely; the fleet's extra load grows by it times the nodes.
 	MinRate float64
-	// Burst caps the budget, in retries. Default 10. Higher lets more retries
+	// Burst caps the budget, in attempts. Default 10. Higher lets more retries
 	// follow at once after a quiet time.
 	Burst float64
 	// RefusedShare is the share of attempts refused for load, 0 to 1, above
@@ -45,7 +47,7 @@
 // the project is made for.
 func DefaultConfig() Config {
 	return Config{
-		Attempts:     3,
+		Attempts:     6,
 		PerCall:      3,
 		Ratio:        0.1,
 		MinRate:      0.2,
--- a/internal/core/retry/decide.go
+++ b/internal/core/retry/decide.go
@@ -32,7 +32,7 @@
 	Allowance
 	// Overload: the service as a whole is overloaded.
 	Overload
-	// Budget: the service's retry budget is empty.
+	// Budget: the service's retry budget doesn't cover the attempt.
 	Budget
 )
 
@@ -114,7 +114,7 @@
 	if r.Deadline != 0 && now+wait+r.Usual >= r.Deadline {
 		return Decision{Reason: Deadline}
 	}
-	if !b.Take(now) {
+	if !b.Take(now, d.price(r)) {
 		return Decision{Reason: Budget}
 	}
 	return Decision{Reason: Again, Wait: wait}
@@ -164,13 +164,14 @@
 		status.CodeUnknownClass, status.CodeKeyMissing, status.CodeKeyReused,
 		status.CodeForbidden, status.CodeOverShare, status.CodeDeadline,
 		status.CodeRetriesExhausted, status.CodeSuspect, status.CodePlatformDown,
-		status.CodeInProgress, status.CodeDeadlineExceeded, status.CodeCanceled:
+		status.CodeInProgress, status.CodeAnswerNotKept, status.CodeDeadlineExceeded,
+		status.CodeCanceled:
 		return true
 	}
 	return false
 }
 
-// price is the allowance that the next attempt needs. A repeat pays for each
+// price is what the next attempt needs of the allowance and the budget. A repeat pays for each
 // call below it too; begun without that, it would run out of allowance halfway
 // and its work would be wasted.
 func (d *Decider) price(r *Result) int {
--- a/internal/core/retry/purse.go
+++ b/internal/core/retry/purse.go
@@ -88,14 +88,18 @@
 	return g, true
 }
 
-// share is how much one attempt takes along. A first execution gets half, so
-// that calls made beside it and a retry of its own find something; a repeat
-// gets what its calls will cost, and leaves the rest to the calls beside it.
+// grantFirst is what a first execution takes along: enough for one retry where
+// the failure is, little enough that a lost answer doesn't take the means to
+// repeat the call with it, and that calls made side by side each get some.
+const grantFirst = 1
+
+// share is how much one attempt takes along. A repeat gets what its calls will
+// cost, since each of them must be paid for.
 func (p *Purse) share(repeat bool, below int) int {
 	if below == 0 || (repeat && below > 0) {
 		return below
 	}
-	return (p.left + 1) / 2
+	return grantFirst
 }
 
 // Settle ends an attempt and takes back the unspent part of its grant. A second
