Add the operators' tool

validate, apply, status, history, diff and version, with an exit code for each kind of failure and JSON for failures too. An accepted apply tells the nodes that it is given; that one can't be told does not change the outcome.

--- /dev/null
+++ b/cmd/peardrift/main.go
@@ -0,0 +1,28 @@
+// Command peardrift is the operators' tool; see docs/operators/commands.md.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"peardrift/internal/cli"
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	nodes := cli.NewRPCNodes()
+	defer nodes.Close()
+	return cli.Run(ctx, os.Args[1:], cli.Env{
+		Stdout: os.Stdout,
+		Stderr: os.Stderr,
+		Open:   cli.OpenPlatform,
+		Nodes:  nodes,
+	})
+}
--- /dev/null
+++ b/internal/cli/nodes.go
@@ -0,0 +1,44 @@
+package cli
+
+import (
+	"context"
+	"time"
+
+	"peardrift/internal/adapter/rpc"
+	"peardrift/internal/adapter/rpc/adminapi"
+)
+
+// nodeTimeout bounds one call to a node: a node that doesn't answer must not
+// hold up the report of an apply that was accepted.
+const nodeTimeout = 3 * time.Second
+
+// RPCNodes calls nodes by net/rpc; for Env.Nodes.
+type RPCNodes struct{ pool *rpc.Pool }
+
+var _ Nodes = (*RPCNodes)(nil)
+
+// NewRPCNodes returns a caller without connections.
+func NewRPCNodes() *RPCNodes {
+	return &RPCNodes{pool: rpc.NewPool(rpc.DefaultConfig(), &rpc.Meter{})}
+}
+
+// Close ends the connections.
+func (n *RPCNodes) Close() { n.pool.Close() }
+
+// Head implements Nodes.
+func (n *RPCNodes) Head(ctx context.Context, addr string, args adminapi.HeadArgs) (adminapi.HeadReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, nodeTimeout)
+	defer cancel()
+	var reply adminapi.HeadReply
+	err := n.pool.CallOnce(ctx, addr, adminapi.MethodHead, &args, &reply)
+	return reply, err
+}
+
+// Status implements Nodes.
+func (n *RPCNodes) Status(ctx context.Context, addr string) (adminapi.StatusReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, nodeTimeout)
+	defer cancel()
+	var reply adminapi.StatusReply
+	err := n.pool.CallOnce(ctx, addr, adminapi.MethodStatus, &adminapi.StatusArgs{}, &reply)
+	return reply, err
+}
--- /dev/null
+++ b/internal/cli/submit.go
@@ -0,0 +1,158 @@
+package cli
+
+import (
+	"cmp"
+	"errors"
+	"io"
+	"os"
+
+	"peardrift/internal/adapter/rpc/adminapi"
+	"peardrift/internal/adapter/yamlset"
+	"peardrift/internal/apply"
+	"peardrift/internal/core/confset"
+	"peardrift/internal/core/request"
+)
+
+// setArgs names the files of a set.
+type setArgs struct {
+	Paths []string `positional-arg-name:"DIR" description:"directory of the set, or its files" required:"1"`
+}
+
+type validateCommand struct {
+	*app
+	Args setArgs `positional-args:"yes" required:"yes"`
+}
+
+// setSummary describes a set in output.
+type setSummary struct {
+	Tenant   request.Tenant `json:"tenant"`
+	Share    float64        `json:"share"`
+	Services int            `json:"services"`
+	Classes  int            `json:"classes"`
+	Digest   string         `json:"digest"`
+	Bytes    int            `json:"bytes"`
+}
+
+func summarize(s confset.Set) (setSummary, error) {
+	body, digest, err := confset.Encode(s)
+	classes := 0
+	for _, svc := range s.Services {
+		classes += len(svc.Classes)
+	}
+	return setSummary{
+		Tenant: s.Tenant, Share: s.Share, Services: len(s.Services), Classes: classes,
+		Digest: digest.String(), Bytes: len(body),
+	}, err
+}
+
+// Execute implements flags.Commander.
+func (c *validateCommand) Execute([]string) error {
+	set, err := yamlset.Load(c.Args.Paths...)
+	if err != nil {
+		return err
+	}
+	sum, err := summarize(set)
+	if err != nil {
+		return err
+	}
+	return c.show(sum, func(w io.Writer) {
+		c.printf(w, "valid: tenant %s, share %g, %d services, %d classes, digest %s\n",
+			sum.Tenant, sum.Share, sum.Services, sum.Classes, sum.Digest)
+	})
+}
+
+type applyCommand struct {
+	*app
+	Base  int64    `long:"base" value-name:"N" required:"yes" description:"the accepted version that the set was made from; 0 for a tenant's first set"`
+	By    string   `long:"by" env:"PEARDRIFT_BY" value-name:"NAME" description:"who applies, for the history (default: the user's name)"`
+	Nodes []string `long:"node" value-name:"ADDR" description:"control address of a node to tell at once; may be repeated"`
+	Args  setArgs  `positional-args:"yes" required:"yes"`
+}
+
+// applied is the result of an apply.
+type applied struct {
+	Tenant    request.Tenant `json:"tenant"`
+	Version   int64          `json:"version"`
+	Digest    string         `json:"digest"`
+	Settled   bool           `json:"settled"`
+	Unchanged bool           `json:"unchanged"`
+	Nodes     []told         `json:"nodes,omitempty"`
+}
+
+// told is what became of telling one node. That it failed does not change what
+// was accepted: nodes learn of it from each other and from the platform.
+type told struct {
+	Addr    string `json:"addr"`
+	InForce int64  `json:"inForce"`
+	Error   string `json:"error,omitempty"`
+}
+
+// Execute implements flags.Commander.
+func (c *applyCommand) Execute([]string) error {
+	set, err := yamlset.Load(c.Args.Paths...)
+	if err != nil {
+		return err
+	}
+	store, done, err := c.store()
+	if err != nil {
+		return err
+	}
+	defer done()
+	by := cmp.Or(c.By, os.Getenv("USER"), "unknown")
+	acc, err := store.Apply(c.ctx, set, c.Base, by)
+	if err != nil {
+		c.explain(store, err)
+		return err
+	}
+	out := applied{
+		Tenant: set.Tenant, Version: acc.Version, Digest: acc.Digest.String(),
+		Settled: acc.Settled, Unchanged: acc.Unchanged,
+		Nodes: c.tell(adminapi.HeadArgs{Tenant: set.Tenant, Version: acc.Version}),
+	}
+	return c.show(out, func(w io.Writer) { c.text(w, out) })
+}
+
+func (c *applyCommand) tell(args adminapi.HeadArgs) []told {
+	var out []told
+	for _, addr := range c.Nodes {
+		reply, err := c.env.Nodes.Head(c.ctx, addr, args)
+		t := told{Addr: addr, InForce: reply.InForce}
+		if err != nil {
+			t.Error = err.Error()
+		}
+		out = append(out, t)
+	}
+	return out
+}
+
+func (c *applyCommand) text(w io.Writer, out applied) {
+	how := "accepted"
+	switch {
+	case out.Settled:
+		how = "had been accepted before"
+	case out.Unchanged:
+		how = "is accepted already, nothing changed"
+	}
+	c.printf(w, "%s: tenant %s, version %d, digest %s\n", how, out.Tenant, out.Version, out.Digest)
+	for _, t := range out.Nodes {
+		if t.Error != "" {
+			c.printf(c.env.Stderr, "peardrift: node %s was not told, it learns of it from others: %s\n", t.Addr, t.Error)
+		}
+	}
+}
+
+// explain shows, beside a conflict, who applied what since the base.
+func (c *applyCommand) explain(store *apply.Store, err error) {
+	var conflict *apply.Conflict
+	if !errors.As(err, &conflict) || c.opts.Output == outputJSON {
+		return
+	}
+	records, err := store.History(c.ctx, conflict.Tenant, int(min(conflict.Current-conflict.Base, maxShown)))
+	if err != nil {
+		return // the conflict itself is reported; its story is an extra
+	}
+	for _, r := range records {
+		c.printf(c.env.Stderr, "version %d was applied by %s at %s, digest %s\n",
+			r.Version, r.By, r.At.Format(timeFormat), r.Digest)
+	}
+}
--- a/internal/core/confset/confset_test.go
+++ b/internal/core/confset/confset_test.go
@@ -136,3 +136,18 @@
 	is.NoErr(err)
 	is.Equal(back, digestA)
 }
+
+func TestDiff(t *testing.T) {
+	is := is.New(t)
+	a, b := testSet(), testSet()
+	is.Equal(len(Diff(a, b)), 0)
+	b.Share = 0.25
+	b.Services[0].Classes[1].Importance = 99
+	b.Services[1].Calls = nil
+	is.Equal(Diff(a, b), []Difference{
+		{Field: "services[claimtrack].calls", Old: "settleworks.kalahari"},
+		{Field: "services[settleworks].classes[approve].importance", Old: "95", New: "99"},
+		{Field: "share", Old: "0.5", New: "0.25"},
+	})
+	is.True(len(Diff(Set{}, b)) > 10) // all of a first set is new
+}
--- /dev/null
+++ b/internal/core/confset/diff.go
@@ -0,0 +1,83 @@
+package confset
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"peardrift/internal/core/request"
+)
+
+// Difference is one field that differs between two sets.
+type Difference struct {
+	Field string `json:"field"`         // for example "services[feed].classes[read].deadline"
+	Old   string `json:"old,omitempty"` // empty: not in the old set
+	New   string `json:"new,omitempty"` // empty: not in the new set
+}
+
+// Diff returns what differs between two sets, in the order of the fields.
+// Versions are not compared.
+func Diff(from, to Set) []Difference {
+	a, b := fieldsOf(from), fieldsOf(to)
+	var out []Difference
+	for _, field := range slices.Sorted(maps.Keys(union(a, b))) {
+		if a[field] != b[field] {
+			out = append(out, Difference{Field: field, Old: a[field], New: b[field]})
+		}
+	}
+	return out
+}
+
+func union(a, b map[string]string) map[string]string {
+	all := maps.Clone(a)
+	maps.Copy(all, b)
+	return all
+}
+
+// fieldsOf flattens a set to its fields in words; what is empty is left out.
+func fieldsOf(s Set) map[string]string {
+	out := make(map[string]string)
+	if s.Tenant == "" {
+		return out
+	}
+	out["tenant"] = string(s.Tenant)
+	out["share"] = fmt.Sprint(s.Share)
+	for _, svc := range s.Services {
+		at := "services[" + svc.Name + "]."
+		out[at+"slots"] = fmt.Sprint(svc.Slots)
+		out[at+"connections"] = fmt.Sprint(svc.Connections)
+		putList(out, at+"calls", svc.Calls)
+		putList(out, at+"allow", svc.Allow)
+		for _, c := range svc.Classes {
+			putClass(out, at+"classes["+string(c.Name)+"].", c)
+		}
+	}
+	return out
+}
+
+func putList[S request.Service | request.Tenant](out map[string]string, field string, list []S) {
+	if len(list) == 0 {
+		return
+	}
+	words := make([]string, len(list))
+	for i, s := range slices.Sorted(slices.Values(list)) {
+		words[i] = string(s)
+	}
+	out[field] = strings.Join(words, ", ")
+}
+
+func putClass(out map[string]string, at string, c Class) {
+	if c.Method != "" {
+		out[at+"method"] = c.Method
+	}
+	out[at+"path"] = c.Path
+	out[at+"importance"] = fmt.Sprint(c.Importance)
+	out[at+"deadline"] = c.Deadline.String()
+	out[at+"attempts"] = fmt.Sprint(c.Attempts)
+	out[at+"maxBody"] = fmt.Sprint(c.MaxBody)
+	if c.AtMostOnce {
+		out[at+"atMostOnce"] = "true"
+		out[at+"remember"] = c.Remember.String()
+	}
+}
