--- a/internal/settings/observe.go
+++ b/internal/settings/observe.go
@@ -55,6 +55,6 @@
 
 	// QueueSpans bounds the spans that wait for export; above it spans are
 	// dropped. Default 2048. Higher rides out a slower collector and takes
-	// about 1.5 KB a span.
+	// about 1.2 KB a span.
 	QueueSpans int `yaml:"queueSpans" validate:"min=16,max=65536"`
 }
