Let the ramp of the limit go on while demand leaves slots free

Cause: the ramp only moved in windows that the limit held work back in. At normal load there are none, so the limit was still low when the target slowed down; the ramp then took the longer times for queueing inside the target and stopped.

Ruled out: beginning at all slots.

--- a/bench/replay/core.go
+++ b/bench/replay/core.go
@@ -23,7 +23,6 @@
 func newCoreGate(n *node) *coreGate {
 	cfg := admission.DefaultConfig()
 	cfg.Slots = n.target.slots
-	cfg.Limit.InitialFraction = 1
 	g := &coreGate{n: n, core: admission.New(cfg, n.w.rng), due: math.MaxInt64}
 	return g
 }
--- a/internal/core/limit/probe.go
+++ b/internal/core/limit/probe.go
@@ -113,7 +113,7 @@
 	r := reading{limit: p.limit, flight: m.inFlight(), took: m.timeInTarget()}
 	p.remember(r, m.Length)
 	if m.Saturated < m.Length/2 {
-		p.idle()
+		p.idle(r)
 		return
 	}
 	last := p.last
@@ -149,13 +149,18 @@
 	p.cutting = p.cutting && p.inflated(r, cutInflation)
 }
 
-// idle ends a trial that demand did not fill: it proves nothing.
-func (p *Probe) idle() {
-	if p.phase != ramping {
-		p.set(max(p.limit, p.before.limit))
-		p.phase = steady
-	}
+// idle ends a trial that demand did not fill: it proves nothing. A ramp goes on:
+// it spares a cold target by its time, and if it waited for demand, the limit
+// would still be low when a slowdown of the target makes all of its slots
+// needed, and would then take that slowdown for queueing.
+func (p *Probe) idle(r reading) {
 	p.before, p.last = reading{}, reading{}
+	if p.phase == ramping {
+		p.ramp(r)
+		return
+	}
+	p.set(max(p.limit, p.before.limit))
+	p.phase = steady
 }
 
 // rampInflation ends the ramp. It is far above Inflation: with few samples a
