--- a/internal/core/admission/level.go
+++ b/internal/core/admission/level.go
@@ -65,8 +65,8 @@
 // levels sets the tenants' admission levels once per window.
 type levels struct {
 	tenants []*tenant // nil: never seen
-	active  bool    // a queue has stood, and not all demand fits since
-	aim     float64 // part of the limit that admitted demand may take
+	active  bool      // a queue has stood, and not all demand fits since
+	aim     float64   // part of the limit that admitted demand may take
 
 	weights, demands, parts []float64 // by tenant, reused
 	window                  int
