Tell operators a node's state, and wait for members before taking calls

Cause: nodes that had joined but did not know the members yet refused calls as 'no-target' (75 of about 800 in 2 s after the start of 33 nodes at once). Ready now asks for the whole membership state, nodes that start together look at the platform's rows again, and the harness waits until all know all.

--- a/bench/cmd/demo/main.go
+++ b/bench/cmd/demo/main.go
@@ -75,8 +75,16 @@
 		return err
 	}
 	fmt.Printf("%d hosts ready after %v\n", len(f.Hosts), time.Since(began).Round(time.Millisecond))
+	if err := f.Converged(30 * time.Second); err != nil {
+		return err
+	}
+	fmt.Printf("all know all after %v\n", time.Since(began).Round(time.Millisecond))
 	for _, d := range deploy.All() {
-		cfg := client.Config{URLs: f.Entries(d), Seed: 1}
+		cfg := client.Config{URLs: f.Entries(d), Seed: 1, Observe: func(a client.Attempt) {
+			if a.Result != client.Completed {
+				fmt.Println(a.Class, a.Result, a.Code, a.Status, a.Err)
+			}
+		}}
 		for _, c := range d.Load {
 			for i := range c.Phases {
 				c.Phases[i].For = time.Duration(o.Seconds * float64(time.Second))
--- a/bench/harness/fleet.go
+++ b/bench/harness/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -12,6 +13,7 @@
 
 	"peardrift/bench/deploy"
 	"peardrift/bench/standin/target"
+	"peardrift/internal/node"
 	"peardrift/internal/settings"
 	"peardrift/internal/status"
 )
@@ -178,6 +180,35 @@
 	return p, err
 }
 
+// Converged waits until each node knows all others as alive.
+func (f *Fleet) Converged(within time.Duration) error {
+	for _, h := range f.Hosts {
+		know := func() bool {
+			s, err := h.Status()
+			return err == nil && s.Members["alive"] == len(f.Hosts)
+		}
+		if err := await(within, know); err != nil {
+			return status.Wrap(CodeHarness, err, "%s does not know all hosts", h.Name)
+		}
+	}
+	return nil
+}
+
+// Status asks the host's node for its state.
+func (h *Host) Status() (node.Status, error) {
+	var s node.Status
+	c := http.Client{Timeout: time.Second}
+	resp, err := c.Get("http://" + h.Addr.Ops + "/status")
+	if err != nil {
+		return s, status.Wrap(CodeHarness, err, "status of %s", h.Name)
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+		return s, status.Wrap(CodeHarness, err, "status of %s", h.Name)
+	}
+	return s, nil
+}
+
 // Ready waits until all nodes take calls.
 func (f *Fleet) Ready(within time.Duration) error {
 	for _, h := range f.Hosts {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -124,10 +124,11 @@
 }
 
 // ready: calls can be judged and run. A node that took calls before it knew the
-// configuration would refuse them as of unknown services.
+// configuration would refuse them as of unknown services; one that didn't know
+// the other members, for lack of targets.
 func (c *control) ready() bool {
 	_, known := c.conf.index.Service(c.self.Service)
-	return known && c.targetUp && c.state.Joined()
+	return known && c.targetUp && c.state.Complete()
 }
 
 func (c *control) view(s shown) *dataplane.View {
--- a/internal/node/ops.go
+++ b/internal/node/ops.go
@@ -11,9 +11,10 @@
 
 // Paths of the operators' face.
 const (
-	pathLive  = "/live"  // 200 while the process runs
-	pathReady = "/ready" // 200 while the node takes calls
-	pathDrain = "/drain" // POST: the target leaves
+	pathLive   = "/live"   // 200 while the process runs
+	pathReady  = "/ready"  // 200 while the node takes calls
+	pathDrain  = "/drain"  // POST: the target leaves
+	pathStatus = "/status" // what the node knows, as JSON
 )
 
 // serveOps answers operators and the platform's probes.
@@ -23,6 +24,8 @@
 		c.String(http.StatusOK, "ok\n")
 	case pathReady:
 		n.serveReady(c)
+	case pathStatus:
+		n.serveStatus(c)
 	case pathDrain:
 		n.serveDrain(c)
 	default:
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -54,8 +54,8 @@
 	}()
 }
 
-// joinEvery is the time between looks for more nodes to join through, until the
-// platform has answered once.
+// joinEvery is the time between looks for nodes to join through while the
+// platform does not answer; it doubles while it answers but names few.
 const joinEvery = time.Second
 
 // join announces the node: through the peers of the settings at once, and
@@ -67,23 +67,28 @@
 		known = append(known, member.Peer{Control: p})
 	}
 	n.joinThrough(known)
-	for {
+	for round := 0; ; round++ {
 		found, err := s.join(ctx)
 		if len(found) > 0 {
 			n.joinThrough(found)
 		}
-		if err == nil {
+		if err != nil {
+			n.log.Warn("no nodes from the platform", zap.Error(err))
+			round = 0
+		} else if len(found) >= enoughSeeds || round >= joinRounds {
 			return
 		}
-		n.log.Warn("no nodes from the platform", zap.Error(err))
-		select {
-		case <-ctx.Done():
+		if !wait(ctx, joinEvery<<min(round, joinRounds)) {
 			return
-		case <-time.After(joinEvery):
 		}
 	}
 }
 
+// joinRounds is how often a node looks again when it found few others. Nodes
+// that start together find the rows empty; without another look each would
+// think that it is the first, and their groups would meet only by chance.
+const joinRounds = 3
+
 func (n *Node) joinThrough(ps []member.Peer) {
 	n.control.post(func() {
 		info, ok := n.control.conf.index.Service(n.self.Service)
