--- a/internal/adapter/oteltrace/tracer_test.go
+++ b/internal/adapter/oteltrace/tracer_test.go
@@ -10,6 +10,8 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -111,6 +113,25 @@
 	}
 }
 
+// TestPageListsAttributes holds the operators' page to the code, both ways.
+func TestPageListsAttributes(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../../docs/operators/traces.md")
+	is.NoErr(err)
+	h := hopOf(dataplane.HopServe, 1, request.Refused)
+	h.Code, h.Retry, h.Target, h.Zone, h.Queued = status.CodeOverloaded, "final", 1, "bangkok-a", 1
+	var keys, documented []string
+	for _, a := range attributes(h) {
+		keys = append(keys, string(a.Key))
+	}
+	for _, m := range regexp.MustCompile("(?m)^\\| `(peardrift\\.\\w+)` \\|").FindAllStringSubmatch(string(page), -1) {
+		documented = append(documented, m[1])
+	}
+	slices.Sort(keys)
+	slices.Sort(documented)
+	is.Equal(documented, keys)
+}
+
 func TestDecision(t *testing.T) {
 	called := hopOf(dataplane.HopEntry, 1, request.Completed)
 	called.Attempt = 1
--- a/internal/adapter/tallymetrics/metrics_test.go
+++ b/internal/adapter/tallymetrics/metrics_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"os"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -154,6 +156,25 @@
 	is.New(t).NoErr(m.Close())
 }
 
+// TestPageListsMetrics holds the operators' page to the code, both ways.
+func TestPageListsMetrics(t *testing.T) {
+	run(t, 3, func(is *is.I, m *Metrics, scrape func() string) {
+		page, err := os.ReadFile("../../../docs/operators/metrics.md")
+		is.NoErr(err)
+		m.Hop(hop(dataplane.HopServe, "feed.khaosan", "read", 0))
+		var names, documented []string
+		for _, f := range regexp.MustCompile(`(?m)^# TYPE (peardrift_\w+) (\w+)$`).FindAllStringSubmatch(scrape(), -1) {
+			names = append(names, f[1]+" "+f[2])
+		}
+		for _, f := range regexp.MustCompile("(?m)^\\| `(peardrift_\\w+)` \\| (\\w+) \\|").FindAllStringSubmatch(string(page), -1) {
+			documented = append(documented, f[1]+" "+f[2])
+		}
+		slices.Sort(documented)
+		slices.Sort(names)
+		is.Equal(documented, names)
+	})
+}
+
 func TestNilMetrics(t *testing.T) {
 	is := is.New(t)
 	var m *Metrics
--- a/internal/adapter/zaplog/zaplog_test.go
+++ b/internal/adapter/zaplog/zaplog_test.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
+	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -61,6 +64,29 @@
 	is.True(!bytes.Contains(b, []byte("platform-key")) && !bytes.Contains(b, []byte("person@example")))
 }
 
+// TestPageListsFields holds the operators' page to the code, both ways.
+func TestPageListsFields(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../../docs/operators/logs.md")
+	is.NoErr(err)
+	var out bytes.Buffer
+	log, closeLog := newLogger(&out, zapcore.InfoLevel, 100)
+	log.Info("all", Request(request.ID{1}), Service("s.t"), Class("c"), Tenant("t"), Target(7),
+		Outcome(request.Failed), Key("k"), Failure(status.New(status.CodeInternal, "x")))
+	log.Info("too long", zap.String("x", strings.Repeat("x", maxLine)))
+	is.NoErr(closeLog())
+	var documented []string
+	fields := map[string]any{}
+	for _, r := range records(t, out.Bytes()) {
+		maps.Copy(fields, r)
+	}
+	for _, m := range regexp.MustCompile("(?m)^\\| `(\\w+)` \\|").FindAllStringSubmatch(string(page), -1) {
+		documented = append(documented, m[1])
+	}
+	slices.Sort(documented)
+	is.Equal(documented, slices.Sorted(maps.Keys(fields)))
+}
+
 func TestWrongSettings(t *testing.T) {
 	for _, s := range []settings.Logs{
 		{Level: "all", PerSecond: 1},
