Keep the configuration in force by gossiped heads and a tree of deltas

Versions only rise, digests are verified, and a starting node installs nothing before several informed peers or the platform told it the newest versions.

Who read a whole set could at first not answer with deltas any more, so all of a root's children got whole sets: Packed.Following keeps what is known from the version before.

--- a/internal/core/confset/packed.go
+++ b/internal/core/confset/packed.go
@@ -208,6 +208,25 @@
 	return next, next.verify()
 }
 
+// Following returns p with what is known from an older version of the same
+// tenant: of services that did not change since, the bounds of that version.
+// Without it, who read the whole set could not tell anybody what changed in it.
+func (p *Packed) Following(old *Packed) *Packed {
+	next := &Packed{head: p.head, share: p.share, floor: old.floor}
+	changed := make(map[string]*part, len(p.parts))
+	for _, part := range p.parts {
+		changed[part.service.Name] = part
+	}
+	gone := make(map[string]bool)
+	for _, have := range old.parts {
+		if _, ok := changed[have.service.Name]; !ok {
+			gone[have.service.Name] = true
+		}
+	}
+	next.merge(old, changed, gone)
+	return next
+}
+
 // merge fills a set with what an older one has, but for what changed.
 func (p *Packed) merge(old *Packed, changed map[string]*part, gone map[string]bool) {
 	p.parts = make([]*part, 0, len(old.parts)+len(changed))
--- a/internal/core/confset/packed_test.go
+++ b/internal/core/confset/packed_test.go
@@ -56,7 +56,11 @@
 			i := rapid.IntRange(0, len(nodes)-1).Draw(rt, "node")
 			j := rapid.IntRange(0, len(nodes)-1).Draw(rt, "peer")
 			if rapid.Bool().Draw(rt, "whole") {
-				nodes[i] = readWhole(rt, nodes[i], history)
+				whole := readWhole(rt, nodes[i], history)
+				nodes[i] = whole.Following(nodes[i])
+				if !equalSets(nodes[i].Set(), whole.Set()) {
+					rt.Fatalf("version %d is %v, want %v", whole.head.Version, nodes[i].Set(), whole.Set())
+				}
 				continue
 			}
 			d, ok := nodes[j].Since(nodes[i].head.Version)
--- /dev/null
+++ b/internal/core/inforce/fact.go
@@ -0,0 +1,34 @@
+package inforce
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"peardrift/internal/core/confset"
+	"peardrift/internal/core/request"
+	"peardrift/internal/status"
+)
+
+// FactOf returns a head in the form of a gossiped fact: a key that is the same
+// for all versions of a tenant, the version, and a value of at most 64 bytes.
+func FactOf(h confset.Head) (key, version uint64, value []byte) {
+	value = make([]byte, 0, len(h.Digest)+len(h.Tenant))
+	value = append(value, h.Digest[:]...)
+	value = append(value, h.Tenant...)
+	return xxhash.Sum64String(string(h.Tenant)), uint64(h.Version), value
+}
+
+// HeadOf is the inverse of FactOf. It refuses a fact that FactOf can't have made.
+func HeadOf(key, version uint64, value []byte) (confset.Head, error) {
+	var h confset.Head
+	n := len(h.Digest)
+	if len(value) <= n || len(value) > n+confset.MaxTenantName || int64(version) <= 0 {
+		return h, status.New(status.CodeProtocol, "a head of %d bytes and version %d", len(value), int64(version))
+	}
+	copy(h.Digest[:], value)
+	h.Tenant = request.Tenant(value[n:])
+	h.Version = int64(version)
+	if xxhash.Sum64String(string(h.Tenant)) != key {
+		return confset.Head{}, status.New(status.CodeProtocol, "a head of %q under another key", h.Tenant)
+	}
+	return h, nil
+}
--- /dev/null
+++ b/internal/core/inforce/fetch.go
@@ -0,0 +1,124 @@
+package inforce
+
+import (
+	"time"
+
+	"peardrift/internal/core/confset"
+)
+
+// sources is how many kinds of sources a fetch tries in turn before it waits.
+const sources = 4
+
+// fetch begins to fetch a tenant's set if one is due.
+func (s *State) fetch(now time.Duration, x *tenant) {
+	if !s.start.informed || x.fetching || now < x.next || x.version() >= x.known.Version {
+		return
+	}
+	x.fetching = true
+	x.next = now + s.cfg.Spacing
+	if to, ok := s.source(x); ok {
+		id := s.begin(call{kind: callAsk, tenant: x.known.Tenant, deadline: now + s.cfg.AskTimeout})
+		s.do(AskPeer{ID: id, To: to, Ask: Ask{Want: x.known, Have: x.version()}})
+		return
+	}
+	id := s.begin(call{kind: callObject, tenant: x.known.Tenant, head: x.known, deadline: now + s.cfg.LoadTimeout})
+	s.do(LoadObject{ID: id, Head: x.known})
+}
+
+// source returns the peer to ask; ok is false for the object store. The first
+// attempts go by two different trees, the next to any member, as the whole
+// region may be behind, and the last to the object store.
+func (s *State) source(x *tenant) (p Peer, ok bool) {
+	switch attempt := x.attempt % sources; attempt {
+	case 0, 1:
+		return treeOf(x.known, attempt).parent(s.cfg.Roots, s.cfg.Fanout, s.self.ID, s.near)
+	case 2:
+		if s.others > 0 {
+			return s.someone(), true
+		}
+	}
+	return Peer{}, false
+}
+
+// fetchFailed goes on to the next source at once, and waits when all have
+// failed in turn.
+func (s *State) fetchFailed(now time.Duration, x *tenant) {
+	x.fetching = false
+	x.attempt++
+	s.stats.Failed++
+	x.next = now
+	if x.attempt%sources == 0 {
+		rounds := min(x.attempt/sources-1, 16)
+		x.next = now + s.jitter(min(s.cfg.RetryMin<<rounds, s.cfg.RetryMax))
+	}
+	s.fetch(now, x)
+}
+
+// jitter draws between half of d and d.
+func (s *State) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(s.rng.Int64N(int64(d/2)+1))
+}
+
+// fetched takes a peer's answer.
+func (s *State) fetched(now time.Duration, x *tenant, r Reply) {
+	p, err := s.read(x, r)
+	if err != nil || p == nil {
+		if err != nil {
+			s.stats.Refused++
+		}
+		s.fetchFailed(now, x)
+		return
+	}
+	if len(r.Delta) > 0 {
+		s.stats.ByDelta++
+	} else {
+		s.stats.ByWhole++
+	}
+	s.fetchDone(now, x, p)
+}
+
+// read verifies an answer; nil without an error if it does not help. A delta
+// that leads to another digest than its head's is refused, see confset.
+func (s *State) read(x *tenant, r Reply) (*confset.Packed, error) {
+	if r.Head.Tenant != x.known.Tenant || r.Head.Version <= x.version() {
+		return nil, nil
+	}
+	if r.Head.Version == x.known.Version && r.Head.Digest != x.known.Digest {
+		return nil, errOtherDigest
+	}
+	switch {
+	case len(r.Delta) > 0 && x.held != nil:
+		d, err := confset.DecodeDelta(r.Delta)
+		if err != nil {
+			return nil, err
+		}
+		return x.held.With(d, r.Head)
+	case len(r.Whole) > 0:
+		body, err := expand(r.Whole)
+		if err != nil {
+			return nil, err
+		}
+		return confset.Unpack(body, r.Head)
+	default:
+		return nil, nil
+	}
+}
+
+// loaded takes an object's bytes.
+func (s *State) loaded(now time.Duration, x *tenant, h confset.Head, body []byte) {
+	p, err := confset.Unpack(body, h)
+	if err != nil {
+		s.stats.Refused++
+		s.fetchFailed(now, x)
+		return
+	}
+	s.stats.ByObject++
+	s.fetchDone(now, x, p)
+}
+
+func (s *State) fetchDone(now time.Duration, x *tenant, p *confset.Packed) {
+	x.fetching = false
+	x.attempt = 0
+	s.install(now, x, p)
+	s.fetch(now, x)
+}
