Count, trace and log each hop of a call

Cause: nobody could see a decision. The observer gives each hop to the metrics, the tracer and, where the outcome is not 'completed', the logs, each bounded in itself; /metrics serves the usual text format. The sampled flag of traceparent follows the tracer's choice at the entry.

--- a/internal/dataplane/call.go
+++ b/internal/dataplane/call.go
@@ -21,6 +21,7 @@
 	class    *confset.Class // of the callee
 	meta     wire.Meta
 	id       request.ID
+	sampled  bool   // the request's spans are recorded
 	span     SpanID // of the hop that makes the call
 	priority request.Priority
 	deadline time.Duration
@@ -139,7 +140,7 @@
 	m.Allowance, m.Repeat = g.Allowance, g.Repeat
 	m.Remaining = c.deadline - e.now()
 	wire.SetMeta(&c.req.Header, &m)
-	c.req.Header.Set(wire.HeaderTraceparent, traceContext{c.id, span, true}.String())
+	c.req.Header.Set(wire.HeaderTraceparent, traceContext{c.id, span, c.sampled}.String())
 	began := time.Now()
 	resp.Reset()
 	res, err := e.peers.Do(ctx, ch.addr, c.req, resp)
--- a/internal/dataplane/engine.go
+++ b/internal/dataplane/engine.go
@@ -74,11 +74,14 @@
 	BufferBytes int
 	// MaxCalls bounds the calls in flight at all faces together (default 4096).
 	MaxCalls int
-	Retry    retry.Config
-	Route    route.Config
-	Gate     admission.Config
-	Suspect  suspect.Config
-	Early    early.Config
+	// Sampled says whether a request's spans are recorded, for the flag that
+	// traceparent passes on (default: none are).
+	Sampled func(request.ID) bool
+	Retry   retry.Config
+	Route   route.Config
+	Gate    admission.Config
+	Suspect suspect.Config
+	Early   early.Config
 }
 
 // DefaultConfig returns the defaults.
@@ -86,6 +89,7 @@
 	return Config{
 		BufferBytes: 64 << 10,
 		MaxCalls:    4096,
+		Sampled:     func(request.ID) bool { return false },
 		Retry:       retry.DefaultConfig(),
 		Route:       route.DefaultConfig(),
 		Gate:        admission.DefaultConfig(),
--- a/internal/dataplane/inflight.go
+++ b/internal/dataplane/inflight.go
@@ -19,6 +19,7 @@
 // target's outgoing calls.
 type running struct {
 	id       request.ID
+	sampled  bool
 	class    request.Class // of the own service, while meta's is the whole request's
 	span     SpanID
 	meta     wire.Meta
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -105,6 +105,7 @@
 	s.tenant = e.tenants.of(s.meta.Tenant)
 	s.running = &running{
 		id:       s.trace.id,
+		sampled:  s.trace.sampled,
 		class:    s.class.Name,
 		span:     s.hop.Span,
 		meta:     s.meta,
--- a/internal/dataplane/suspects.go
+++ b/internal/dataplane/suspects.go
@@ -123,3 +123,11 @@
 // OnCrash sets what tells the service's other nodes of a crash. Call it before
 // traffic begins; f must not block.
 func (e *Engine) OnCrash(f func(suspect.Report)) { e.suspects.report = f }
+
+// Suspects returns how many fingerprints are suspected of crashing targets.
+func (e *Engine) Suspects() int {
+	e.suspects.mu.Lock()
+	defer e.suspects.mu.Unlock()
+	known, _ := e.suspects.core.Suspects()
+	return known
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -20,6 +20,7 @@
 type control struct {
 	log     *zap.Logger
 	self    dataplane.Self
+	node    *Node // for its gauges
 	engine  *dataplane.Engine
 	epoch   time.Time
 	events  chan func()
@@ -102,6 +103,7 @@
 	c.carrier.Do(c.state.Tick(c.now()))
 	c.conf.tick(c.now())
 	c.publish()
+	c.node.gauge(c)
 }
 
 // publish gives traffic a new view if anything in it changed.
@@ -117,6 +119,10 @@
 	}
 	if next.members != c.shown.members {
 		c.sight(next.members)
+		c.node.gaugeMembers(next.members)
+	}
+	if next.index != c.shown.index {
+		c.node.metrics.Configure(classes(next.index))
 	}
 	c.shown = next
 	c.gen++
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"peardrift/internal/adapter/zaplog"
 	"peardrift/internal/apply"
 	"peardrift/internal/core/confset"
 	"peardrift/internal/core/request"
@@ -74,7 +75,7 @@
 func (f *follower) install(sets []confset.Set, err error) {
 	f.busy = false
 	if err != nil {
-		f.log.Warn("configuration not read", zap.Error(err))
+		f.log.Warn("configuration not read", zaplog.Failure(err))
 	}
 	for _, s := range sets {
 		if s.Version > f.index.Version(s.Tenant) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,14 +8,15 @@
 	"time"
 
 	"github.com/panjf2000/ants/v2"
-	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"peardrift/internal/adapter/awsobject"
 	"peardrift/internal/adapter/awstable"
 	"peardrift/internal/adapter/awstable/awscall"
 	"peardrift/internal/adapter/hertzhttp"
+	"peardrift/internal/adapter/oteltrace"
 	"peardrift/internal/adapter/rpc"
+	"peardrift/internal/adapter/tallymetrics"
 	"peardrift/internal/adapter/zaplog"
 	"peardrift/internal/apply"
 	"peardrift/internal/claims"
@@ -33,6 +34,8 @@
 	set      settings.Settings
 	log      *zap.Logger
 	closeLog func() error
+	metrics  *tallymetrics.Metrics
+	tracer   *oteltrace.Tracer
 	self     dataplane.Self
 	pool     *ants.Pool
 	table    *awstable.Table
@@ -63,6 +66,10 @@
 	}
 	n := &Node{set: set, log: log, closeLog: closeLog}
 	n.self = selfOf(set)
+	n.metrics = tallymetrics.New(set.Metrics, n.complain("metrics"))
+	if n.tracer, err = oteltrace.New(set.Traces, set.Node, n.metrics.Scope(), n.complain("traces")); err != nil {
+		return nil, err
+	}
 	if n.pool, err = newPool(); err != nil {
 		return nil, err
 	}
@@ -76,6 +83,11 @@
 	return n, nil
 }
 
+// complain returns what logs failures of a part that serves nobody.
+func (n *Node) complain(part string) func(error) {
+	return func(err error) { n.log.Warn(part, zaplog.Failure(err)) }
+}
+
 // background is how many tasks may wait for others at a time.
 const background = 512
 
@@ -115,10 +127,12 @@
 	cc.DialTimeout = n.set.Traffic.ConnectTimeout
 	cc.BufferBytes = n.set.Traffic.BufferBytes
 	n.peers, n.local = hertzhttp.NewClient(cc), hertzhttp.NewClient(cc)
-	n.claims = claims.New(n.table, n.pool, claims.DefaultConfig(), n.log, tally.NoopScope)
+	n.claims = claims.New(n.table, n.pool, claims.DefaultConfig(), n.log, n.metrics.Scope())
 	cfg := dataplane.DefaultConfig()
 	cfg.BufferBytes, cfg.MaxCalls = n.set.Traffic.BufferBytes, n.set.Traffic.MaxCalls
-	n.engine = dataplane.New(cfg, n.self, n.peers, n.local, n.claims, nil)
+	cfg.Sampled = n.tracer.Sampled
+	obs := &observer{metrics: n.metrics, tracer: n.tracer, log: n.log}
+	n.engine = dataplane.New(cfg, n.self, n.peers, n.local, n.claims, obs)
 }
 
 func (n *Node) listen() error {
@@ -153,7 +167,7 @@
 	n.calls = rpc.NewPool(rcfg, meter)
 	n.server = rpc.NewServer(rcfg, meter)
 	c := &control{
-		log: n.log, self: n.self, engine: n.engine, epoch: time.Now(), meter: meter,
+		log: n.log, self: n.self, node: n, engine: n.engine, epoch: time.Now(), meter: meter,
 		events: make(chan func(), eventQueue), done: make(chan struct{}),
 	}
 	c.state = member.New(member.DefaultConfig(), n.record(), rand.New(rand.NewPCG(rand.Uint64(), uint64(n.self.ID))))
--- /dev/null
+++ b/internal/node/observe.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"go.uber.org/zap"
+
+	"peardrift/internal/adapter/oteltrace"
+	"peardrift/internal/adapter/tallymetrics"
+	"peardrift/internal/adapter/zaplog"
+	"peardrift/internal/core/confset"
+	"peardrift/internal/core/member"
+	"peardrift/internal/core/request"
+	"peardrift/internal/dataplane"
+)
+
+// observer gives each hop to metrics, traces and, where something went wrong,
+// logs. Each is bounded in itself.
+type observer struct {
+	metrics *tallymetrics.Metrics
+	tracer  *oteltrace.Tracer
+	log     *zap.Logger
+}
+
+// Hop implements dataplane.Observer.
+func (o *observer) Hop(h *dataplane.Hop) {
+	o.metrics.Hop(h)
+	o.tracer.Hop(h)
+	if h.Outcome == request.Completed || h.Kind == dataplane.HopAttempt {
+		return
+	}
+	if ce := o.log.Check(zap.InfoLevel, "call "+h.Outcome.String()); ce != nil {
+		ce.Write(zap.Stringer("hop", h.Kind), zaplog.Request(h.ID), zaplog.Service(h.Service),
+			zaplog.Class(h.Class), zaplog.Tenant(h.Tenant), zap.String("code", string(h.Code)),
+			zap.Int("attempts", h.Attempt), zap.String("retry", h.Retry), zap.Duration("took", h.End.Sub(h.Start)))
+	}
+}
+
+// gauge sets the node's gauges; called on the control goroutine.
+func (n *Node) gauge(c *control) {
+	g := n.metrics.Gauges
+	st := n.engine.GateStats()
+	g.InFlight.Update(float64(n.engine.InFlight()))
+	g.Running.Update(float64(st.Running))
+	g.Queued.Update(float64(st.Queued))
+	g.Limit.Update(float64(st.Limit))
+	g.Level.Update(float64(st.Level))
+	g.Backlog.Update(st.Backlog.Seconds())
+	g.Demand.Update(st.Demand)
+	g.Suspects.Update(float64(n.engine.Suspects()))
+	g.ConfigVersion.Update(float64(c.conf.index.Version(n.self.Tenant)))
+	g.Ready.Update(flag(c.shown.ready))
+	g.Draining.Update(flag(c.leaving))
+}
+
+// gaugeMembers sets the gauges that change with the membership only.
+func (n *Node) gaugeMembers(v *member.View) {
+	all, alive := 0, 0
+	v.All(func(m member.Member) bool {
+		all++
+		if m.Status == member.Alive {
+			alive++
+		}
+		return true
+	})
+	n.metrics.Gauges.Members.Update(float64(all))
+	n.metrics.Gauges.Alive.Update(float64(alive))
+}
+
+func flag(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// classes names what the metrics keep series for.
+func classes(idx *confset.Index) (services []request.Service, names []request.Class) {
+	services = idx.Services()
+	for _, s := range services {
+		info, _ := idx.Service(s)
+		for _, c := range info.Classes {
+			names = append(names, c.Name)
+		}
+	}
+	return services, names
+}
--- a/internal/node/ops.go
+++ b/internal/node/ops.go
@@ -1,20 +1,23 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"peardrift/internal/adapter/hertzhttp"
+	"peardrift/internal/adapter/tallymetrics"
 )
 
 // Paths of the operators' face.
 const (
-	pathLive   = "/live"   // 200 while the process runs
-	pathReady  = "/ready"  // 200 while the node takes calls
-	pathDrain  = "/drain"  // POST: the target leaves
-	pathStatus = "/status" // what the node knows, as JSON
+	pathLive    = "/live"    // 200 while the process runs
+	pathReady   = "/ready"   // 200 while the node takes calls
+	pathDrain   = "/drain"   // POST: the target leaves
+	pathStatus  = "/status"  // what the node knows, as JSON
+	pathMetrics = "/metrics" // the scrape endpoint
 )
 
 // serveOps answers operators and the platform's probes.
@@ -24,6 +27,8 @@
 		c.String(http.StatusOK, "ok\n")
 	case pathReady:
 		n.serveReady(c)
+	case pathMetrics:
+		n.serveMetrics(c)
 	case pathStatus:
 		n.serveStatus(c)
 	case pathDrain:
@@ -42,6 +47,15 @@
 	c.String(http.StatusServiceUnavailable, "not ready\n")
 }
 
+func (n *Node) serveMetrics(c *app.RequestContext) {
+	var b bytes.Buffer
+	if err := n.metrics.WriteText(&b); err != nil {
+		c.String(http.StatusInternalServerError, "%v\n", err)
+		return
+	}
+	c.Data(http.StatusOK, tallymetrics.ContentType, b.Bytes())
+}
+
 // serveDrain lets whoever stops the target first say so: the node announces the
 // leave and goes on until the process is stopped itself.
 func (n *Node) serveDrain(c *app.RequestContext) {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"peardrift/internal/adapter/rpc"
+	"peardrift/internal/adapter/zaplog"
 	"peardrift/internal/core/member"
 )
 
@@ -73,7 +74,7 @@
 			n.joinThrough(found)
 		}
 		if err != nil {
-			n.log.Warn("no nodes from the platform", zap.Error(err))
+			n.log.Warn("no nodes from the platform", zaplog.Failure(err))
 			round = 0
 		} else if len(found) >= enoughSeeds || round >= joinRounds {
 			return
@@ -141,7 +142,7 @@
 		_ = s.Shutdown(ctx)
 	}
 	if err := n.claims.Close(ctx); err != nil {
-		n.log.Error("claims not settled", zap.Error(err))
+		n.log.Error("claims not settled", zaplog.Failure(err))
 	}
 }
 
@@ -177,4 +178,16 @@
 	n.table.Close()
 	n.objects.Close()
 	n.pool.Release()
+	n.closeObservers()
+}
+
+const exportTimeout = 2 * time.Second
+
+func (n *Node) closeObservers() {
+	ctx, cancel := context.WithTimeout(context.Background(), exportTimeout)
+	defer cancel()
+	if err := n.tracer.Close(ctx); err != nil {
+		n.log.Warn("traces not exported", zaplog.Failure(err))
+	}
+	_ = n.metrics.Close()
 }
