Refuse deeply nested settings before the YAML library parses them

32 KiB of "[" took the library's parser 2.1 s and 1.9 GB, four times as much for each doubling; 100 KB of it ended the test process. Tokens are now counted before parsing, and a file may have 64 KiB instead of 1 MiB.

--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"io"
 	"os"
 
@@ -10,7 +11,7 @@
 )
 
 // maxFileBytes bounds a file of settings; a larger one is a wrong path.
-const maxFileBytes = 1 << 20
+const maxFileBytes = 64 << 10
 
 // Load reads the file at path over the defaults. Its failure is an *Invalid
 // with all problems found, or a *status.Error where the file can't be read.
@@ -24,20 +25,25 @@
 	if err != nil {
 		return Settings{}, status.Wrap(status.CodeInvalidSettings, err, "cannot read the settings")
 	}
-	if len(b) > maxFileBytes {
-		return Settings{}, status.New(status.CodeInvalidSettings, "%s is larger than %d bytes", path, maxFileBytes)
-	}
 	return Parse(path, b)
 }
 
 // Parse is Load for a file's content; name is only used in problems.
 func Parse(name string, content []byte) (Settings, error) {
+	d := decoder{at: map[string]position{}}
+	if len(content) > maxFileBytes {
+		d.report("", nil, fmt.Sprintf("is larger than %d bytes", maxFileBytes))
+		return Settings{}, invalid(name, d.problems)
+	}
+	if t := tooDeep(content); t != nil {
+		d.report("", t, fmt.Sprintf("is nested deeper than %d", maxNesting))
+		return Settings{}, invalid(name, d.problems)
+	}
 	file, err := parser.ParseBytes(content, 0)
 	if err != nil {
 		return Settings{}, invalid(name, []Problem{problemOf("", err)})
 	}
 	s := Default()
-	d := decoder{at: map[string]position{}}
 	if len(file.Docs) > 1 {
 		d.report("", file.Docs[1].Start, "there is more than one YAML document")
 	}
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -113,6 +113,20 @@
 	}
 }
 
+// Symptom: the process is killed for its memory at the start. Events: a file of
+// a few KiB opens thousands of collections. Cause: the parser's memory goes by
+// the square of the depth.
+func TestDeepNestingIsRefusedBeforeParsing(t *testing.T) {
+	is := is.New(t)
+	for _, open := range []string{"[", "[\n", "{a: ", "- ", "? ", "!x "} {
+		_, err := Parse("f", []byte("peers:\n  "+strings.Repeat(open, maxFileBytes/len(open)-10)))
+		is.True(err != nil)
+		is.True(strings.Contains(err.Error(), "nested deeper")) // says what is wrong
+	}
+	ok := strings.Repeat("- a\n", 1000) + strings.Repeat("[", maxNesting) + strings.Repeat("]", maxNesting)
+	is.Equal(tooDeep([]byte(ok)), nil)
+}
+
 func TestAllProblemsAtOnce(t *testing.T) {
 	is := is.New(t)
 	_, err := Parse("f", []byte("node:\n  name: a b\n  colour: red\nlogs: {perSecond: no}\npeers: [x]\n"))
@@ -152,6 +166,7 @@
 
 func FuzzParse(f *testing.F) {
 	f.Add(minimal)
+	f.Add("peers: [[[[{a: [{b: - - ? !x f.Add("peers: *aa *a\n")
 	f.Add("peers: *a\nlogs: &a {<<: *a}\n")
 	f.Add("peers: !x 0\nlogs: {level: !x [a]}\n")
 	f.Add("node: {}\n---\n")
