--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -166,7 +166,7 @@
 
 func FuzzParse(f *testing.F) {
 	f.Add(minimal)
-	f.Add("peers: [[[[{a: [{b: - - ? !x f.Add("peers: *aa *a\n")
+	f.Add("peers: [[[[{a: [{b: - - ? !x &a *a\n")
 	f.Add("peers: *a\nlogs: &a {<<: *a}\n")
 	f.Add("peers: !x 0\nlogs: {level: !x [a]}\n")
 	f.Add("node: {}\n---\n")
