--- a/internal/core/inforce/inforce_test.go
+++ b/internal/core/inforce/inforce_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -39,28 +40,113 @@
 // that answers first was frozen for the last change. Cause: the first answer
 // was taken for the newest.
 func TestStartDuringOutageTakesTheHighest(t *testing.T) {
+	for i := range 40 { // other nodes, and answers in other orders
+		is := is.New(t)
+		w := newWorld(5, t.Fatalf)
+		w.seed = uint64(100 * i)
+		started := w.nodes[1+i%4]
+		w.apply("khaosan", 1, 0)
+		w.settle(15 * time.Second)
+		w.nodes[0].frozen = true
+		w.apply("khaosan", 2, 1)
+		w.settle(10 * time.Second)
+		w.down = true
+		w.waiting = nil
+		w.nodes[0].frozen = false
+		is.Equal(w.nodes[0].state.InForce("khaosan"), int64(1))
+		started.restart()
+		started.do(started.state.Tick(w.now))
+		for len(w.waiting) > 0 {
+			w.deliver(0)
+			is.True(started.state.InForce("khaosan") != 1) // never the old one
+		}
+		w.settle(10 * time.Second)
+		is.Equal(started.state.InForce("khaosan"), int64(2))
+		is.Equal(w.nodes[0].state.InForce("khaosan"), int64(2)) // the thawed one too
+	}
+}
+
+// Symptom: after a power cut nodes take calls and refuse them as of unknown
+// services, or the platform is flooded with reads. Events: all nodes start at
+// once, and each asks others that know nothing either. Cause: "there is no
+// configuration" was believed from nodes that had not been told themselves, or
+// all of them went to the platform for want of an answer.
+func TestWholeFleetStartsAtOnce(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(5, t.Fatalf)
+	w := newWorld(150, t.Fatalf)
 	w.apply("khaosan", 1, 0)
-	w.settle(15 * time.Second)
-	w.nodes[0].frozen = true
+	for range 100 {
+		w.settle(100 * time.Millisecond)
+		for _, n := range w.nodes {
+			is.True(!n.state.Ready() || n.state.InForce("khaosan") == 1)
+		}
+	}
+	reads := 0
+	for _, n := range w.nodes {
+		is.True(n.state.Ready())
+		reads += n.state.Stats().Reads
+	}
+	is.True(reads < len(w.nodes)) // the first few inform the others
+}
+
+// Symptom: a version in force falls after a pause. Events: an answer that was on
+// its way before the pause arrives after a newer one. Cause: what arrives last
+// was taken for the newest.
+func TestOlderSetChangesNothing(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, t.Fatalf)
+	w.apply("khaosan", 1, 0)
+	w.settle(5 * time.Second)
+	s := w.nodes[0].state
+	old := s.tenants["khaosan"].held
 	w.apply("khaosan", 2, 1)
-	w.settle(10 * time.Second)
+	w.settle(5 * time.Second)
+	s.fetchDone(w.now, s.tenants["khaosan"], old)
+	is.Equal(s.InForce("khaosan"), int64(2))
+	is.Equal(s.Index().Version("khaosan"), int64(2))
+}
+
+// Symptom: the platform comes back and goes down again under reads. Events: a
+// version is known whose object can't be read for ten minutes. Cause: a fetch
+// that failed was made again at once.
+func TestFailedFetchesBackOff(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, t.Fatalf)
+	w.settle(5 * time.Second)
 	w.down = true
-	w.waiting = nil
-	w.nodes[0].frozen = false
-	is.Equal(w.nodes[0].state.InForce("khaosan"), int64(1))
-	w.nodes[1].restart()
-	w.nodes[1].do(w.nodes[1].state.Tick(w.now))
-	for len(w.waiting) > 0 {
-		w.deliver(0) // installs nothing but version 2: checked below
-		if v := w.nodes[1].state.InForce("khaosan"); v != 0 {
-			is.Equal(v, int64(2))
-		}
+	n := w.nodes[0]
+	n.do(n.state.Learn(w.now, confset.Head{Tenant: "khaosan", Version: 1}))
+	w.settle(10 * time.Minute)
+	rounds := n.state.Stats().Failed / sources
+	is.True(rounds >= 20 && rounds <= 60) // one in 15 to 30 s, and a few before
+}
+
+// Symptom: a node waits for its parent until its own timeout, for each change.
+// Events: the parent can't get the version that it was asked for. Cause: a
+// peer's question was kept, and never answered.
+func TestWaitingPeersAreAnswered(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, t.Fatalf)
+	w.settle(5 * time.Second)
+	w.down = true
+	s := w.nodes[0].state
+	want := confset.Head{Tenant: "khaosan", Version: 1}
+	s.HandleAsk(w.now, 7, Ask{Want: want})
+	answered := func(actions []Action) bool {
+		return slices.ContainsFunc(actions, func(a Action) bool {
+			answer, ok := a.(Answer)
+			return ok && answer.ID == 7 && answer.Reply.Whole == nil
+		})
+	}
+	is.True(!answered(s.Tick(w.now + DefaultConfig().ServeWait - 1)))
+	is.True(answered(s.Tick(w.now + DefaultConfig().ServeWait)))
+	for i := range uint64(2 * DefaultConfig().MaxWaiters) {
+		s.HandleAsk(w.now, i, Ask{Want: want})
+	}
+	is.Equal(len(s.tenants["khaosan"].waiters), DefaultConfig().MaxWaiters)
+	for _, hostile := range []Ask{{}, {Want: confset.Head{Tenant: "khaosan", Version: -1}}, {Want: confset.Head{Version: 1}}} {
+		is.Equal(len(s.HandleAsk(w.now, 9, hostile)), 1) // answered without a set
 	}
-	w.settle(10 * time.Second)
-	is.Equal(w.nodes[1].state.InForce("khaosan"), int64(2))
-	is.Equal(w.nodes[0].state.InForce("khaosan"), int64(2)) // the thawed one too
 }
 
 // Symptom: part of the fleet serves by a set that nobody accepted. Events: a
@@ -99,6 +185,9 @@
 	reads := s.Stats().Reads
 	for range 1000 {
 		w.nodes[0].do(s.Hint(w.now, "khaosan", 99))
+		for len(w.waiting) > 0 {
+			w.deliver(0)
+		}
 	}
 	is.Equal(s.Stats().Reads, reads+1)
 	for i := range 2 * maxTenants {
