Learn the configuration from peers, and submit sets by the command

Cause: each node read the platform each second, which the target size forbids. The node now carries out what the inforce core decides (heads by gossip, sets by a tree of peers, few pollers), serves peers, the operators' tool and reports of crashes over net/rpc; the harness submits sets by 'peardrift apply'.

--- a/bench/cmd/demo/main.go
+++ b/bench/cmd/demo/main.go
@@ -67,7 +67,7 @@
 		return err
 	}
 	for _, d := range deploy.All() {
-		if err := f.Apply(ctx, root, d.Tenant); err != nil {
+		if err := f.Apply(ctx, root, d.Tenant, 0); err != nil {
 			return err
 		}
 	}
--- a/bench/harness/build.go
+++ b/bench/harness/build.go
@@ -26,6 +26,7 @@
 	}
 	for out, pkg := range map[string]string{
 		b.Node:     "./cmd/peardriftd",
+		b.Tool:     "./cmd/peardrift",
 		b.Target:   "./bench/cmd/standin-target",
 		b.Platform: "./bench/cmd/standin-platform",
 	} {
--- /dev/null
+++ b/internal/node/conf.go
@@ -0,0 +1,164 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"peardrift/internal/adapter/rpc"
+	"peardrift/internal/adapter/zaplog"
+	"peardrift/internal/apply"
+	"peardrift/internal/core/confset"
+	"peardrift/internal/core/inforce"
+	"peardrift/internal/core/member"
+	"peardrift/internal/port"
+)
+
+// configuration carries out what the inforce core decides: it asks peers, reads
+// the platform, and gossips heads. Its fields belong to the control goroutine.
+type configuration struct {
+	log    *zap.Logger
+	state  *inforce.State
+	store  *apply.Store
+	calls  *rpc.Pool
+	submit func(func()) error
+	post   func(func())
+	now    func() time.Duration
+	spread func(member.Fact)
+	count  func() // told of each version that came in force
+
+	facts   uint64 // version of the facts that were looked at
+	asks    uint64
+	answers map[uint64]chan inforce.Reply
+}
+
+func (c *configuration) index() *confset.Index { return c.state.Index() }
+
+func (c *configuration) tick() { c.do(c.state.Tick(c.now())) }
+
+// learn looks at the gossiped heads if any fact has changed.
+func (c *configuration) learn(s *member.State) {
+	if s.FactsVersion() == c.facts {
+		return
+	}
+	c.facts = s.FactsVersion()
+	for _, f := range s.Facts(member.ConfigHead) {
+		h, err := inforce.HeadOf(f.Key, f.Version, f.Value)
+		if err != nil {
+			c.log.Warn("gossiped head", zaplog.Failure(err))
+			continue
+		}
+		c.do(c.state.Learn(c.now(), h))
+	}
+}
+
+// setPeers tells the core who else there is.
+func (c *configuration) setPeers(v *member.View, region string, complete bool) {
+	var all, near []inforce.Peer
+	v.All(func(m member.Member) bool {
+		if m.Status != member.Alive && m.Status != member.Suspect {
+			return true
+		}
+		p := inforce.Peer{ID: m.ID, Region: m.Region, Addr: m.Control}
+		all = append(all, p)
+		if m.Region == region {
+			near = append(near, p)
+		}
+		return true
+	})
+	c.state.SetPeers(all, near, complete)
+}
+
+// do carries out actions without blocking; outcomes come back by post.
+func (c *configuration) do(actions []inforce.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case inforce.AskPeer:
+			c.background(a.ID, func(ctx context.Context) (func() []inforce.Action, error) { return c.ask(ctx, a) })
+		case inforce.LoadObject:
+			c.background(a.ID, func(ctx context.Context) (func() []inforce.Action, error) { return c.load(ctx, a) })
+		case inforce.ReadHead:
+			c.background(a.ID, func(ctx context.Context) (func() []inforce.Action, error) { return c.readHead(ctx, a) })
+		case inforce.ReadTenants:
+			c.background(a.ID, func(ctx context.Context) (func() []inforce.Action, error) { return c.readTenants(ctx, a) })
+		case inforce.Answer:
+			c.answer(a)
+		case inforce.Install:
+			c.count()
+			c.log.Info("configuration in force", zaplog.Tenant(a.Head.Tenant), zap.Int64("version", a.Head.Version))
+		case inforce.Spread:
+			key, version, value := inforce.FactOf(a.Head)
+			c.spread(member.Fact{Kind: member.ConfigHead, Key: key, Version: version, Value: value})
+		}
+	}
+}
+
+// background runs a call on the pool and gives its outcome to the core. Without
+// a free goroutine the call is dropped; the core takes it as failed after a
+// time.
+func (c *configuration) background(id uint64, call func(context.Context) (func() []inforce.Action, error)) {
+	_ = c.submit(func() {
+		cfg := inforce.DefaultConfig()
+		ctx, cancel := context.WithTimeout(context.Background(), max(cfg.AskTimeout, cfg.LoadTimeout))
+		defer cancel()
+		outcome, err := call(ctx)
+		if err != nil {
+			outcome = func() []inforce.Action { return c.state.HandleFailure(c.now(), id) }
+		}
+		c.post(func() { c.do(outcome()) })
+	})
+}
+
+func (c *configuration) ask(ctx context.Context, a inforce.AskPeer) (func() []inforce.Action, error) {
+	var reply inforce.Reply
+	if err := c.calls.CallOnce(ctx, a.To.Addr, methodAsk, &a.Ask, &reply); err != nil {
+		return nil, err
+	}
+	return func() []inforce.Action { return c.state.HandleReply(c.now(), a.ID, reply) }, nil
+}
+
+func (c *configuration) load(ctx context.Context, a inforce.LoadObject) (func() []inforce.Action, error) {
+	body, err := c.store.Body(ctx, a.Head.Tenant, a.Head.Digest)
+	if err != nil {
+		return nil, err
+	}
+	return func() []inforce.Action { return c.state.HandleLoaded(c.now(), a.ID, body) }, nil
+}
+
+func (c *configuration) readHead(ctx context.Context, a inforce.ReadHead) (func() []inforce.Action, error) {
+	r, err := c.store.Head(ctx, a.Tenant)
+	if err != nil && !errors.Is(err, port.ErrNotFound) {
+		return nil, err
+	}
+	var h confset.Head
+	if err == nil {
+		h = confset.Head{Tenant: r.Tenant, Version: r.Version, Digest: r.Digest}
+	}
+	return func() []inforce.Action { return c.state.HandleHead(c.now(), a.ID, h) }, nil
+}
+
+func (c *configuration) readTenants(ctx context.Context, a inforce.ReadTenants) (func() []inforce.Action, error) {
+	tenants, _, err := c.store.Tenants(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return func() []inforce.Action { return c.state.HandleTenants(c.now(), a.ID, tenants) }, nil
+}
+
+// asked passes a peer's question to the core; the answer comes on the channel.
+func (c *configuration) asked(a inforce.Ask) <-chan inforce.Reply {
+	c.asks++
+	ch := make(chan inforce.Reply, 1)
+	c.answers[c.asks] = ch
+	c.do(c.state.HandleAsk(c.now(), c.asks, a))
+	return ch
+}
+
+func (c *configuration) answer(a inforce.Answer) {
+	if ch, ok := c.answers[a.ID]; ok {
+		delete(c.answers, a.ID)
+		ch <- a.Reply
+	}
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -28,7 +28,7 @@
 	state   *member.State
 	carrier *rpc.Carrier
 	meter   *rpc.Meter
-	conf    *follower
+	conf    *configuration
 
 	gen      uint64
 	shown    shown
@@ -41,6 +41,7 @@
 type shown struct {
 	members *member.View
 	index   *confset.Index
+	whole   bool // members are all that there are
 	ready   bool
 	leaving bool
 }
@@ -101,7 +102,8 @@
 func (c *control) tick() {
 	c.state.Spend(c.meter.Take())
 	c.carrier.Do(c.state.Tick(c.now()))
-	c.conf.tick(c.now())
+	c.conf.learn(c.state)
+	c.conf.tick()
 	c.publish()
 	c.node.gauge(c)
 }
@@ -110,7 +112,8 @@
 func (c *control) publish() {
 	next := shown{
 		members: c.state.Snapshot(),
-		index:   c.conf.index,
+		index:   c.conf.index(),
+		whole:   c.state.Complete(),
 		ready:   c.ready(),
 		leaving: c.leaving,
 	}
@@ -121,6 +124,12 @@
 		c.sight(next.members)
 		c.node.gaugeMembers(next.members)
 	}
+	if next.members != c.shown.members || next.whole != c.shown.whole {
+		c.conf.setPeers(next.members, c.self.Place.Region, next.whole)
+	}
+	if next.whole && !c.shown.whole {
+		_ = c.node.pool.Submit(c.node.recall)
+	}
 	if next.index != c.shown.index {
 		c.node.metrics.Configure(classes(next.index))
 	}
@@ -133,8 +142,8 @@
 // configuration would refuse them as of unknown services; one that didn't know
 // the other members, for lack of targets.
 func (c *control) ready() bool {
-	_, known := c.conf.index.Service(c.self.Service)
-	return known && c.targetUp && c.state.Complete()
+	_, known := c.conf.index().Service(c.self.Service)
+	return known && c.targetUp && c.state.Complete() && c.conf.state.Ready()
 }
 
 func (c *control) view(s shown) *dataplane.View {
@@ -222,6 +231,9 @@
 	c.publish()
 }
 
+// targetDied takes in that the own target died: no calls until it is healthy.
+func (c *control) targetDied() { c.setTarget(false) }
+
 // leave announces that the target takes no new work, for this incarnation.
 func (c *control) leave() {
 	if c.leaving {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,7 +20,7 @@
 	"peardrift/internal/adapter/zaplog"
 	"peardrift/internal/apply"
 	"peardrift/internal/claims"
-	"peardrift/internal/core/confset"
+	"peardrift/internal/core/inforce"
 	"peardrift/internal/core/member"
 	"peardrift/internal/core/request"
 	"peardrift/internal/core/route"
@@ -174,9 +174,15 @@
 	c.carrier = rpc.NewCarrier(n.calls, n.pool.Submit, func(f func(*member.State, time.Duration)) {
 		c.post(func() { f(c.state, c.now()) })
 	})
-	c.conf = &follower{
-		log: n.log, store: apply.New(n.table, n.objects, apply.DefaultConfig()),
-		submit: n.pool.Submit, post: c.post, index: confset.NewIndex(),
+	rec := n.record()
+	self := inforce.Peer{ID: rec.ID, Region: rec.Region, Addr: rec.Control}
+	c.conf = &configuration{
+		log: n.log, store: apply.New(n.table, n.objects, apply.DefaultConfig()), calls: n.calls,
+		submit: n.pool.Submit, post: c.post, now: c.now,
+		state:   inforce.New(inforce.DefaultConfig(), self, rand.New(rand.NewPCG(rand.Uint64(), uint64(rec.ID))), 0),
+		spread:  func(f member.Fact) { c.state.PutFact(c.now(), f) },
+		count:   func() { n.metrics.Counters.ConfigChanges.Inc(1) },
+		answers: make(map[uint64]chan inforce.Reply),
 	}
 	n.control = c
 }
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -9,6 +9,7 @@
 	"peardrift/internal/core/confset"
 	"peardrift/internal/core/member"
 	"peardrift/internal/core/request"
+	"peardrift/internal/core/suspect"
 	"peardrift/internal/dataplane"
 )
 
@@ -46,7 +47,7 @@
 	g.Backlog.Update(st.Backlog.Seconds())
 	g.Demand.Update(st.Demand)
 	g.Suspects.Update(float64(n.engine.Suspects()))
-	g.ConfigVersion.Update(float64(c.conf.index.Version(n.self.Tenant)))
+	g.ConfigVersion.Update(float64(c.conf.index().Version(n.self.Tenant)))
 	g.Ready.Update(flag(c.shown.ready))
 	g.Draining.Update(flag(c.leaving))
 }
@@ -83,3 +84,8 @@
 	}
 	return services, names
 }
+
+// fieldReport describes a crash report for the log.
+func fieldReport(r suspect.Report) []zap.Field {
+	return []zap.Field{zaplog.Target(r.Crash.Target), zap.Int("in_flight", r.InFlight)}
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"peardrift/internal/adapter/rpc"
 	"peardrift/internal/adapter/zaplog"
 	"peardrift/internal/core/member"
 )
@@ -14,9 +13,10 @@
 // Run joins, serves until ctx ends, and then shuts down gracefully. kill ends
 // the shutdown at once.
 func (n *Node) Run(ctx, kill context.Context) error {
-	if err := n.server.Register(rpc.GossipName, rpc.NewGossipService(n.control.exchange)); err != nil {
+	if err := n.register(); err != nil {
 		return err
 	}
+	n.engine.OnCrash(n.crashed)
 	inner, stop := context.WithCancel(context.Background())
 	defer stop()
 	n.start(inner)
@@ -92,7 +92,7 @@
 
 func (n *Node) joinThrough(ps []member.Peer) {
 	n.control.post(func() {
-		info, ok := n.control.conf.index.Service(n.self.Service)
+		info, ok := n.control.conf.index().Service(n.self.Service)
 		if !ok {
 			n.control.state.Join(ps, nil)
 			return
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -43,8 +43,8 @@
 		c := n.control
 		s.Ready, s.Leaving, s.Complete = c.ready(), c.leaving, c.state.Complete()
 		s.Control = ControlCost{Bytes: c.meter.Total(), Calls: c.meter.Calls()}
-		for _, t := range c.conf.index.Tenants() {
-			s.Versions[t] = c.conf.index.Version(t)
+		for _, t := range c.conf.index().Tenants() {
+			s.Versions[t] = c.conf.index().Version(t)
 		}
 		c.state.Snapshot().All(func(m member.Member) bool {
 			s.Members[m.Status.String()]++
