Keep learned levels per tenant

Cause: the gate publishes a level for each tenant, callers kept one for the service, so the flood's level was held against the other tenant.

--- a/bench/replay/outbound.go
+++ b/bench/replay/outbound.go
@@ -57,7 +57,8 @@
 }
 
 func (o *outbound) key(c *call) early.Key {
-	return early.Key{Service: request.Service(o.svc.spec.Name), Class: request.Class(c.tree.class.Name)}
+	return early.Key{Service: request.Service(o.svc.spec.Name), Class: request.Class(c.tree.class.Name),
+		Tenant: request.Tenant(c.tree.class.Tenant)}
 }
 
 // pick chooses a target, with its index in the router's table.
--- a/internal/core/early/early_test.go
+++ b/internal/core/early/early_test.go
@@ -130,6 +130,22 @@
 	is.True(tab.Check(0, other, 0).Refuse)
 }
 
+// Symptom: one tenant floods a shared service; requests of the other tenant are
+// refused by callers although its share is free. Events: the service answers
+// the flood with that tenant's high level, and the other tenant's next request
+// is checked. Cause: levels kept by service alone.
+func TestOwnLevelIsATenants(t *testing.T) {
+	is := is.New(t)
+	tab := newTable()
+	flood, other := archive, archive
+	flood.Tenant, other.Tenant = "khaosan", "kalahari"
+	for i := range 2 {
+		tab.Learn(0, flood, Report{Target: request.TargetID(i + 1), Own: feed, Slots: 100})
+	}
+	is.True(tab.Check(0, flood, feed-1).Refuse)
+	is.Equal(tab.Check(0, other, 0), Verdict{})
+}
+
 func TestBounds(t *testing.T) {
 	is := is.New(t)
 	tab := newTable()
--- a/internal/core/early/table.go
+++ b/internal/core/early/table.go
@@ -7,17 +7,24 @@
 	"peardrift/internal/core/request"
 )
 
-// Key is a callee service and the class that a call to it has.
+// Key is a callee service, the class that a call to it has, and the tenant whose
+// share it draws on.
 type Key struct {
 	Service request.Service
 	Class   request.Class
+	Tenant  request.Tenant
 }
 
+// own is the key under which the targets' own levels for a tenant are kept.
+// Symptom if it lacked the tenant: one tenant floods a shared service, and
+// callers refuse the other's requests by the level that is meant for the first.
+func (k Key) own() Key { return Key{Service: k.Service, Tenant: k.Tenant} }
+
 // Report is what one answer says of its target.
 type Report struct {
 	Target request.TargetID
-	// Own is the target's own admission level; it holds for all classes, so an
-	// answer to one class is news for the others.
+	// Own is the target's own admission level for the tenant; it holds for all
+	// classes, so an answer to one class is news for the others.
 	Own request.Level
 	// Chain is the level of the services below it for the call's class.
 	Chain request.Level
@@ -59,7 +66,7 @@
 // Learn takes in the levels that an answer carried.
 func (t *Table) Learn(now time.Duration, k Key, r Report) {
 	h := heard{target: r.Target, level: r.Own, weight: max(r.Slots, 1), at: now}
-	t.learn(now, Key{Service: k.Service}, h)
+	t.learn(now, k.own(), h)
 	h.level = r.Chain
 	t.learn(now, k, h)
 }
@@ -148,7 +155,7 @@
 // Level returns the level learned of a service and class, 0 if it takes all or
 // nothing is known.
 func (t *Table) Level(now time.Duration, k Key) request.Level {
-	return max(t.levelOf(now, Key{Service: k.Service}), t.levelOf(now, k))
+	return max(t.levelOf(now, k.own()), t.levelOf(now, k))
 }
 
 func (t *Table) levelOf(now time.Duration, k Key) request.Level {
