--- a/internal/core/claim/attempt.go
+++ b/internal/core/claim/attempt.go
@@ -21,7 +21,7 @@
 
 // Attempt is one call's way through its claim. Copies are independent.
 type Attempt struct {
-	cfg Config
+	cfg *Config
 	req Request
 
 	phase  phase
@@ -35,7 +35,7 @@
 }
 
 // New returns an attempt that waits for Begin.
-func New(cfg Config, req Request) Attempt { return Attempt{cfg: cfg, req: req} }
+func New(cfg Config, req Request) Attempt { return Attempt{cfg: &cfg, req: req} }
 
 // Step takes the next event and returns what to do. An event that does not
 // belong to the phase is ignored: a repeated one must not run anything again.
--- a/internal/core/claim/duty.go
+++ b/internal/core/claim/duty.go
@@ -17,7 +17,7 @@
 // are told "in progress" or "unknown". A Duty that dies with its node costs
 // that key, never a second run.
 type Duty struct {
-	cfg   Config
+	cfg   *Config
 	task  task
 	token string
 	row   Row   // toRecord: the row to write
@@ -32,11 +32,11 @@
 // the first try: by a recorded outcome, or by a claim that is free again.
 func (d *Duty) Urgent() bool { return d.task == toRecord || d.task == toRelease }
 
-func recording(cfg Config, row Row) Duty {
+func recording(cfg *Config, row Row) Duty {
 	return Duty{cfg: cfg, task: toRecord, token: row.Token, row: row}
 }
 
-func releasing(cfg Config, token string, held int64) Duty {
+func releasing(cfg *Config, token string, held int64) Duty {
 	return Duty{cfg: cfg, task: toRelease, token: token, base: held}
 }
 
@@ -44,7 +44,7 @@
 // could not be settled. It may have taken effect, or may yet: reading the row
 // absent is not enough. A Free row of our own is written in its place, under
 // the same condition, so that one of the two fails.
-func fence(cfg Config, token string, base int64) Duty {
+func fence(cfg *Config, token string, base int64) Duty {
 	return Duty{cfg: cfg, task: toFence, token: token, base: base}
 }
 
