Step thousands of members in one process; cut the cost of a lost zone

Contents are recognised by a 24-bit digest in place of their incarnation, so a member that restarts unchanged needs no record sent again.

--- a/internal/adapter/rpc/rpc_test.go
+++ b/internal/adapter/rpc/rpc_test.go
@@ -106,7 +106,8 @@
 	}
 	for i := range n {
 		id := request.TargetID(uint64(i+1) * 0x9e3779b97f4a7c15)
-		m.Changes = append(m.Changes, member.Change{ID: id, Incarnation: 200_000_000, Status: member.Unreachable, Age: 1})
+		m.Changes = append(m.Changes, member.Change{ID: id, Incarnation: 200_000_000, Status: member.Leaving, Body: 70000})
+		m.Deaths = append(m.Deaths, member.Death{ID: uint32(id >> 32), Incarnation: 50000})
 		m.Facts = append(m.Facts, member.Fact{Kind: member.ConfigHead, Key: 1, Version: uint64(i), Value: []byte("12345678")})
 		m.Records = append(m.Records, &member.Record{
 			ID: id, Name: "archive-1.khaosan", Service: "archive.khaosan", Tenant: "khaosan", Zone: "bkk-a",
--- a/internal/core/member/budget.go
+++ b/internal/core/member/budget.go
@@ -31,9 +31,9 @@
 
 func (b *budget) spend(bytes int) { b.tokens = max(b.tokens-float64(bytes), -maxDebt*b.limit) }
 
-// minRoom is what a message may always hold: a few urgent changes or a record,
+// minRoom is what a message may always hold: a few urgent changes or a fact,
 // however far the node is in debt.
-const minRoom = 8 * changeSize
+const minRoom = factSize + MaxFactValue
 
 // room returns the bytes of items that one exchange may carry in both
 // directions together: the link's even share of the rate, or a quarter of what
--- a/internal/core/member/config.go
+++ b/internal/core/member/config.go
@@ -44,6 +44,10 @@
 	// CutOffFactor multiplies DeadAfter while more than half of a node's
 	// subjects are silent, since then it is likelier cut off itself. Default 5.
 	CutOffFactor int
+	// Fanout is the number of links on which a node that is short of budget
+	// tells deaths and joins, the one that it heard them on included. Default 5. Raising it leaves less to the
+	// comparison of digests, and costs bytes when a zone is lost.
+	Fanout int
 	// SmallRegion is the number of members below which a region isn't watched
 	// by itself; the members of all such regions form one group. Default 8.
 	SmallRegion int
@@ -70,11 +74,11 @@
 	// go first. Default 1024.
 	MaxFacts int
 	// Budget is the bytes per second, sent plus received, that the node aims to
-	// spend. Default 2800. Raising it speeds up storms of changes; the limit of
+	// spend. Default 2600. Raising it speeds up storms of changes; the limit of
 	// the fleet is 3072.
 	Budget int
-	// Burst is the unspent budget that may be saved up, in time. Default 10 s;
-	// the budget is kept over windows of that length.
+	// Burst is the unspent budget that may be saved up, in time. Default 2 s.
+	// Raising it lets more through at once, and exceeds the budget for longer.
 	Burst time.Duration
 	// ExchangeCost is what an empty exchange costs on the wire in bytes, headers
 	// included; it sizes messages before Spend reports the true cost. Default
@@ -102,6 +106,7 @@
 		DeadAfter:       12 * time.Second,
 		Votes:           2,
 		CutOffFactor:    5,
+		Fanout:          5,
 		SmallRegion:     8,
 		MaxRemoteIn:     4,
 		RegionTries:     3,
@@ -111,8 +116,8 @@
 		MaxDead:         8192,
 		MaxMembers:      40000,
 		MaxFacts:        1024,
-		Budget:          2800,
-		Burst:           10 * time.Second,
+		Budget:          2600,
+		Burst:           2 * time.Second,
 		ExchangeCost:    300,
 		MaxItems:        1100,
 		JoinRetry:       time.Second,
--- a/internal/core/member/exchange.go
+++ b/internal/core/member/exchange.go
@@ -13,6 +13,7 @@
 func (s *State) tickLinks(now time.Duration) {
 	hasten, all := s.queue.waiting()
 	rich := s.rich()
+	s.queue.rich = rich
 	if rich {
 		hasten = all
 	}
@@ -78,7 +79,7 @@
 
 func (s *State) message(k Kind) *Message {
 	return &Message{
-		Kind: k, From: s.self.ID, Incarnation: s.inc, Age: s.inc - s.self.Incarnation,
+		Kind: k, From: s.self.ID, Incarnation: s.inc, Body: s.body,
 		Root: s.tab.root, Partial: s.join.partial(),
 	}
 }
@@ -99,7 +100,7 @@
 	}
 	if l != nil && m.Kind == Heartbeat {
 		if m.Got != 0 && m.Got == l.inSeq {
-			l.confirm(l.replied)
+			s.queue.confirm(l, l.replied)
 		}
 		l.replied = nil
 	}
@@ -190,7 +191,7 @@
 	if l != nil && m.Kind == Heartbeat && l.busy && m.Seq == l.seq {
 		l.busy = false
 		l.got = m.Seq
-		l.confirm(l.sent)
+		s.queue.confirm(l, l.sent)
 		l.sent = nil
 		l.hear(now)
 		if m.Full {
@@ -258,6 +259,11 @@
 		m.Records = append(m.Records, e.rec)
 		return e.rec.size(), true
 	}
+	if e.status == Unreachable {
+		if short, ok := s.tab.shortID(e.id); ok {
+			return s.putDeath(m, Death{short, uint16(e.inc)}, room)
+		}
+	}
 	if changeSize > room {
 		return -1, false
 	}
@@ -265,6 +271,14 @@
 	return changeSize, true
 }
 
+func (s *State) putDeath(m *Message, d Death, room int) (bytes int, ok bool) {
+	if deathSize > room {
+		return -1, false
+	}
+	m.Deaths = append(m.Deaths, d)
+	return deathSize, true
+}
+
 func (s *State) putFact(m *Message, id uint64, room int) (bytes int, ok bool) {
 	f := s.tab.fact(id)
 	if f == nil {
@@ -282,21 +296,22 @@
 // saves the receiver the asking. In a storm only the change is, since a record
 // that the receiver has already got costs much.
 func (s *State) sendRecord(e *entry) bool {
-	return e.status == Alive && e.age == 0 && e.rec != nil && e.rec.Incarnation == e.inc && s.rich()
+	return e.status == Alive && !e.lacks() && e.rec.Incarnation == e.inc && s.rich()
 }
 
 // rich reports whether much of the budget is saved up.
 func (s *State) rich() bool { return s.budget.tokens > s.budget.limit/2 }
 
 // fillOwed adds records that the peer asked for; those that aren't known yet
-// stay owed, so that a record follows the news of it.
+// stay owed, so that a record follows the news of it. One record goes into a
+// message that is empty otherwise, or a node in debt would never send any.
 func (s *State) fillOwed(m *Message, l *link, room int) int {
 	var rest []request.TargetID
 	for _, id := range l.owed {
 		e := s.tab.get(id)
 		switch {
 		case e == nil || e.status == Dead:
-		case e.stale() || e.rec.size() > room:
+		case e.lacks() || e.rec.size() > room && m.Size() > headerSize:
 			rest = append(rest, id)
 		default:
 			m.Records = append(m.Records, e.rec)
@@ -311,6 +326,6 @@
 func (s *State) owes(l *link) bool {
 	return slices.ContainsFunc(l.owed, func(id request.TargetID) bool {
 		e := s.tab.get(id)
-		return e != nil && !e.stale()
+		return e != nil && !e.lacks()
 	})
 }
--- a/internal/core/member/join.go
+++ b/internal/core/member/join.go
@@ -184,7 +184,7 @@
 	}
 	n := e.rec.size()
 	m.Records = append(m.Records, e.rec)
-	if e.status != Alive || e.age != 0 {
+	if e.status != Alive || e.inc != e.rec.Incarnation {
 		m.Changes = append(m.Changes, e.change())
 		n += changeSize
 	}
@@ -209,7 +209,7 @@
 	j.in, j.fetching = true, m.More
 	j.source = Peer{ID: m.From, Control: to.Control}
 	s.overlay.dirty = true
-	s.queue.put(memberKey(s.self.ID), classJoin, s.allLinks())
+	s.queue.put(memberKey(s.self.ID), classJoin, s.allLinks(), 0)
 }
 
 // answerPull sends the next part of the state, as much as the budget allows.
--- a/internal/core/member/lack.go
+++ b/internal/core/member/lack.go
@@ -24,9 +24,9 @@
 func (ll *lackList) update(now time.Duration, e *entry, from request.TargetID) {
 	i := slices.IndexFunc(ll.list, func(l lack) bool { return l.id == e.id })
 	switch {
-	case e.stale() && i < 0:
+	case e.lacks() && i < 0:
 		ll.list = append(ll.list, lack{id: e.id, from: from, asked: now})
-	case e.stale():
+	case e.lacks():
 		ll.list[i] = lack{id: e.id, from: from, asked: now}
 	case i >= 0:
 		ll.list = slices.Delete(ll.list, i, i+1)
--- a/internal/core/member/link.go
+++ b/internal/core/member/link.go
@@ -44,9 +44,10 @@
 	mismatch int                // exchanges in a row with differing digests
 
 	suspect   bool               // the peer is silent
-	asked     time.Duration      // last time other observers were asked
+	asked     time.Duration      // last time another observer was asked
 	observers []request.TargetID // the peer's observers, as worked out at observed
 	observed  time.Duration
+	turn      int // the observer asked last
 	votes     map[request.TargetID]vote
 }
 
@@ -73,10 +74,10 @@
 }
 
 // confirm notes that the peer has the items, unless they changed since.
-func (l *link) confirm(list []sentItem) {
+func (q *queue) confirm(l *link, list []sentItem) {
 	for _, s := range list {
 		if s.it.turn == s.turn {
-			s.it.links &^= l.bit()
+			q.know(s.it, l.bit())
 		}
 	}
 }
--- a/internal/core/member/message.go
+++ b/internal/core/member/message.go
@@ -28,7 +28,7 @@
 	Kind        Kind
 	From        request.TargetID
 	Incarnation uint32
-	Age         uint32 // Change.Age of the sender
+	Body        uint32 // Change.Body of the sender
 	Seq         uint32 // numbers the requests on a link
 	Got         uint32 // the last Seq whose reply arrived; acknowledges its items
 	Root        uint64 // digest of all that the sender knows
@@ -36,6 +36,7 @@
 	Partial     bool   // the sender is still receiving the whole state
 	Full        bool   // the sender accepts no link; try another member
 	Changes     []Change
+	Deaths      []Death
 	Facts       []Fact
 	Records     []*Record
 	Wants       []request.TargetID // records that the sender lacks
@@ -48,6 +49,14 @@
 	Services    []request.Service // Join: records wanted first
 }
 
+// Death is a Change to Unreachable in short form. Most of what a lost zone makes
+// members tell each other is this, so it matters that it is half the size. A
+// receiver takes it only for a member that it knows and that fits uniquely.
+type Death struct {
+	ID          uint32 // upper half of the identity
+	Incarnation uint16 // lower half of the incarnation
+}
+
 // Doubt says how long an observer has heard nothing from a subject.
 type Doubt struct {
 	Subject     request.TargetID
@@ -80,7 +89,8 @@
 // Encoded sizes in bytes, rounded up; they size messages. Spend gets the true
 // cost afterwards.
 const (
-	changeSize   = 17
+	changeSize   = 21
+	deathSize    = 9
 	factSize     = 22 // without the value
 	recordSize   = 34 // without the strings
 	wantSize     = 9
@@ -102,7 +112,7 @@
 
 // Size estimates the encoded size of the message in bytes.
 func (m *Message) Size() int {
-	n := headerSize + changeSize*len(m.Changes) + wantSize*len(m.Wants) +
+	n := headerSize + changeSize*len(m.Changes) + deathSize*len(m.Deaths) + wantSize*len(m.Wants) +
 		doubtSize*len(m.Doubts) + digestSize*len(m.Digests)
 	for i := range m.Facts {
 		n += factSize + len(m.Facts[i].Value)
--- a/internal/core/member/queue.go
+++ b/internal/core/member/queue.go
@@ -15,14 +15,21 @@
 	numClasses
 )
 
+// bulk classes may come in thousands at once. While the budget is short they are
+// told to a few links only; the few members that miss some find out by comparing
+// digests.
+func (c class) bulk() bool { return c == classDeath || c == classJoin }
+
 // urgent classes make the node send before its next heartbeat is due.
 func (c class) urgent() bool { return c <= classFact }
 
-func classOf(c Change) class {
+// classOf returns the class of a change. known says that the member's contents
+// were known before, so that it is back rather than new.
+func classOf(c Change, known bool) class {
 	switch {
 	case c.Status == Leaving || c.Status == Dead:
 		return classDrain
-	case c.Status == Unreachable || c.Age > 0:
+	case c.Status == Unreachable || known:
 		return classDeath
 	default:
 		return classJoin
@@ -48,19 +55,36 @@
 	key   itemKey
 	class class
 	links uint32 // one bit for each link that must still be told
+	told  uint8  // links known to know it
 	turn  uint32 // rises with each change, so that an old acknowledgement is void
 }
 
 // queue holds the items that wait, by class and oldest first.
 type queue struct {
 	items   map[itemKey]*item
+	fanout  uint8 // links that bulk news is told on
+	rich    bool  // there is budget to tell it to all
 	classes [numClasses][]*item
 }
 
-func newQueue() queue { return queue{items: make(map[itemKey]*item)} }
+func newQueue(fanout int) queue {
+	return queue{items: make(map[itemKey]*item), fanout: uint8(fanout)}
+}
+
+// know notes that the peer of one link knows the item.
+func (q *queue) know(it *item, link uint32) {
+	if it.links&link == 0 {
+		return
+	}
+	it.links &^= link
+	it.told++
+	if it.class.bulk() && it.told >= q.fanout && !q.rich {
+		it.links = 0
+	}
+}
 
-// put makes an item wait for the given links.
-func (q *queue) put(key itemKey, c class, links uint32) {
+// put makes an item wait for the given links. told is how many others know it.
+func (q *queue) put(key itemKey, c class, links uint32, told uint8) {
 	it := q.items[key]
 	if it == nil {
 		it = &item{key: key, class: c}
@@ -75,6 +99,7 @@
 		q.classes[c] = append(q.classes[c], it)
 	}
 	it.links = links
+	it.told = told
 	it.turn++
 }
 
@@ -84,13 +109,13 @@
 		it.links |= links
 		return
 	}
-	q.put(key, c, links)
+	q.put(key, c, links, 0)
 }
 
 // told notes that a link's peer knows the item's present state.
 func (q *queue) told(key itemKey, link uint32) {
 	if it := q.items[key]; it != nil {
-		it.links &^= link
+		q.know(it, link)
 	}
 }
 
--- a/internal/core/member/receive.go
+++ b/internal/core/member/receive.go
@@ -10,7 +10,6 @@
 // Bounds on what is taken from outside.
 const (
 	maxString = 255 // bytes of a record's strings
-	maxAge    = 60000
 	maxOwed   = 256
 )
 
@@ -32,6 +31,10 @@
 		s.stats.ItemsReceived++
 		s.applyChange(now, c, from)
 	}
+	for _, d := range m.Deaths {
+		s.stats.ItemsReceived++
+		s.applyDeath(now, d, from)
+	}
 	for _, f := range m.Facts {
 		s.stats.ItemsReceived++
 		s.applyFact(f, s.allLinks()&^from)
@@ -52,13 +55,13 @@
 func (s *State) meet(now time.Duration, m *Message, from uint32) {
 	e := s.tab.get(m.From)
 	if e == nil || e.inc < m.Incarnation {
-		s.applyChange(now, Change{ID: m.From, Incarnation: m.Incarnation, Age: m.Age}, from)
+		s.applyChange(now, Change{ID: m.From, Incarnation: m.Incarnation, Body: m.Body & bodyMask}, from)
 	}
 }
 
 // applyChange merges one change and passes it on if it is news.
 func (s *State) applyChange(now time.Duration, c Change, from uint32) {
-	if c.ID == 0 || c.Status > Dead || c.Age > c.Incarnation || c.Age > maxAge {
+	if c.ID == 0 || c.Status > Dead || c.Body > bodyMask {
 		return
 	}
 	if c.ID == s.self.ID {
@@ -78,23 +81,47 @@
 		return
 	default:
 		// The peer is behind: tell it, or a late announcement would live on there.
-		s.queue.add(key, classOf(e.change()), from)
+		s.queue.add(key, classOf(e.change(), true), from)
 		return
 	}
+	known := e != nil && e.rec != nil && c.Body == e.bodySum()
 	s.stats.ItemsNew++
 	s.store(now, c, nil)
-	s.passOn(c.ID, from)
+	s.passOn(c.ID, from, known)
+}
+
+// applyDeath merges a death in short form. One that fits no member is left to
+// the comparison of digests.
+func (s *State) applyDeath(now time.Duration, d Death, from uint32) {
+	e := s.tab.byShort(d.ID)
+	if e == nil {
+		return
+	}
+	c := e.change()
+	if uint16(c.Incarnation) == d.Incarnation {
+		c.Status = Unreachable
+		s.applyChange(now, c, from)
+	} else if e.status.live() {
+		s.queue.add(memberKey(e.id), classOf(c, true), from)
+	}
 }
 
 // passOn makes news about a member wait for all links but the one it came from.
 // A new member waits until its record is here, so that whoever hears of it can
 // get the record from whoever told it.
-func (s *State) passOn(id request.TargetID, from uint32) {
+func (s *State) passOn(id request.TargetID, from uint32, known bool) {
 	e := s.tab.get(id)
-	if s.quiet || e.status == Alive && e.stale() {
+	if s.quiet || e.status == Alive && e.lacks() {
 		return
 	}
-	s.queue.put(memberKey(id), classOf(e.change()), s.allLinks()&^from)
+	s.queue.put(memberKey(id), classOf(e.change(), known), s.allLinks()&^from, toldBy(from))
+}
+
+func toldBy(from uint32) uint8 {
+	if from == 0 {
+		return 0
+	}
+	return 1
 }
 
 // store sets a member's entry and keeps all that depends on it in step.
@@ -119,24 +146,22 @@
 		return
 	}
 	e := s.tab.get(r.ID)
+	body := r.Body()
 	if e == nil || r.Incarnation > e.inc {
-		s.applyChange(now, Change{ID: r.ID, Incarnation: r.Incarnation}, from)
+		s.applyChange(now, Change{ID: r.ID, Incarnation: r.Incarnation, Body: body}, from)
 		e = s.tab.get(r.ID)
 	}
-	if e == nil || e.status == Dead || r.Incarnation > e.inc {
+	if e == nil || e.status == Dead || body != e.bodySum() {
 		return
 	}
-	if e.rec != nil && e.rec.Incarnation >= r.Incarnation {
+	if !e.lacks() {
 		if e.status == Alive && r.Incarnation == e.inc {
 			s.queue.told(memberKey(r.ID), from)
 		}
 		return
 	}
-	wasStale := e.stale()
 	s.store(now, e.change(), r)
-	if e = s.tab.get(r.ID); wasStale && !e.stale() {
-		s.passOn(r.ID, from)
-	}
+	s.passOn(r.ID, from, false)
 }
 
 func validRecord(r *Record) bool {
@@ -170,7 +195,7 @@
 	}
 	s.tab.putFact(f)
 	if !s.quiet {
-		s.queue.put(factKey(id), classOfFact(f.Kind), to)
+		s.queue.put(factKey(id), classOfFact(f.Kind), to, 0)
 	}
 	s.tab.trimFacts(f.Kind, s.cfg.MaxFacts)
 	s.stats.ItemsNew++
--- a/internal/core/member/record.go
+++ b/internal/core/member/record.go
@@ -60,14 +60,32 @@
 	Connections uint32
 }
 
+// bodyMask is the size of a digest of contents. With 24 bits, one in 17 million
+// changes of a member's contents would go unnoticed until its next incarnation.
+const bodyMask = 1<<24 - 1
+
+// Body returns the digest of the contents, all but the incarnation.
+func (r *Record) Body() uint32 {
+	b := make([]byte, 0, 256)
+	for _, s := range [...]string{
+		r.Name, string(r.Service), string(r.Tenant), r.Zone, r.Region, r.Data, r.Control,
+	} {
+		b = append(append(b, s...), 0)
+	}
+	b = binary.LittleEndian.AppendUint32(b, r.Slots)
+	b = binary.LittleEndian.AppendUint32(b, r.Connections)
+	return uint32(xxhash.Sum64(b) & bodyMask)
+}
+
 // Change is the news that a member has a status in an incarnation.
 type Change struct {
 	ID          request.TargetID
 	Incarnation uint32
 	Status      Status
-	// Age is how many incarnations ago the record's contents were published, so
-	// that a receiver sees whether the record that it holds is current.
-	Age uint32
+	// Body is a digest of the record's contents (Record.Body), so that a receiver
+	// sees whether the record that it holds is current. A member that restarts
+	// unchanged needs no record to be sent again.
+	Body uint32
 }
 
 // newer reports whether c supersedes a member's incarnation and status.
--- a/internal/core/member/state.go
+++ b/internal/core/member/state.go
@@ -13,6 +13,7 @@
 	rng  *rand.Rand
 	self Record // contents as published; Incarnation is that of publication
 	inc  uint32 // present incarnation
+	body uint32 // digest of self
 	stat Status // Alive, Leaving or Dead
 
 	tab     table
@@ -54,7 +55,8 @@
 		rng:     rng,
 		self:    self,
 		inc:     self.Incarnation,
-		queue:   newQueue(),
+		queue:   newQueue(cfg.Fanout),
+		body:    self.Body(),
 		links:   make(map[request.TargetID]*link),
 		lost:    make(map[request.TargetID]time.Duration),
 		budget:  newBudget(cfg),
@@ -64,13 +66,24 @@
 	return s
 }
 
+// Load takes over members that are known for sure to be alive, without telling
+// anyone. records must be sorted by identity and are shared, not copied.
+func (s *State) Load(records []*Record) {
+	s.tab.reserve(len(records))
+	for _, r := range records {
+		if r.ID != s.self.ID && validRecord(r) {
+			s.store(0, Change{ID: r.ID, Incarnation: r.Incarnation, Body: r.Body()}, r)
+		}
+	}
+}
+
 func (s *State) selfRecord() *Record {
 	r := s.self
 	return &r
 }
 
 func (s *State) selfChange() Change {
-	return Change{ID: s.self.ID, Incarnation: s.inc, Status: s.stat, Age: s.inc - s.self.Incarnation}
+	return Change{ID: s.self.ID, Incarnation: s.inc, Status: s.stat, Body: s.body}
 }
 
 // ID returns the member's own identity.
@@ -94,7 +107,7 @@
 		return
 	}
 	s.stat = st
-	s.publishSelf()
+	s.publishSelf(true)
 }
 
 // Update publishes new contents of the member's own record under a higher
@@ -105,18 +118,18 @@
 	}
 	r.ID = s.self.ID
 	r.Incarnation = s.inc + 1
-	s.self, s.inc = r, r.Incarnation
-	s.publishSelf()
+	s.self, s.inc, s.body = r, r.Incarnation, r.Body()
+	s.publishSelf(false)
 }
 
-func (s *State) publishSelf() {
+func (s *State) publishSelf(known bool) {
 	c := s.selfChange()
 	rec := s.selfRecord()
 	if s.stat == Dead {
 		rec = nil
 	}
 	s.store(0, c, rec)
-	s.queue.put(memberKey(s.self.ID), classOf(c), s.allLinks())
+	s.queue.put(memberKey(s.self.ID), classOf(c, known), s.allLinks(), 0)
 }
 
 // refute answers news that would have this live member dead: it takes a higher
@@ -127,10 +140,7 @@
 	}
 	s.stats.Refutations++
 	s.inc = c.Incarnation + 1
-	if s.inc-s.self.Incarnation > maxAge {
-		s.self.Incarnation = s.inc
-	}
-	s.publishSelf()
+	s.publishSelf(true)
 }
 
 // PutFact makes a fact known to all members. Older versions than the known one
--- a/internal/core/member/table.go
+++ b/internal/core/member/table.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"sort"
 
 	"peardrift/internal/core/request"
@@ -12,17 +13,34 @@
 	id     request.TargetID
 	rec    *Record
 	inc    uint32
-	age    uint16 // Change.Age
+	body   [3]byte // Change.Body
 	status Status
+	stale  bool // rec doesn't have the contents that body stands for
 }
 
 func (e *entry) change() Change {
-	return Change{ID: e.id, Incarnation: e.inc, Status: e.status, Age: uint32(e.age)}
+	return Change{ID: e.id, Incarnation: e.inc, Status: e.status, Body: e.bodySum()}
 }
 
-// stale reports whether the record's current contents are not known.
-func (e *entry) stale() bool {
-	return e.status != Dead && (e.rec == nil || e.rec.Incarnation < e.inc-uint32(e.age))
+func (e *entry) bodySum() uint32 {
+	return uint32(e.body[0]) | uint32(e.body[1])<<8 | uint32(e.body[2])<<16
+}
+
+// lacks reports whether the member's current record is not known.
+func (e *entry) lacks() bool { return e.status != Dead && (e.rec == nil || e.stale) }
+
+// hold takes a change and, if it is given, the record that belongs to it.
+func (e *entry) hold(c Change, rec *Record) {
+	if rec != nil {
+		e.rec, e.stale = rec, false
+	} else if c.Body != e.bodySum() {
+		e.stale = true
+	}
+	e.inc, e.status = c.Incarnation, c.Status
+	e.body = [3]byte{byte(c.Body), byte(c.Body >> 8), byte(c.Body >> 16)}
+	if e.status == Dead {
+		e.rec, e.stale = nil, false
+	}
 }
 
 // present reports whether the member takes part in the overlay.
@@ -44,6 +62,13 @@
 	dead    int // number of tombstones
 }
 
+// reserve makes room for n members and a few more, so that the first ones that
+// join later don't copy the table.
+func (t *table) reserve(n int) {
+	const spare = 16
+	t.members = slices.Grow(t.members, n+n/spare)
+}
+
 func (t *table) add(id, sum uint64) {
 	t.sums[id>>56] += sum
 	t.root += sum
@@ -79,6 +104,29 @@
 	return nil
 }
 
+// shortID returns the upper half of an identity if no other member shares it.
+func (t *table) shortID(id request.TargetID) (uint32, bool) {
+	i, ok := t.index(id)
+	short := uint32(id >> 32)
+	if !ok || i > 0 && uint32(t.members[i-1].id>>32) == short ||
+		i+1 < len(t.members) && uint32(t.members[i+1].id>>32) == short {
+		return 0, false
+	}
+	return short, true
+}
+
+// byShort returns the one member whose identity begins so, or nil.
+func (t *table) byShort(short uint32) *entry {
+	i, _ := t.index(request.TargetID(short) << 32)
+	if i >= len(t.members) || uint32(t.members[i].id>>32) != short {
+		return nil
+	}
+	if i+1 < len(t.members) && uint32(t.members[i+1].id>>32) == short {
+		return nil
+	}
+	return &t.members[i]
+}
+
 // set stores the incarnation and status of a member, with its record if it is
 // given.
 func (t *table) set(c Change, rec *Record) *entry {
@@ -93,13 +141,9 @@
 	if e.status == Dead {
 		t.dead--
 	}
-	if rec != nil {
-		e.rec = rec
-	}
-	e.inc, e.age, e.status = c.Incarnation, uint16(c.Age), c.Status
+	e.hold(c, rec)
 	if e.status == Dead {
 		t.dead++
-		e.rec = nil
 	}
 	t.add(uint64(c.ID), e.change().sum())
 	return e
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -111,6 +111,19 @@
 	return next
 }
 
+// Lookup returns what is known about one member; a member that is gone has no
+// Record.
+func (s *State) Lookup(id request.TargetID) (Member, bool) {
+	e := s.tab.get(id)
+	if e == nil {
+		return Member{}, false
+	}
+	if e.rec == nil {
+		return Member{Incarnation: e.inc, Status: e.status}, true
+	}
+	return s.member(e), true
+}
+
 func (s *State) member(e *entry) Member {
 	m := Member{Record: e.rec, Incarnation: e.inc, Status: e.status}
 	if l := s.links[e.id]; l != nil && l.suspect && m.Status == Alive {
--- a/internal/core/member/watch.go
+++ b/internal/core/member/watch.go
@@ -24,7 +24,7 @@
 		if !silent {
 			continue
 		}
-		if l.asked == 0 || now-l.asked >= s.cfg.RetryAfter {
+		if now-l.heard >= s.cfg.DeadAfter-s.askFor() && now-l.asked >= s.cfg.RetryAfter {
 			l.asked = now
 			s.ask(now, l)
 		}
@@ -63,6 +63,13 @@
 	return s.cfg.DeadAfter
 }
 
+// askFor is how long before a verdict the other observers are asked, one after
+// another: long enough for each to be asked once.
+func (s *State) askFor() time.Duration {
+	return s.cfg.RetryAfter * time.Duration(s.cfg.Rings-1)
+}
+
+// ask asks the next of the other observers of a silent subject.
 func (s *State) ask(now time.Duration, l *link) {
 	e := s.tab.get(l.peer)
 	if e == nil || e.rec == nil {
@@ -71,13 +78,16 @@
 	if l.observers == nil || now-l.observed > s.cfg.SuspectAfter {
 		l.observers, l.observed = s.neighbours(l.peer, e.rec.Region, true), now
 	}
-	for _, id := range l.observers {
-		if id == s.self.ID {
-			continue
+	for range l.observers {
+		l.turn++
+		id := l.observers[l.turn%len(l.observers)]
+		if v, ok := l.votes[id]; id == s.self.ID || ok && now-v.at < s.askFor() {
+			continue // an observer that asked has thereby answered
 		}
 		m := s.message(Ask)
 		m.Doubts = []Doubt{s.doubt(now, e, l)}
 		s.exchange(s.peer(id), m, true)
+		return
 	}
 }
 
@@ -92,7 +102,7 @@
 // at those that it doesn't observe yet, so that an observer that the asker
 // expects here exists.
 func (s *State) answerAsk(now time.Duration, m, r *Message) {
-	patience := s.patience(now)
+	cutOff := s.patience(now) > s.cfg.DeadAfter
 	for _, d := range m.Doubts {
 		e := s.tab.get(d.Subject)
 		if e == nil || e.rec == nil || d.Subject == s.self.ID {
@@ -109,8 +119,7 @@
 			s.look(now, d.Subject)
 			continue
 		}
-		silence := now - l.heard
-		if silence < s.cfg.SuspectAfter || silence >= patience {
+		if !cutOff || now-l.heard < s.cfg.SuspectAfter || now-l.heard >= s.patience(now) {
 			r.Doubts = append(r.Doubts, s.doubt(now, e, l))
 		}
 	}
@@ -152,8 +161,8 @@
 	}
 }
 
-// agreed reports whether enough observers have heard nothing from a subject for
-// long enough, and none has heard from it.
+// agreed reports whether enough observers say that they have heard nothing from
+// a subject for long enough, and none that it has heard from it lately.
 func (s *State) agreed(now time.Duration, l *link) bool {
 	votes, others := 1, 0
 	for _, id := range l.observers {
@@ -162,13 +171,13 @@
 		}
 		others++
 		v, ok := l.votes[id]
-		if !ok {
-			continue
-		}
-		if now-v.at+v.silence < s.cfg.DeadAfter {
+		switch {
+		case !ok || now-v.at > s.askFor()+s.cfg.RetryAfter:
+		case v.silence < s.cfg.SuspectAfter:
 			return false
+		case now-v.at+v.silence >= s.cfg.DeadAfter:
+			votes++
 		}
-		votes++
 	}
 	return votes >= min(s.cfg.Votes, 1+others)
 }
