Take nothing at a start that is older than what peers told

The gossip of the test's world also ended at a frozen node; it goes past it now. Both mechanisms taken out, the tests fail.

--- a/internal/core/inforce/fetch.go
+++ b/internal/core/inforce/fetch.go
@@ -79,8 +79,12 @@
 
 // read verifies an answer; nil without an error if it does not help. A delta
 // that leads to another digest than its head's is refused, see confset.
+//
+// A peer that was frozen or cut off answers with what it has, which helps a node
+// that is further behind. It must not help one that starts anew: what the
+// process before it had in force may have been newer.
 func (s *State) read(x *tenant, r Reply) (*confset.Packed, error) {
-	if r.Head.Tenant != x.known.Tenant || r.Head.Version <= x.version() {
+	if r.Head.Tenant != x.known.Tenant || r.Head.Version <= x.version() || r.Head.Version < x.floor {
 		return nil, nil
 	}
 	if r.Head.Version == x.known.Version && r.Head.Digest != x.known.Digest {
--- a/internal/core/inforce/inforce_test.go
+++ b/internal/core/inforce/inforce_test.go
@@ -40,30 +40,55 @@
 // that answers first was frozen for the last change. Cause: the first answer
 // was taken for the newest.
 func TestStartDuringOutageTakesTheHighest(t *testing.T) {
-	for i := range 40 { // other nodes, and answers in other orders
+	for i := range 100 { // other nodes, and answers in other orders
 		is := is.New(t)
 		w := newWorld(5, t.Fatalf)
 		w.seed = uint64(100 * i)
-		started := w.nodes[1+i%4]
+		stale, started := w.nodes[i%5], w.nodes[(i%5+1+i/5%4)%5]
 		w.apply("khaosan", 1, 0)
 		w.settle(15 * time.Second)
-		w.nodes[0].frozen = true
+		stale.frozen = true
 		w.apply("khaosan", 2, 1)
 		w.settle(10 * time.Second)
 		w.down = true
 		w.waiting = nil
-		w.nodes[0].frozen = false
-		is.Equal(w.nodes[0].state.InForce("khaosan"), int64(1))
+		stale.frozen = false
+		is.Equal(stale.state.InForce("khaosan"), int64(1))
 		started.restart()
 		started.do(started.state.Tick(w.now))
 		for len(w.waiting) > 0 {
 			w.deliver(0)
+		}
+		for range 100 {
 			is.True(started.state.InForce("khaosan") != 1) // never the old one
+			w.settle(100 * time.Millisecond)
 		}
-		w.settle(10 * time.Second)
 		is.Equal(started.state.InForce("khaosan"), int64(2))
-		is.Equal(w.nodes[0].state.InForce("khaosan"), int64(2)) // the thawed one too
+		is.Equal(stale.state.InForce("khaosan"), int64(2)) // the thawed one too
+	}
+}
+
+// Symptom: as above. Events: the node was told the newest version, and the peer
+// that it fetches from can't reach it and answers with what it has. Cause: an
+// older set was better than none, as it is for a node that is only behind.
+func TestStartTakesNothingOlderThanTold(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2, t.Fatalf)
+	w.apply("khaosan", 1, 0)
+	w.settle(15 * time.Second)
+	old := w.nodes[0].state.tenants["khaosan"]
+	w.nodes[1].restart()
+	s := w.nodes[1].state
+	want := confset.Head{Tenant: "khaosan", Version: 2}
+	for _, a := range s.Tick(w.now) {
+		if ask, ok := a.(AskPeer); ok {
+			s.HandleReply(w.now, ask.ID, Reply{Informed: true, Heads: []confset.Head{want}})
+		}
 	}
+	is.True(s.start.informed)
+	s.fetched(w.now, s.tenants["khaosan"], Reply{Head: old.held.Head(), Whole: old.compressed()})
+	is.Equal(s.InForce("khaosan"), int64(0))
+	is.True(!s.Ready())
 }
 
 // Symptom: after a power cut nodes take calls and refuse them as of unknown
--- a/internal/core/inforce/start.go
+++ b/internal/core/inforce/start.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"peardrift/internal/core/confset"
 	"peardrift/internal/core/request"
 )
 
@@ -23,7 +22,6 @@
 	listed   []request.Tenant          // by the platform
 	informed bool                      // the newest versions are known
 	ready    bool                      // and in force
-	goal     []confset.Head            // what was known when informed
 }
 
 const (
@@ -141,11 +139,12 @@
 
 func (s *State) becomeInformed(now time.Duration) {
 	s.start.informed = true
-	s.start.goal = s.Known()
-	s.checkReady()
 	for _, name := range s.order {
-		s.fetch(now, s.tenants[name])
+		x := s.tenants[name]
+		x.floor = x.known.Version
+		s.fetch(now, x)
 	}
+	s.checkReady()
 }
 
 // checkReady notes when all that was known at first is in force. What has become
@@ -154,8 +153,8 @@
 	if s.start.ready || !s.start.informed {
 		return
 	}
-	for _, h := range s.start.goal {
-		if s.InForce(h.Tenant) < h.Version {
+	for _, x := range s.tenants {
+		if x.version() < x.floor {
 			return
 		}
 	}
--- a/internal/core/inforce/state.go
+++ b/internal/core/inforce/state.go
@@ -40,6 +40,7 @@
 	held  *confset.Packed // the one in force, nil if none
 	poll  poll
 	hint  hint
+	floor int64 // what was known when this node had been told; nothing older is taken
 
 	fetching bool
 	attempt  int // failed fetches in a row
--- a/internal/core/inforce/world_test.go
+++ b/internal/core/inforce/world_test.go
@@ -208,6 +208,7 @@
 		}
 		for i := range w.nodes {
 			w.gossip(w.nodes[i], w.nodes[(i+1)%len(w.nodes)])
+			w.gossip(w.nodes[i], w.nodes[(i+2)%len(w.nodes)]) // past a frozen one
 		}
 	}
 }
