Give every traffic setting its effect, and keep levels per tenant in the node

Cause: three settings were documented but read nowhere, control bytes were never counted, and a node whose standard error was gone died of SIGPIPE. The bounds on bodies, on an upload's time and on connections now hold; a stalled upload ends at its deadline, since ending the onward connection does not wake a read that waits for the sender.

--- a/internal/adapter/hertzhttp/client_test.go
+++ b/internal/adapter/hertzhttp/client_test.go
@@ -257,3 +257,25 @@
 	is.Equal(cl.pool(addr).open, 0)
 	<-closed
 }
+
+func TestConnectionsAboveTheBoundAreClosed(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultServerConfig()
+	cfg.Conns = NewConnLimit(1)
+	s, err := Listen("127.0.0.1:0", cfg, func(_ context.Context, c *app.RequestContext) { c.String(200, "ok") })
+	is.NoErr(err)
+	s.Start()
+	defer func() { _ = s.Shutdown(context.Background()) }()
+	first, second := NewClient(DefaultClientConfig()), NewClient(DefaultClientConfig())
+	defer second.Close()
+	_, err = first.Do(context.Background(), s.Addr(), get("/"), &protocol.Response{})
+	is.NoErr(err)
+	_, err = second.Do(context.Background(), s.Addr(), get("/"), &protocol.Response{})
+	is.Equal(status.CodeOf(err), status.CodeConnectionLost) // closed at once
+	first.Close()
+	for cfg.Conns.Open() > 0 {
+		time.Sleep(time.Millisecond) // the server sees the close on its own goroutine
+	}
+	_, err = second.Do(context.Background(), s.Addr(), get("/"), &protocol.Response{})
+	is.NoErr(err)
+}
--- a/internal/adapter/hertzhttp/server.go
+++ b/internal/adapter/hertzhttp/server.go
@@ -33,6 +33,9 @@
 	// MaxHeaderBytes bounds a request's head (default 32 KiB); above it the
 	// request is answered 431 or 400 and its connection closed.
 	MaxHeaderBytes int
+	// Conns bounds the open connections of all servers that share it; nil: no
+	// bound.
+	Conns *ConnLimit
 }
 
 // DefaultServerConfig returns the defaults.
@@ -62,6 +65,9 @@
 	if err != nil {
 		return nil, status.Wrap(status.CodeListen, err, "cannot listen on %s", addr)
 	}
+	if cfg.Conns != nil {
+		ln = &limitedListener{Listener: ln, limit: cfg.Conns}
+	}
 	s := &Server{ln: ln, done: make(chan error, 1)}
 	s.h = server.New(options(ln, cfg)...)
 	s.h.NoHijackConnPool = true
--- a/internal/adapter/tallymetrics/metrics_test.go
+++ b/internal/adapter/tallymetrics/metrics_test.go
@@ -58,7 +58,7 @@
 		h.Outcome, h.Code, h.Queued = request.Refused, status.CodeOverloaded, 7*time.Millisecond
 		m.Hop(h)
 		m.Gauges.Limit.Update(25)
-		m.Counters.ControlSent.Inc(100)
+		m.Counters.ControlBytes.Inc(100)
 		m.Scope().SubScope("claims").Counter("calls").Inc(2)
 		text := scrape()
 		for _, want := range []string{
@@ -69,7 +69,7 @@
 			`peardrift_call_seconds_sum{class="read",hop="serve",service="feed.khaosan"} 60`,
 			`peardrift_queue_seconds_bucket{class="read",hop="serve",service="feed.khaosan",le="0.01"} 1`,
 			`peardrift_target_limit 25`,
-			`peardrift_control_sent_bytes_total 100`,
+			`peardrift_control_bytes_total 100`,
 			`peardrift_claims_calls 2`,
 			`# HELP peardrift_calls_total Hops that ended, by outcome and code.`,
 			`go_goroutines `,
--- a/internal/adapter/tallymetrics/node.go
+++ b/internal/adapter/tallymetrics/node.go
@@ -40,17 +40,15 @@
 
 // Counters are the node's own counters, without labels.
 type Counters struct {
-	ControlSent     tally.Counter // bytes sent to other nodes for control
-	ControlReceived tally.Counter // bytes received from other nodes for control
-	ConfigChanges   tally.Counter // configuration versions that came in force
-	TargetCrashes   tally.Counter // times that the own target went away while it ran requests
+	ControlBytes  tally.Counter // bytes sent and received for control, headers included
+	ConfigChanges tally.Counter // configuration versions that came in force
+	TargetCrashes tally.Counter // times that the own target went away while it ran requests
 }
 
 func newCounters(s tally.Scope) Counters {
 	return Counters{
-		ControlSent:     s.Counter("control_sent_bytes_total"),
-		ControlReceived: s.Counter("control_received_bytes_total"),
-		ConfigChanges:   s.Counter("config_changes_total"),
-		TargetCrashes:   s.Counter("target_crashes_total"),
+		ControlBytes:  s.Counter("control_bytes_total"),
+		ConfigChanges: s.Counter("config_changes_total"),
+		TargetCrashes: s.Counter("target_crashes_total"),
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,6 +67,10 @@
 
 // serve runs the node until SIGTERM or SIGINT; a second one ends it at once.
 func serve(set settings.Settings, stderr io.Writer) int {
+	// A log line written to a standard error whose reader has gone would end
+	// the process by this signal, and all its calls in the middle; ignored, the
+	// write fails and the line is lost.
+	signal.Ignore(syscall.SIGPIPE)
 	n, err := node.New(set)
 	if err != nil {
 		return fail(stderr, err)
--- a/internal/dataplane/body.go
+++ b/internal/dataplane/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -16,9 +17,10 @@
 	length int       // of the stream; -1 unknown
 }
 
-// takeBody reads a body of up to hold bytes and leaves a longer one a stream.
-// Either is bounded by most bytes.
-func takeBody(c *app.RequestContext, hold int, most int64) (body, *status.Error) {
+// takeBody reads a body of up to BufferBytes and leaves a longer one a stream.
+// Either is bounded by most bytes, and a stream must arrive by the deadline.
+func (e *Engine) takeBody(c *app.RequestContext, most int64, deadline time.Duration) (body, *status.Error) {
+	hold, most := e.cfg.BufferBytes, min(most, e.cfg.MaxBody)
 	n := c.Request.Header.ContentLength()
 	if int64(n) > most {
 		return body{}, tooLarge(most)
@@ -31,6 +33,10 @@
 		}
 		return body{whole: b}, nil
 	}
+	// A sender that stops in the middle would hold the call past its deadline:
+	// ending the onward connection does not wake a read that waits for it.
+	until := min(deadline, e.now()+e.cfg.UploadTimeout)
+	_ = c.GetConn().SetReadDeadline(e.epoch.Add(until))
 	return body{stream: &bounded{r: c.RequestBodyStream(), left: most}, length: max(n, -1)}, nil
 }
 
--- a/internal/dataplane/engine.go
+++ b/internal/dataplane/engine.go
@@ -72,6 +72,12 @@
 	// can be tried again (default 64 KiB). Larger bodies are streamed and get
 	// one attempt.
 	BufferBytes int
+	// MaxBody bounds a request's body in bytes, beside its class's own bound
+	// (default 1 GiB).
+	MaxBody int64
+	// UploadTimeout bounds the time in which a streamed body must arrive, beside
+	// the request's deadline (default 5 min).
+	UploadTimeout time.Duration
 	// MaxCalls bounds the calls in flight at all faces together (default 4096).
 	MaxCalls int
 	// Sampled says whether a request's spans are recorded, for the flag that
@@ -87,14 +93,16 @@
 // DefaultConfig returns the defaults.
 func DefaultConfig() Config {
 	return Config{
-		BufferBytes: 64 << 10,
-		MaxCalls:    4096,
-		Sampled:     func(request.ID) bool { return false },
-		Retry:       retry.DefaultConfig(),
-		Route:       route.DefaultConfig(),
-		Gate:        admission.DefaultConfig(),
-		Early:       early.DefaultConfig(),
-		Suspect:     suspect.DefaultConfig(),
+		BufferBytes:   64 << 10,
+		MaxBody:       1 << 30,
+		UploadTimeout: 5 * time.Minute,
+		MaxCalls:      4096,
+		Sampled:       func(request.ID) bool { return false },
+		Retry:         retry.DefaultConfig(),
+		Route:         route.DefaultConfig(),
+		Gate:          admission.DefaultConfig(),
+		Early:         early.DefaultConfig(),
+		Suspect:       suspect.DefaultConfig(),
 	}
 }
 
--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -178,7 +178,7 @@
 
 // fillRequest makes the message that all attempts send.
 func (e *Engine) fillRequest(out *outgoing, c *app.RequestContext) *status.Error {
-	b, fault := takeBody(c, e.cfg.BufferBytes, out.class.MaxBody)
+	b, fault := e.takeBody(c, out.class.MaxBody, out.deadline)
 	if fault != nil {
 		return fault
 	}
--- a/internal/dataplane/levels.go
+++ b/internal/dataplane/levels.go
@@ -78,5 +78,5 @@
 }
 
 func (c *outgoing) key() early.Key {
-	return early.Key{Service: c.info.Name, Class: c.class.Name}
+	return early.Key{Service: c.info.Name, Class: c.class.Name, Tenant: c.meta.Tenant}
 }
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -98,8 +98,9 @@
 }
 
 func (e *Engine) prepare(s *serving) *status.Error {
+	deadline := e.now() + s.meta.Remaining
 	var fault *status.Error
-	if s.body, fault = takeBody(s.c, e.cfg.BufferBytes, s.class.MaxBody); fault != nil {
+	if s.body, fault = e.takeBody(s.c, s.class.MaxBody, deadline); fault != nil {
 		return fault
 	}
 	s.tenant = e.tenants.of(s.meta.Tenant)
@@ -110,7 +111,7 @@
 		span:     s.hop.Span,
 		meta:     s.meta,
 		priority: request.PriorityOf(s.meta.Importance, s.trace.id),
-		deadline: e.now() + s.meta.Remaining,
+		deadline: deadline,
 		purse:    retry.NewPurse(s.meta.Allowance, s.meta.Repeat),
 	}
 	return nil
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -100,7 +100,9 @@
 }
 
 func (c *control) tick() {
-	c.state.Spend(c.meter.Take())
+	spent := c.meter.Take()
+	c.node.metrics.Counters.ControlBytes.Inc(int64(spent))
+	c.state.Spend(spent)
 	c.carrier.Do(c.state.Tick(c.now()))
 	c.conf.learn(c.state)
 	c.conf.tick()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,10 +67,13 @@
 	n := &Node{set: set, log: log, closeLog: closeLog}
 	n.self = selfOf(set)
 	n.metrics = tallymetrics.New(set.Metrics, n.complain("metrics"))
-	if n.tracer, err = oteltrace.New(set.Traces, set.Node, n.metrics.Scope(), n.complain("traces")); err != nil {
+	if n.pool, err = newPool(); err != nil {
+		n.closeObservers()
 		return nil, err
 	}
-	if n.pool, err = newPool(); err != nil {
+	if n.tracer, err = oteltrace.New(set.Traces, set.Node, n.metrics.Scope(), n.complain("traces")); err != nil {
+		n.pool.Release()
+		n.closeObservers()
 		return nil, err
 	}
 	n.connectPlatform()
@@ -130,6 +133,7 @@
 	n.claims = claims.New(n.table, n.pool, claims.DefaultConfig(), n.log, n.metrics.Scope())
 	cfg := dataplane.DefaultConfig()
 	cfg.BufferBytes, cfg.MaxCalls = n.set.Traffic.BufferBytes, n.set.Traffic.MaxCalls
+	cfg.MaxBody, cfg.UploadTimeout = n.set.Traffic.MaxBodyBytes, n.set.Traffic.UploadTimeout
 	cfg.Sampled = n.tracer.Sampled
 	obs := &observer{metrics: n.metrics, tracer: n.tracer, log: n.log}
 	n.engine = dataplane.New(cfg, n.self, n.peers, n.local, n.claims, obs)
@@ -138,6 +142,7 @@
 func (n *Node) listen() error {
 	cfg := hertzhttp.DefaultServerConfig()
 	cfg.IdleTimeout, cfg.MaxHeaderBytes = n.set.Traffic.IdleTimeout, n.set.Traffic.MaxHeaderBytes
+	cfg.Conns = hertzhttp.NewConnLimit(n.set.Traffic.MaxConnections)
 	l := n.set.Listen
 	var err error
 	bind := func(to **hertzhttp.Server, addr string, h hertzhttp.Handler) {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -29,7 +29,7 @@
 	stop()
 	n.close()
 	n.wg.Wait()
-	return n.closeLog()
+	return nil
 }
 
 func (n *Node) start(ctx context.Context) {
@@ -190,4 +190,5 @@
 		n.log.Warn("traces not exported", zaplog.Failure(err))
 	}
 	_ = n.metrics.Close()
+	_ = n.closeLog()
 }
--- a/internal/settings/traffic.go
+++ b/internal/settings/traffic.go
@@ -8,7 +8,7 @@
 	// refused before they run.
 	MaxHeaderBytes int `yaml:"maxHeaderBytes" validate:"min=4096,max=1048576"`
 
-	// MaxBodyBytes bounds a request's body, and an answer's. Default
+	// MaxBodyBytes bounds a request's body, beside its class's bound. Default
 	// 1073741824 (1 GiB). Bodies are streamed, so it doesn't bound memory.
 	// Lower refuses large uploads; higher lets one occupy a slot longer.
 	MaxBodyBytes int64 `yaml:"maxBodyBytes" validate:"min=1024,max=1099511627776"`
