Choose between zones by cost in each pick instead of a steered share

Cause: the share of calls sent to other zones was integrated from the excess of the own zone's load; with reports that lag, callers of all zones wound it up together: at 85% load it swung between 0 and 0.95, with 45% to 67% of the calls between zones. Each pick now compares by cost. The mean time is smoothed more, since the noise of single times sent calls away too.

--- a/internal/core/route/config.go
+++ b/internal/core/route/config.go
@@ -25,11 +25,16 @@
 	// ZoneCost is added to the expected time of a target in another zone of the
 	// region that wasn't measured yet. Default 3ms: there and back.
 	ZoneCost time.Duration
+	// ZoneFactor is how much dearer than by its time and load a target in another
+	// zone counts. Default 1.5. Higher keeps more calls in the zone when it is
+	// more loaded than the others.
+	ZoneFactor float64
 	// Refresh is how long derived values (mean load, cost, hot or not) are
 	// reused. Default 10ms. Longer is cheaper and slower to react.
 	Refresh time.Duration
 	// LatencyWeight is the weight of a new time in the running mean, 0 to 1.
-	// Default 0.2.
+	// Default 0.05. Higher notices a slow target sooner, and sends calls between
+	// zones for the noise of single times.
 	LatencyWeight float64
 	// Forget is the time constant in which measurements of a target without
 	// calls drift back to the mean, so that it is tried again. Default 5s.
@@ -41,12 +46,9 @@
 	// load more and keeps fewer calls on the nearest and fastest targets.
 	HotFactor float64
 	// Floor is the load, 0 to 1, below which no target counts as hot and no
-	// calls are steered to other zones. Default 0.5. Lower evens out load that
-	// is harmless, at the price of calls between zones.
+	// other zone is looked at. Default 0.5. Lower evens out load that is harmless,
+	// at the price of calls between zones.
 	Floor float64
-	// SpillGain is how fast the steered share moves, per second and unit of
-	// relative excess load. Default 1. Higher reacts faster and overshoots.
-	SpillGain float64
 	// SlowStart is the time in which the share of a new target rises to that of
 	// the others. Default 10s. Longer spares cold targets, and loads the rest.
 	SlowStart time.Duration
@@ -81,13 +83,13 @@
 		ConnShare:     0.5,
 		PeakFactor:    4,
 		ZoneCost:      3 * time.Millisecond,
+		ZoneFactor:    1.5,
 		Refresh:       10 * time.Millisecond,
-		LatencyWeight: 0.2,
+		LatencyWeight: 0.05,
 		Forget:        5 * time.Second,
 		ReportAge:     2 * time.Second,
 		HotFactor:     1.25,
 		Floor:         0.5,
-		SpillGain:     1,
 		SlowStart:     10 * time.Second,
 		SlowStartMin:  0.1,
 		EjectAfter:    5,
--- a/internal/core/route/doc.go
+++ b/internal/core/route/doc.go
@@ -3,8 +3,8 @@
 // A Table holds one callee service as one caller sees it: a bounded subset of
 // the service's targets, what the caller measured of each, and what each
 // reported of its load. Pick compares two random targets of the caller's zone
-// and takes the cheaper one; it turns to other zones when these are hot, and
-// for a steered share of calls while the own zone is loaded above the mean.
+// and takes the cheaper one. Other zones are looked at only if that one is
+// loaded above Floor, and taken where they are cheaper by more than ZoneFactor.
 //
 // What a pick rests on, strongest first:
 //
--- a/internal/core/route/pick.go
+++ b/internal/core/route/pick.go
@@ -45,17 +45,13 @@
 // used; then the call ran nowhere and is refused with status.CodeNoTarget.
 func (t *Table) Pick(now time.Duration, p request.Priority, tried *Tried) (idx int, ok bool) {
 	t.refresh(now)
-	near, far := t.local, t.remote
-	if len(near) == 0 || (t.spill > 0 && t.rng.Float64() < t.spill) {
-		near, far = far, near
-	}
-	c := t.draw(now, near, p, tried)
-	if c.rank > cold {
-		c = better(c, t.draw(now, far, p, tried))
+	c := t.draw(now, t.local, p, tried)
+	if c.rank > cold || t.entries[c.idx].util > t.cfg.Floor {
+		c = better(c, t.draw(now, t.remote, p, tried))
 	}
 	if c.rank > hot {
-		c = t.scan(now, c, near, p, tried)
-		c = t.scan(now, c, far, p, tried)
+		c = t.scan(now, c, t.local, p, tried)
+		c = t.scan(now, c, t.remote, p, tried)
 	}
 	return int(c.idx), c.rank < never
 }
--- a/internal/core/route/refresh.go
+++ b/internal/core/route/refresh.go
@@ -5,13 +5,11 @@
 const (
 	// errorCost is how much dearer a target is that fails always.
 	errorCost = 20
+	// loadCost is how much dearer a target is that is fully loaded.
+	loadCost = 4
 	// minTime keeps times that are too short to tell apart from deciding, in
 	// seconds.
 	minTime = 100e-6
-	// maxSpill leaves some calls in the zone, to see how it fares.
-	maxSpill = 0.95
-	// spillSlack is the excess of the zone's load over the mean that is let be.
-	spillSlack = 0.05
 	// suspectUtil is the load that a suspected target counts with, at least.
 	suspectUtil = 1
 )
@@ -24,7 +22,6 @@
 	dt := now - t.refreshed
 	t.refreshed, t.fresh = now, true
 	t.means(now, dt)
-	t.steer(dt)
 	topWeight := t.weigh(now)
 	for _, list := range [...][]int32{t.local, t.remote} {
 		for _, i := range list {
@@ -141,27 +138,6 @@
 	return max(own, min(e.latency/t.meanLatency/2, 1))
 }
 
-// steer moves the share of calls that go to other zones so that the own zone's
-// load comes down to the mean; it integrates, since a share in proportion to
-// the excess would leave part of the excess.
-func (t *Table) steer(dt time.Duration) {
-	if len(t.local) == 0 || len(t.remote) == 0 {
-		t.spill = 0
-		return
-	}
-	local := 0.0
-	for _, i := range t.local {
-		local += t.entries[i].util
-	}
-	local /= float64(len(t.local))
-	excess := -1.0
-	if local > t.cfg.Floor && t.meanUtil > 0 {
-		excess = min(max(local/t.meanUtil-1-spillSlack, -1), 1)
-	}
-	step := t.cfg.SpillGain * min(dt, time.Second).Seconds()
-	t.spill = min(max(t.spill+step*excess, 0), maxSpill)
-}
-
 // weigh sets each target's chance to be drawn by its slots and its age, and
 // returns the highest.
 func (t *Table) weigh(now time.Duration) float64 {
@@ -195,5 +171,9 @@
 			s += t.cfg.ZoneCost.Seconds()
 		}
 	}
-	return max(s, minTime) * (1 + e.util) * (1 + errorCost*e.errors)
+	c := max(s, minTime) * (1 + loadCost*e.util*e.util) * (1 + errorCost*e.errors)
+	if !e.local {
+		c *= t.cfg.ZoneFactor
+	}
+	return c
 }
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -67,7 +67,6 @@
 	fresh       bool
 	meanUtil    float64
 	meanLatency float64
-	spill       float64 // share of calls steered to other zones
 }
 
 // NewTable returns an empty table of a caller at the given place. rng draws the
