--- a/internal/core/suspect/tracker.go
+++ b/internal/core/suspect/tracker.go
@@ -119,14 +119,19 @@
 
 // Ticket is a request in flight at the own target.
 type Ticket struct {
-	fp    Fingerprint
-	epoch uint64
+	fp     Fingerprint
+	epoch  uint64
+	booked bool
 }
 
-// Started books a request that is sent to the own target.
+// Started books a request that is sent to the own target. While the target is
+// down nothing is in flight there.
 func (t *Tracker) Started(fp Fingerprint) Ticket {
+	if t.down {
+		return Ticket{fp: fp, epoch: t.epoch}
+	}
 	t.inFlight[fp]++
-	return Ticket{fp: fp, epoch: t.epoch}
+	return Ticket{fp: fp, epoch: t.epoch, booked: true}
 }
 
 // Ended books its end. whole says that the target gave a whole answer, of
@@ -140,14 +145,35 @@
 	if k.epoch != t.epoch {
 		return
 	}
+	if whole {
+		t.down = false
+	}
+	if !k.booked {
+		return
+	}
 	if t.inFlight[k.fp]--; t.inFlight[k.fp] <= 0 {
 		delete(t.inFlight, k.fp)
 	}
 }
 
+// Down reports whether the own target crashed and wasn't seen to work since.
+func (t *Tracker) Down() bool { return t.down }
+
+// Up books that the own target takes connections again. A whole answer says so
+// too, but a target that dies of its first request gives none.
+func (t *Tracker) Up() { t.down = false }
+
 // Crashed books that the own target died without being asked to, and returns
 // the report for the other nodes; ok is false if nothing was in flight.
+//
+// While the target is down it books nothing. Symptom otherwise: an innocent
+// request that many send is refused on all nodes. Events: a target dies, some
+// connections to it are still pooled; requests sent on these break one by one
+// while it restarts, each looks like a crash with nothing else in flight.
 func (t *Tracker) Crashed(now time.Duration, id CrashID) (r Report, ok bool) {
+	if t.down {
+		return Report{}, false
+	}
 	r = Report{Crash: id, InFlight: len(t.inFlight)}
 	for fp := range t.inFlight {
 		r.Fingerprints = append(r.Fingerprints, fp)
@@ -156,6 +182,7 @@
 		}
 	}
 	t.epoch++
+	t.down = true
 	clear(t.inFlight)
 	t.order(r.Fingerprints)
 	r.Fingerprints = r.Fingerprints[:min(len(r.Fingerprints), t.cfg.MaxReport)]
--- a/internal/core/suspect/tracker_test.go
+++ b/internal/core/suspect/tracker_test.go
@@ -56,12 +56,40 @@
 		is.True(ok)
 		is.Equal(r.InFlight, 1)
 		tr.Ended(0, k, false)
+		tr.Up()
 	}
 	is.Equal(tr.Check(0, culprit), Refuse)
 	_, ok := tr.Crashed(0, crashID(3))
 	is.True(!ok) // nothing was in flight
 }
 
+// Symptom: all nodes refuse a request that many callers send.
+// Events: a target dies; until it has restarted, requests break on connections
+// that were pooled. Cause: each break was counted as a crash of its own.
+func TestBreaksWhileDownBlameNobody(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig()
+	tr := New(&cfg)
+	popular := Fingerprint(10)
+	tr.Started(culprit)
+	_, ok := tr.Crashed(0, crashID(1))
+	is.True(ok)
+	for i := range 5 {
+		k := tr.Started(popular)
+		_, ok := tr.Crashed(0, crashID(2+i))
+		is.True(!ok)
+		tr.Ended(0, k, false)
+	}
+	is.Equal(tr.Check(0, popular), Run)
+	k := tr.Started(popular)
+	is.True(tr.Down())
+	tr.Ended(0, k, true)
+	is.True(!tr.Down()) // a whole answer shows that it works
+	tr.Started(culprit)
+	_, ok = tr.Crashed(0, crashID(9))
+	is.True(ok)
+}
+
 func TestForgets(t *testing.T) {
 	is := is.New(t)
 	cfg := DefaultConfig()
@@ -121,6 +149,7 @@
 		c.guilty = c.now
 	}
 	r, _ := c.nodes[node].Crashed(c.now, CrashID{Target: 1, Incarnation: uint64(c.crashes)})
+	c.nodes[node].Up() // restarted at once
 	for to := range c.nodes {
 		for range rapid.IntRange(1, 2).Draw(c.t, "copies") {
 			late := time.Duration(rapid.Int64Range(0, int64(c.delay)).Draw(c.t, "delay"))
