--- a/internal/core/suspect/doc.go
+++ b/internal/core/suspect/doc.go
@@ -27,8 +27,8 @@
 // Who calls what: the target's node calls Check before it runs a request, then
 // Started and, when it ended, Ended; Crashed when its target died unplanned
 // (never for a planned stop), and sends the report on; Up when the target takes
-// connections again; Merge for reports of
-// others; Known to tell a node that has just joined.
+// connections again; Merge for reports of others; Known to tell a node that has
+// just joined.
 //
 // Not safe for concurrent use.
 package suspect
--- a/internal/core/suspect/tracker.go
+++ b/internal/core/suspect/tracker.go
@@ -70,6 +70,7 @@
 	inFlight map[Fingerprint]int
 	cleared  map[Fingerprint]time.Duration // when
 	epoch    uint64                        // rises with each crash of the own target
+	down     bool                          // from a crash until the own target is seen to work
 }
 
 // New returns a tracker that suspects nothing.
