Turn callers away, depart by word, and probe broken targets without a call

Cause: a stopping node waited for calls to end while callers kept sending new ones, so only its grace ended it; others learned of its end by silence; and a target whose connections broke was tried again with a real call. Slots of a target whose settings name none are the configuration's, not 0.

--- a/internal/dataplane/engine.go
+++ b/internal/dataplane/engine.go
@@ -123,6 +123,7 @@
 	tenants  tenants
 	reqs     *registry
 	calls    atomic.Int64
+	closing  atomic.Bool // callers are to go elsewhere
 
 	mu      sync.Mutex
 	callees map[request.Service]*callee
@@ -159,6 +160,12 @@
 	}
 }
 
+// Turn makes the node refuse new requests of callers, and close their
+// connections, so that they go to other nodes. What other nodes send is refused
+// by the gate once the view says that the target leaves; what runs goes on,
+// with all the calls that it makes.
+func (e *Engine) Turn() { e.closing.Store(true) }
+
 // Close ends the engine's timers; calls must have ended.
 func (e *Engine) Close() { e.gate.close() }
 
--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -98,6 +98,10 @@
 
 // newRequest begins a whole request.
 func (e *Engine) newRequest(v *View, c *app.RequestContext, id request.ID) (*outgoing, *status.Error) {
+	if e.closing.Load() {
+		c.SetConnectionClose()
+		return nil, status.Refuse(status.CodeDraining, 0, "the node is stopping, use another")
+	}
 	info, class, fault := e.lookup(v, c)
 	if fault != nil {
 		return nil, fault
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -156,7 +157,11 @@
 		Ready:   s.ready,
 		Leaving: s.leaving,
 		Peers: func(svc request.Service) []dataplane.Peer {
-			return peers(s.members.Members(svc), seen)
+			info, ok := s.index.Service(svc)
+			if !ok {
+				return nil
+			}
+			return peers(s.members.Members(svc), info, seen)
 		},
 		Callers: func(svc request.Service) int { return callers(s, svc) },
 	}
@@ -182,7 +187,9 @@
 	c.seen = next
 }
 
-func peers(ms []member.Member, seen map[request.TargetID]sighting) []dataplane.Peer {
+// peers describes a service's targets to routing. Slots and connections are the
+// configuration's where a target's own settings name none.
+func peers(ms []member.Member, info *confset.ServiceInfo, seen map[request.TargetID]sighting) []dataplane.Peer {
 	out := make([]dataplane.Peer, 0, len(ms))
 	for _, m := range ms {
 		if m.Status == member.Dead {
@@ -193,8 +200,8 @@
 			Incarnation: uint64(m.Record.Incarnation),
 			Region:      m.Region,
 			Zone:        m.Zone,
-			Slots:       int(m.Slots),
-			Conns:       int(m.Connections),
+			Slots:       cmp.Or(int(m.Slots), info.Slots),
+			Conns:       cmp.Or(int(m.Connections), info.Connections),
 			Since:       seen[m.ID].since,
 			Suspected:   m.Status == member.Suspect || m.Status == member.Unreachable,
 			Leaving:     m.Status == member.Leaving,
@@ -236,6 +243,12 @@
 // targetDied takes in that the own target died: no calls until it is healthy.
 func (c *control) targetDied() { c.setTarget(false) }
 
+// depart tells the neighbours that the node is gone.
+func (c *control) depart() {
+	c.state.Depart(c.now())
+	c.carrier.Do(c.state.Tick(c.now()))
+}
+
 // leave announces that the target takes no new work, for this incarnation.
 func (c *control) leave() {
 	if c.leaving {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -40,7 +40,8 @@
 		n.control.post(func() { n.control.setTarget(up) })
 	}}
 	n.run(func() { h.run(ctx) })
-	n.run(func() { n.reap(ctx) })
+	n.run(func() { every(ctx, reapEvery, n.reap) })
+	n.run(func() { every(ctx, probeEvery, func(time.Time) { n.engine.ProbeTargets(n.pool.Submit) }) })
 	n.faces.ops.Start()
 	n.faces.nodes.Start()
 	n.faces.target.Start()
@@ -104,16 +105,25 @@
 // reapEvery is the time between sweeps of idle connections.
 const reapEvery = 5 * time.Second
 
-func (n *Node) reap(ctx context.Context) {
-	tick := time.NewTicker(reapEvery)
+// probeEvery is the time between looks for targets that are due to be tried
+// again after their connections broke.
+const probeEvery = 100 * time.Millisecond
+
+func (n *Node) reap(now time.Time) {
+	n.peers.Reap(now)
+	n.local.Reap(now)
+}
+
+// every calls f at each tick until ctx ends.
+func every(ctx context.Context, d time.Duration, f func(time.Time)) {
+	tick := time.NewTicker(d)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
-			n.peers.Reap(now)
-			n.local.Reap(now)
+			f(now)
 		}
 	}
 }
@@ -130,10 +140,17 @@
 	n.log.Info("leaving")
 	n.control.ask(n.control.leave)
 	wait(ctx, n.set.Shutdown.Announce)
+	n.engine.Turn()
 	n.drained(ctx)
+	n.control.ask(n.control.depart)
+	wait(ctx, departWait)
 	n.log.Info("stopped", zap.Int("calls", n.engine.InFlight()))
 }
 
+// departWait is how long the last word to other nodes may take. Without it they
+// would find out by silence, and dial a dead address meanwhile.
+const departWait = 300 * time.Millisecond
+
 // drained waits until no call is in flight and all claims are settled.
 func (n *Node) drained(ctx context.Context) {
 	for n.engine.InFlight() > 0 && wait(ctx, drainPoll) {
