--- a/internal/dataplane/inflight.go
+++ b/internal/dataplane/inflight.go
@@ -138,14 +138,3 @@
 	}
 	return xs[len(xs)-1]
 }
-
-// all returns the requests that run now, for a crash report.
-func (r *registry) all() []*running {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var out []*running
-	for _, xs := range r.byID {
-		out = append(out, xs...)
-	}
-	return out
-}
