--- a/internal/adapter/rpc/codec.go
+++ b/internal/adapter/rpc/codec.go
@@ -103,11 +103,9 @@
 // connection is closed: net/rpc would go on reading, and take what is left of
 // the body for the next message.
 func (c *codec) readBody(body any) error {
-	var err error
-	if body == nil {
-		err = c.dec.Skip()
-	} else {
-		err = c.dec.Decode(body)
+	raw, err := c.dec.DecodeRaw()
+	if err == nil && body != nil {
+		err = decode(raw, body)
 	}
 	if err != nil {
 		_ = c.Close()
@@ -115,6 +113,12 @@
 	return err
 }
 
+// decode decodes a body that was read as a whole before. The library allocates
+// as many elements as a list announces: read straight from the connection, a
+// peer's 47 bytes were seen to ask for 77 GB. Of a body that is complete, each
+// element has at least one byte.
+func decode(raw []byte, body any) error { return msgpack.Unmarshal(raw, body) }
+
 func (c *codec) WriteRequest(r *rpc.Request, body any) error {
 	return c.write(r.Seq, r.ServiceMethod, body)
 }
--- a/internal/core/member/state.go
+++ b/internal/core/member/state.go
@@ -132,10 +132,10 @@
 	s.queue.put(memberKey(s.self.ID), classOf(c, known), s.allLinks(), 0)
 }
 
-// refute answers news that would have this live member dead: it takes a higher
-// incarnation. A leaving member doesn't refute, so its leave stands.
+// refute answers news that would have this live member unreachable or gone: it
+// takes a higher incarnation. One that is leaving is leaving in that as well.
 func (s *State) refute(c Change) {
-	if s.stat != Alive || !c.newer(s.inc, s.stat) {
+	if s.stat == Dead || !c.newer(s.inc, s.stat) {
 		return
 	}
 	s.stats.Refutations++
