Run the main job beside direct calls, and judge its answers and traces

The demo printed raw structures, compared nothing and ended its processes by SIGKILL. It now shows one request of each deployment with its answer's chain and its trace as a tree, sends the same mixed load through nodes and to targets without nodes at the same time, asks every process to stop and checks its exit code. Wrong, partial or unknown results and a trace that lacks a hop end it with a typed reason.

Nodes report themselves ready before they know any target of their tenant's services (a first call was refused with no-target), so the job also waits until all know one another.

--- a/bench/cmd/demo/main.go
+++ b/bench/cmd/demo/main.go
@@ -1,6 +1,9 @@
 // Command demo runs the main job on real processes: both deployments of the
 // brief on stand-ins, a morning feed and a payout approval shown in full, and a
 // short mixed load. It prints what happened and stops by itself.
+//
+// Exit codes: 0 all is well, 1 something is wrong (the reason is typed), 2 the
+// command line can't be used.
 package main
 
 import (
@@ -13,20 +16,26 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"peardrift/bench/deploy"
 	"peardrift/bench/harness"
-	"peardrift/bench/standin/client"
+	"peardrift/bench/mainjob"
+	"peardrift/internal/status"
 )
 
+const exitUsage = 2
+
 type options struct {
 	Seconds float64 `long:"seconds" default:"5" description:"length of the mixed load"`
-	Keep    bool    `long:"keep" description:"keep the fleet's files (settings, logs)"`
+	Small   bool    `long:"small" description:"two targets of each service, at half the load"`
+	Keep    bool    `long:"keep" description:"keep the fleet's folder (settings, logs, traces) and print its name"`
 }
 
 func main() {
 	var o options
 	if _, err := flags.Parse(&o); err != nil {
-		os.Exit(2)
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(exitUsage)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
@@ -43,61 +52,22 @@
 	}
 	dir, err := os.MkdirTemp("", "peardrift-bin-")
 	if err != nil {
-		return err
+		return status.Wrap(harness.CodeHarness, err, "folder of the programs")
 	}
 	defer os.RemoveAll(dir)
 	bins, err := harness.Build(root, dir)
 	if err != nil {
 		return err
 	}
-	f, err := harness.New(bins)
-	if err != nil {
-		return err
-	}
-	if !o.Keep {
-		defer f.Close()
-	}
-	for _, d := range deploy.All() {
-		if err := f.Add(d); err != nil {
-			return err
-		}
-	}
-	began := time.Now()
-	if err := f.Start(); err != nil {
-		return err
-	}
-	for _, d := range deploy.All() {
-		if err := f.Apply(ctx, root, d.Tenant, 0); err != nil {
-			return err
-		}
-	}
-	if err := f.Ready(30 * time.Second); err != nil {
-		return err
-	}
-	fmt.Printf("%d hosts ready after %v\n", len(f.Hosts), time.Since(began).Round(time.Millisecond))
-	if err := f.Converged(30 * time.Second); err != nil {
-		return err
-	}
-	fmt.Printf("all know all after %v\n", time.Since(began).Round(time.Millisecond))
-	for _, d := range deploy.All() {
-		cfg := client.Config{URLs: f.Entries(d), Seed: 1, Observe: func(a client.Attempt) {
-			if a.Result != client.Completed {
-				fmt.Println(a.Class, a.Result, a.Code, a.Status, a.Err)
-			}
-		}}
-		for _, c := range d.Load {
-			for i := range c.Phases {
-				c.Phases[i].For = time.Duration(o.Seconds * float64(time.Second))
-			}
-			cfg.Classes = append(cfg.Classes, c)
-		}
-		rep, err := client.Run(ctx, cfg)
-		if err != nil {
-			return err
-		}
-		for name, s := range rep {
-			fmt.Printf("%-20s %+v\n", name, *s)
-		}
+	if ctx.Err() != nil {
+		return status.Wrap(status.CodeCanceled, ctx.Err(), "interrupted")
 	}
-	return nil
+	return mainjob.Run(ctx, mainjob.Config{
+		Root:  root,
+		Bins:  bins,
+		Small: o.Small,
+		Load:  time.Duration(o.Seconds * float64(time.Second)),
+		Out:   os.Stdout,
+		Keep:  o.Keep,
+	})
 }
--- /dev/null
+++ b/bench/harness/direct.go
@@ -0,0 +1,62 @@
+package harness
+
+import (
+	"peardrift/bench/deploy"
+	"peardrift/internal/status"
+)
+
+// AddDirect plans targets like those of a deployment, without nodes: their
+// calls go straight to one another, in turn. They are the baseline beside which
+// the nodes' cost is measured in the same run.
+func (f *Fleet) AddDirect(d deploy.Deployment) error {
+	var hosts []*Host
+	urls := make(map[string][]string)
+	for _, s := range d.Services {
+		for i := range s.Targets {
+			name, zone := d.Instance(s, i)
+			h := &Host{Name: "direct-" + name, Zone: zone, Service: d.FullName(s)}
+			var err error
+			if h.Addr.Target, err = f.ports.take(); err != nil {
+				return err
+			}
+			urls[h.Service] = append(urls[h.Service], "http://"+h.Addr.Target)
+			hosts = append(hosts, h)
+		}
+	}
+	i := 0
+	for _, s := range d.Services {
+		for range s.Targets {
+			if err := f.planTarget(hosts[i], s, urls); err != nil {
+				return err
+			}
+			i++
+		}
+	}
+	f.Direct = append(f.Direct, hosts...)
+	return nil
+}
+
+// DirectURLs returns where a service's targets without nodes take calls.
+func (f *Fleet) DirectURLs(service string) []string {
+	var urls []string
+	for _, h := range f.Direct {
+		if h.Service == service {
+			urls = append(urls, "http://"+h.Addr.Target)
+		}
+	}
+	return urls
+}
+
+func (f *Fleet) startDirect() error {
+	for _, h := range f.Direct {
+		if err := f.StartTarget(h); err != nil {
+			return err
+		}
+	}
+	for _, h := range f.Direct {
+		if err := f.await(startTime, func() bool { return status2xx("http://" + h.Addr.Target + "/healthz") }); err != nil {
+			return status.Wrap(CodeHarness, err, "%s does not answer, see %s", h.Name, h.Target.Log)
+		}
+	}
+	return nil
+}
--- a/bench/harness/fleet.go
+++ b/bench/harness/fleet.go
@@ -1,7 +1,6 @@
 package harness
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"os"
@@ -27,6 +26,9 @@
 	nodeFile            string
 }
 
+// NodeFile is the file of the settings of the host's node.
+func (h *Host) NodeFile() string { return h.nodeFile }
+
 // Addrs are a host's addresses (ip:port).
 type Addrs struct {
 	Target, Callers, Nodes, Egress, Control, Ops string
@@ -39,6 +41,11 @@
 	Platform *Process
 	URL      string // of the platform
 	Hosts    []*Host
+	// Direct are targets without nodes, see AddDirect.
+	Direct []*Host
+
+	// Keep leaves the folder Dir in place at Close.
+	Keep bool
 
 	// Tune, if set, changes the settings of each node before it starts.
 	Tune func(*Host, *settings.Settings)
@@ -50,6 +57,7 @@
 	mu     sync.Mutex
 	procs  []*Process
 	closed bool
+	gone   chan struct{} // closed by Close
 }
 
 // New returns an empty fleet whose files are in a temporary folder.
@@ -58,7 +66,7 @@
 	if err != nil {
 		return nil, status.Wrap(CodeHarness, err, "folder of the fleet")
 	}
-	f := &Fleet{Dir: dir, Bins: bins}
+	f := &Fleet{Dir: dir, Bins: bins, gone: make(chan struct{})}
 	if f.addr, err = f.ports.take(); err != nil {
 		return nil, err
 	}
@@ -89,18 +97,27 @@
 			return err
 		}
 	}
+	if err := f.planTarget(h, s, nil); err != nil {
+		return err
+	}
+	h.nodeFile = filepath.Join(f.Dir, h.Name+"-node.yaml")
+	return writeYAML(h.nodeFile, f.nodeSettings(h, region))
+}
+
+// planTarget writes the settings of a host's target, whose calls go through its
+// node or, if direct is set, straight to the targets listed there.
+func (f *Fleet) planTarget(h *Host, s deploy.Service, direct map[string][]string) error {
 	tc := target.DefaultConfig(h.Service)
-	tc.Listen, tc.Node, tc.Slots, tc.Routes = h.Addr.Target, "http://"+h.Addr.Egress, s.Slots, s.Routes
+	tc.Listen, tc.Slots, tc.Routes, tc.Direct = h.Addr.Target, s.Slots, s.Routes, direct
+	if direct == nil {
+		tc.Node = "http://" + h.Addr.Egress
+	}
 	tc.Dist = target.DistExponential
 	if f.TuneTarget != nil {
 		f.TuneTarget(h, &tc)
 	}
 	h.targetFile = filepath.Join(f.Dir, h.Name+"-target.yaml")
-	h.nodeFile = filepath.Join(f.Dir, h.Name+"-node.yaml")
-	if err := writeYAML(h.targetFile, tc); err != nil {
-		return err
-	}
-	return writeYAML(h.nodeFile, f.nodeSettings(h, region))
+	return writeYAML(h.targetFile, tc)
 }
 
 func (f *Fleet) nodeSettings(h *Host, region string) settings.Settings {
@@ -141,8 +158,8 @@
 	if f.Platform, err = f.run("platform", f.Bins.Platform, "--listen", f.addr); err != nil {
 		return err
 	}
-	if err := await(10*time.Second, func() bool { return status2xx(f.URL + "/control/counters") }); err != nil {
-		return err
+	if err := f.await(startTime, func() bool { return status2xx(f.URL + "/control/counters") }); err != nil {
+		return status.Wrap(CodeHarness, err, "the platform does not answer, see %s", f.Platform.Log)
 	}
 	for _, h := range f.Hosts {
 		if err := f.StartTarget(h); err != nil {
@@ -152,7 +169,7 @@
 			return err
 		}
 	}
-	return nil
+	return f.startDirect()
 }
 
 // StartTarget starts a host's target, again if it has ended.
@@ -180,20 +197,6 @@
 	return p, err
 }
 
-// Converged waits until each node knows all others as alive.
-func (f *Fleet) Converged(within time.Duration) error {
-	for _, h := range f.Hosts {
-		know := func() bool {
-			s, err := h.Status()
-			return err == nil && s.Members["alive"] == len(f.Hosts)
-		}
-		if err := await(within, know); err != nil {
-			return status.Wrap(CodeHarness, err, "%s does not know all hosts", h.Name)
-		}
-	}
-	return nil
-}
-
 // Status asks the host's node for its state.
 func (h *Host) Status() (node.Status, error) {
 	var s node.Status
@@ -209,16 +212,6 @@
 	return s, nil
 }
 
-// Ready waits until all nodes take calls.
-func (f *Fleet) Ready(within time.Duration) error {
-	for _, h := range f.Hosts {
-		if err := await(within, func() bool { return status2xx("http://" + h.Addr.Ops + "/ready") }); err != nil {
-			return status.Wrap(CodeHarness, err, "%s is not ready, see %s", h.Name, h.Node.Log)
-		}
-	}
-	return nil
-}
-
 // Entries returns the callers' faces of all nodes of a tenant's fleet.
 func (f *Fleet) Entries(d deploy.Deployment) []string {
 	var urls []string
@@ -235,6 +228,9 @@
 // Close ends all processes and removes the fleet's files.
 func (f *Fleet) Close() {
 	f.mu.Lock()
+	if !f.closed {
+		close(f.gone)
+	}
 	f.closed = true
 	procs := f.procs
 	f.procs = nil
@@ -246,31 +242,7 @@
 		p.Kill()
 	}
 	f.ports.release()
-	_ = os.RemoveAll(f.Dir)
-}
-
-const awaitStep = 20 * time.Millisecond
-
-// await polls until ok, or fails after a time that only a broken fleet needs.
-func await(within time.Duration, ok func() bool) error {
-	ctx, cancel := context.WithTimeout(context.Background(), within)
-	defer cancel()
-	for !ok() {
-		select {
-		case <-ctx.Done():
-			return status.New(CodeHarness, "not within %v", within)
-		case <-time.After(awaitStep):
-		}
-	}
-	return nil
-}
-
-func status2xx(url string) bool {
-	c := http.Client{Timeout: time.Second}
-	resp, err := c.Get(url)
-	if err != nil {
-		return false
+	if !f.Keep {
+		_ = os.RemoveAll(f.Dir)
 	}
-	_ = resp.Body.Close()
-	return resp.StatusCode < 300
 }
--- a/bench/harness/process.go
+++ b/bench/harness/process.go
@@ -68,6 +68,16 @@
 	}
 }
 
+// Ended reports whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Exited returns the exit code, or -1 while the process runs or if a signal
 // ended it.
 func (p *Process) Exited() int {
