--- a/internal/core/inforce/config.go
+++ b/internal/core/inforce/config.go
@@ -4,7 +4,7 @@
 
 // Config holds the parameters of a State. All nodes should run with the same.
 type Config struct {
-	// Fanout is how many children a node of the tree has in the mean. Default 4.
+	// Fanout is how many children a node of the tree has in the mean. Default 3.
 	// Higher makes the tree flatter, so changes arrive sooner, and loads the
 	// inner nodes of one change more; the mean load stays one send a change.
 	Fanout int
@@ -31,15 +31,16 @@
 	// fewer messages and installs; each level of the tree may wait for it.
 	Spacing time.Duration
 
-	// AskTimeout is how long a node waits for a peer's answer. Default 3 s. It
-	// must exceed ServeWait by the time for a message there and back.
+	// AskTimeout is how long a node waits for a peer's answer. Default 1.5 s. It
+	// must exceed ServeWait by the time for a message there and back. Lower
+	// turns sooner from a peer that is dead, higher waits for a slow one.
 	AskTimeout time.Duration
 
 	// LoadTimeout is how long a node waits for the platform. Default 5 s.
 	LoadTimeout time.Duration
 
 	// ServeWait is how long a node keeps a peer waiting for a version that it
-	// does not hold yet. Default 2 s. Lower sends peers to other sources sooner.
+	// does not hold yet. Default 1 s. Lower sends peers to other sources sooner.
 	ServeWait time.Duration
 
 	// MaxWaiters bounds the peers waiting for one tenant's set. Default 64.
@@ -78,11 +79,11 @@
 // DefaultConfig returns the defaults.
 func DefaultConfig() Config {
 	return Config{
-		Fanout: 4, Roots: 2,
+		Fanout: 3, Roots: 2,
 		Pollers: 2, PollEvery: 2 * time.Second, PollReads: 100,
 		Spacing:    500 * time.Millisecond,
-		AskTimeout: 3 * time.Second, LoadTimeout: 5 * time.Second,
-		ServeWait: 2 * time.Second, MaxWaiters: 64,
+		AskTimeout: 1500 * time.Millisecond, LoadTimeout: 5 * time.Second,
+		ServeWait: time.Second, MaxWaiters: 64,
 		RetryMin: 500 * time.Millisecond, RetryMax: 30 * time.Second,
 		ServeRate: 1 << 10, ServeBurst: 256 << 10,
 		StartPeers: 5, StartWait: 2 * time.Second, ColdReads: 50,
--- a/internal/core/inforce/fetch.go
+++ b/internal/core/inforce/fetch.go
@@ -6,8 +6,16 @@
 	"peardrift/internal/core/confset"
 )
 
-// sources is how many kinds of sources a fetch tries in turn before it waits.
-const sources = 4
+// A fetch tries these in turn before it waits: parents in different trees, then
+// members at random, as the whole region may be behind, then the object store.
+// Most members hold a version seconds after it is accepted; who lost a message
+// or two must not go to the platform, which serves two thousand reads a second
+// for all.
+const (
+	parentTries = 2
+	randomTries = 3
+	sources     = parentTries + randomTries + 1
+)
 
 // fetch begins to fetch a tenant's set if one is due.
 func (s *State) fetch(now time.Duration, x *tenant) {
@@ -25,19 +33,16 @@
 	s.do(LoadObject{ID: id, Head: x.known})
 }
 
-// source returns the peer to ask; ok is false for the object store. The first
-// attempts go by two different trees, the next to any member, as the whole
-// region may be behind, and the last to the object store.
+// source returns the peer to ask; ok is false for the object store.
 func (s *State) source(x *tenant) (p Peer, ok bool) {
-	switch attempt := x.attempt % sources; attempt {
-	case 0, 1:
+	switch attempt := x.attempt % sources; {
+	case attempt < parentTries:
 		return treeOf(x.known, attempt).parent(s.cfg.Roots, s.cfg.Fanout, s.self.ID, s.near)
-	case 2:
-		if s.others > 0 {
-			return s.someone(), true
-		}
+	case attempt < parentTries+randomTries && s.others > 0:
+		return s.someone(), true
+	default:
+		return Peer{}, false
 	}
-	return Peer{}, false
 }
 
 // fetchFailed goes on to the next source at once, and waits when all have
