--- a/internal/claims/result.go
+++ b/internal/claims/result.go
@@ -14,8 +14,12 @@
 	Key      string // the caller's, or claim.DeriveKey's
 	Method   string
 	Path     string // with its query
+	// Body is the digest of the whole body. A body that is passed on as a stream
+	// has to be read to its end first: with the digest of a part, another
+	// request would get this one's answer.
 	Body     claim.Digest
-	Deadline time.Time // when the caller stops waiting
+	Deadline time.Time     // when the caller stops waiting
+	Remember time.Duration // how long the outcome is kept; 0: claim.Config.Remember
 }
 
 // Result is how a call ended. With Err nil a whole answer follows: the own
--- a/internal/claims/runner.go
+++ b/internal/claims/runner.go
@@ -142,6 +142,7 @@
 		Print:    claim.Fingerprint(req.Method, req.Path, req.Body),
 		Deadline: time.Duration(req.Deadline.UnixNano()),
 		KeyTime:  keyTime,
+		Remember: req.Remember,
 	}
 }
 
--- a/internal/core/claim/attempt.go
+++ b/internal/core/claim/attempt.go
@@ -35,7 +35,12 @@
 }
 
 // New returns an attempt that waits for Begin.
-func New(cfg Config, req Request) Attempt { return Attempt{cfg: &cfg, req: req} }
+func New(cfg Config, req Request) Attempt {
+	if req.Remember == 0 {
+		req.Remember = cfg.Remember
+	}
+	return Attempt{cfg: &cfg, req: req}
+}
 
 // Step takes the next event and returns what to do. An event that does not
 // belong to the phase is ignored: a repeated one must not run anything again.
@@ -63,7 +68,7 @@
 	a.begun = now
 	// A row may be removed when it has been kept for Remember. A repeat that
 	// comes later would find it absent and run again; a dated key shows its age.
-	if a.req.KeyTime > 0 && now > a.req.KeyTime+a.cfg.Remember-a.cfg.Skew {
+	if a.req.KeyTime > 0 && now > a.req.KeyTime+a.req.Remember-a.cfg.Skew {
 		return a.end(Answer{Outcome: Outcome{Code: status.CodeOutcomeUnknown}, NotRunHere: true})
 	}
 	if code, hopeless := a.hopeless(now); hopeless {
@@ -252,7 +257,7 @@
 	return recording(a.cfg, Row{
 		Version: a.base + 1, Token: a.req.Token, State: Done, Print: a.req.Print,
 		Since: a.begun, Until: a.until(), Outcome: o.Trim(a.cfg.MaxKept),
-		Expires: max(now, a.req.KeyTime) + a.cfg.Remember,
+		Expires: max(now, a.req.KeyTime) + a.req.Remember,
 	})
 }
 
--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -91,6 +91,15 @@
 	a := New(DefaultConfig(), req)
 	ans := a.Step(t0, Begin{}).(Answer)
 	is.Equal(ans.Outcome, Outcome{Code: status.CodeOutcomeUnknown})
+
+	// The key's own time counts, where a caller's clock runs ahead.
+	req.KeyTime, req.Remember = t0+time.Hour, 72*time.Hour
+	a = New(DefaultConfig(), req)
+	a.Step(t0, Begin{})
+	a.Step(t0, Written{})
+	ans = a.Step(t0, TargetDone{Outcome{Kind: request.Completed}}).(Answer)
+	w := ans.Duty.Step(t0, Begin{}).(Write)
+	is.Equal(w.Row.Expires, t0+73*time.Hour)
 }
 
 func TestUnreadableRowIsNotRun(t *testing.T) {
--- a/internal/core/claim/config.go
+++ b/internal/core/claim/config.go
@@ -22,9 +22,10 @@
 	// its outcome can be recorded. Default 10 s. Raising it keeps slots busy
 	// with late work; lowering it makes more outcomes unknown for good.
 	RunGrace time.Duration
-	// Remember is how long an outcome is kept, from the later of the claim and
-	// the key's own time. Default 7 days. Raising it costs rows; lowering it
-	// shortens the time in which a repeat is recognised.
+	// Remember is how long an outcome is kept, from the later of the run's end
+	// and the key's own time, where the Request doesn't say. Default 24 h.
+	// Raising it costs rows; lowering it shortens the time in which a repeat is
+	// recognised.
 	Remember time.Duration
 	// FreeFor is how long a released row is kept, to fail writes that arrive
 	// late. Default 1 hour. Raising it costs rows; it must stay far above the
@@ -50,7 +51,7 @@
 		OpWait:     100 * time.Millisecond,
 		Rounds:     4,
 		RunGrace:   10 * time.Second,
-		Remember:   7 * 24 * time.Hour,
+		Remember:   24 * time.Hour,
 		FreeFor:    time.Hour,
 		Skew:       time.Minute,
 		MaxKept:    16 << 10,
--- a/internal/core/claim/event.go
+++ b/internal/core/claim/event.go
@@ -108,6 +108,7 @@
 	Print    Digest        // Fingerprint of the request
 	Deadline time.Duration // when the caller stops waiting
 	KeyTime  time.Duration // 0 for an undated key
+	Remember time.Duration // how long the outcome is kept; 0: Config.Remember
 }
 
 // refusedIf returns Refused where it is known that nothing ran, Unknown else.
