--- /dev/null
+++ b/bench/cmd/slopes/parts.go
@@ -0,0 +1,199 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"peardrift/bench/scale"
+	"peardrift/internal/core/member"
+)
+
+// part is one of the tables.
+type part struct {
+	name, title string
+	run         func(*options)
+}
+
+var parts = []part{
+	{"memory", "Memory of one node's membership, each state with its own records (bytes)", memory},
+	{"cost", "Cost a node and second, at rest and on an ordinary day's churn (2 x 2,138 changes a day at any size)", cost},
+	{"spread", "Seconds until news is known to 50 / 99 / 100% of the members (worst of the trials)", spread},
+	{"zone", "A zone (1/9 of the members) lost at once, and back at once", zone},
+	{"region", "A region apart, with changes on both sides, and healed", region},
+	{"join", "One new member", join},
+	{"freeze", "False deaths in an hour with 1% of the members frozen, 5 s at a time", freeze},
+	{"rings", "Other numbers of rings", rings},
+}
+
+// table prints rows in aligned columns.
+type table struct{ w *tabwriter.Writer }
+
+func newTable(columns ...string) table {
+	t := table{tabwriter.NewWriter(os.Stdout, 0, 0, 1, ' ', 0)}
+	t.row(toAny(columns)...)
+	t.row(toAny(strings.Split(strings.Repeat("---,", len(columns)-1)+"---", ","))...)
+	return t
+}
+
+func toAny(list []string) []any {
+	out := make([]any, len(list))
+	for i, s := range list {
+		out[i] = s
+	}
+	return out
+}
+
+func (t table) row(cells ...any) {
+	for _, c := range cells {
+		fmt.Fprintf(t.w, "| %v\t", c)
+	}
+	fmt.Fprintln(t.w, "|")
+	_ = t.w.Flush()
+}
+
+func seconds(d time.Duration) string {
+	if d < 0 {
+		return "never"
+	}
+	return fmt.Sprintf("%.1f", d.Seconds())
+}
+
+func spreadText(s scale.Spread) string {
+	return seconds(s.Half) + " / " + seconds(s.P99) + " / " + seconds(s.All)
+}
+
+func costCells(c scale.Cost) []any {
+	return []any{
+		fmt.Sprintf("%.0f", c.BytesMean), fmt.Sprintf("%.0f", c.BytesP99), fmt.Sprintf("%.0f", c.BytesMax),
+		fmt.Sprintf("%.0f", c.CPU*1e6),
+	}
+}
+
+// short picks the duration for --quick or else the long one.
+func (o *options) short(quick, long time.Duration) time.Duration {
+	if o.Quick {
+		return quick
+	}
+	return long
+}
+
+func fleet(o *options, size int) *scale.Fleet {
+	runtime.GC() // the last one may have been large
+	return scale.New(member.DefaultConfig(), size, o.Seed)
+}
+
+func memory(o *options) {
+	t := newTable("members", "state and view", "a member")
+	for _, n := range o.Sizes {
+		m := scale.StateMemory(member.DefaultConfig(), scale.TargetLayout(n))
+		t.row(n, m, m/int64(n))
+	}
+}
+
+// changesADay are the joins and leaves of an ordinary day at the target size.
+const changesADay = 2138
+
+func cost(o *options) {
+	t := newTable("members", "", "bytes/s mean", "p99", "max", "processor us/s")
+	for _, n := range o.Sizes {
+		f := fleet(o, n)
+		t.row(append([]any{n, "rest"}, costCells(f.Costs(o.short(10*time.Second, 30*time.Second)))...)...)
+		t.row(append([]any{n, "churn"}, costCells(f.Churn(o.short(30*time.Second, 5*time.Minute), changesADay))...)...)
+	}
+}
+
+func spread(o *options) {
+	trials := 3
+	losses := []float64{0, 0.05, 0.2}
+	if o.Quick {
+		trials = 1
+	}
+	t := newTable("members", "loss", "leave", "configuration head", "death")
+	for _, n := range o.Sizes {
+		f := fleet(o, n)
+		for _, loss := range losses {
+			f.Loss = loss
+			s := f.Spreads(trials, time.Minute)
+			t.row(n, fmt.Sprintf("%.0f%%", loss*100), spreadText(s.Leave), spreadText(s.Head), spreadText(s.Death))
+		}
+	}
+}
+
+func zone(o *options) {
+	t := newTable("members", "", "changes", "all known to 50 / 99 / 100%", "head in the midst", "bytes/s in the minute", "p99", "max", "processor us/s", "dearest 10 s")
+	for _, n := range o.Sizes {
+		f := fleet(o, n)
+		l := f.LoseZone("zone-4", o.short(2*time.Minute, 5*time.Minute))
+		row := append([]any{n, "lost", l.Dead, spreadText(l.Known), spreadText(l.Head)}, costCells(l.Minute)...)
+		t.row(append(row, fmt.Sprintf("%.0f", l.Worst.BytesMean))...)
+		f.Run(20 * time.Second)
+		r := f.ReturnZone(o.short(2*time.Minute, 10*time.Minute))
+		row = append([]any{n, "back", l.Dead, spreadText(r.Known), "joined: " + spreadText(r.In)}, costCells(r.Minute)...)
+		t.row(append(row, fmt.Sprintf("%.0f", r.Worst.BytesMean))...)
+	}
+}
+
+func region(o *options) {
+	d := o.short(time.Minute, 10*time.Minute)
+	const changes = 30
+	t := newTable("members", "apart", "changes", "members forgotten", "healed, known to 50 / 99 / 100%", "bytes/s in the minute after", "p99", "max", "processor us/s", "dearest 10 s")
+	for _, n := range o.Sizes {
+		f := fleet(o, n)
+		h := f.CutRegion("region-1", d, changes, 2*time.Minute)
+		row := append([]any{n, d, h.Changes, h.Deaths, spreadText(h.Agreed)}, costCells(h.Minute)...)
+		t.row(append(row, fmt.Sprintf("%.0f", h.Worst.BytesMean))...)
+	}
+}
+
+func join(o *options) {
+	t := newTable("members", "let in (s)", "known to 50 / 99 / 100%", "whole state (s)", "bytes spent by then")
+	for _, n := range o.Sizes {
+		f := fleet(o, n)
+		j := f.JoinOne(o.short(time.Minute, 30*time.Minute))
+		t.row(n, seconds(j.In), spreadText(j.Known), seconds(j.Complete), j.Bytes)
+	}
+}
+
+func freeze(o *options) {
+	const share, each = 0.01, 5 * time.Second
+	d := o.short(20*time.Second, 5*time.Minute)
+	t := newTable("members", "loss", "simulated", "ours", "one observer, 6 s", "one observer, 12 s")
+	perHour := func(n int) string { return fmt.Sprintf("%.0f", float64(n)*float64(time.Hour)/float64(d)) }
+	for _, n := range o.Sizes {
+		for _, loss := range []float64{0, 0.05, 0.2} {
+			f := fleet(o, n)
+			f.Loss = loss
+			ours := f.Freeze(d, share, each)
+			h := scale.Heartbeats{Members: n, Observers: 4, Period: 2 * time.Second, Loss: loss}
+			h.Timeout = 6 * time.Second
+			six := h.FalseDeaths(d, share, each, o.Seed)
+			h.Timeout = 12 * time.Second
+			twelve := h.FalseDeaths(d, share, each, o.Seed)
+			t.row(n, fmt.Sprintf("%.0f%%", loss*100), d, perHour(ours), perHour(six), perHour(twelve))
+		}
+	}
+}
+
+func rings(o *options) {
+	n := min(o.Sizes[len(o.Sizes)-1], 4000)
+	t := newTable("members", "rings", "bytes/s at rest", "leave at 20% loss", "zone lost, known to 50 / 99 / 100%", "bytes/s in the minute")
+	all := []int{2, 3, 4, 5, 6}
+	if o.Quick {
+		n, all = o.Sizes[0], []int{3, 4}
+	}
+	for _, k := range all {
+		cfg := member.DefaultConfig()
+		cfg.Rings = k
+		f := scale.New(cfg, n, o.Seed)
+		rest := f.Costs(10 * time.Second)
+		f.Loss = 0.2
+		s := f.Spreads(1, time.Minute)
+		f.Loss = 0
+		l := f.LoseZone("zone-4", 2*time.Minute)
+		t.row(n, k, fmt.Sprintf("%.0f", rest.BytesMean), spreadText(s.Leave), spreadText(l.Known), fmt.Sprintf("%.0f", l.Minute.BytesMean))
+	}
+}
--- /dev/null
+++ b/bench/scale/baseline.go
@@ -0,0 +1,87 @@
+package scale
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Heartbeats is the plain way to find deaths, for comparison: each member sends
+// a heartbeat to its observers, and one that got none for Timeout declares the
+// member dead on its own.
+type Heartbeats struct {
+	Members   int
+	Observers int
+	Period    time.Duration
+	Timeout   time.Duration
+	Loss      float64
+}
+
+// FalseDeaths runs the baseline for d, with a share of the members frozen for
+// freeze at a time, and returns how often a live member was declared dead. An
+// observer that wakes first reads what arrived meanwhile.
+func (h Heartbeats) FalseDeaths(d time.Duration, share float64, freeze time.Duration, seed uint64) int {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	const tick = 200 * time.Millisecond
+	heard := make([][]time.Duration, h.Members) // by member and observer
+	dead := make([]bool, h.Members)
+	frozen := make([]time.Duration, h.Members)
+	next := make([]time.Duration, h.Members)
+	for i := range heard {
+		heard[i] = make([]time.Duration, h.Observers)
+		next[i] = time.Duration(rng.Int64N(int64(h.Period)))
+	}
+	deaths := 0
+	for now := tick; now < d; now += tick {
+		freezeSome(rng, frozen, now, tick, share, freeze)
+		for i := range heard {
+			h.beat(rng, heard[i], frozen, next, i, now)
+			if h.condemned(heard[i], frozen, i, now) {
+				if !dead[i] {
+					deaths++
+				}
+				dead[i] = true
+			} else {
+				dead[i] = false
+			}
+		}
+	}
+	return deaths
+}
+
+// beat sends a member's heartbeats if they are due.
+func (h Heartbeats) beat(rng *rand.Rand, heard, frozen, next []time.Duration, i int, now time.Duration) {
+	if frozen[i] > now || next[i] > now {
+		return
+	}
+	next[i] = now + h.Period
+	for k := range heard {
+		if rng.Float64() >= h.Loss {
+			heard[k] = now
+		}
+	}
+}
+
+// condemned reports whether some observer that runs holds the member to be dead.
+func (h Heartbeats) condemned(heard, frozen []time.Duration, i int, now time.Duration) bool {
+	for k, at := range heard {
+		observer := (i + (k+1)*(k+1)) % h.Members
+		if frozen[observer] <= now && now-at > h.Timeout {
+			return true
+		}
+	}
+	return false
+}
+
+// freezeSome freezes members so that a share of them is frozen at any time.
+func freezeSome(rng *rand.Rand, frozen []time.Duration, now, tick time.Duration, share float64, freeze time.Duration) {
+	want := share * float64(len(frozen)) * tick.Seconds() / freeze.Seconds()
+	n := int(want)
+	if rng.Float64() < want-float64(n) {
+		n++
+	}
+	for range n {
+		if i := rng.IntN(len(frozen)); frozen[i] <= now {
+			frozen[i] = now + freeze
+		}
+	}
+}
--- a/bench/scale/measure.go
+++ b/bench/scale/measure.go
@@ -18,18 +18,50 @@
 }
 
 // Costs runs the fleet for d and returns what its nodes spent.
-func (f *Fleet) Costs(d time.Duration) Cost {
-	before := make([]int64, len(f.Nodes))
+func (f *Fleet) Costs(d time.Duration) Cost { return f.costsWhile(d, func() {}) }
+
+// costsWhile runs the fleet for d, calling do between short runs, and returns
+// what its nodes spent; in worst, if given, that of the dearest ten seconds.
+func (f *Fleet) costsWhile(d time.Duration, do func(), worst ...*Cost) Cost {
+	const window = 10 * time.Second
+	whole, part := f.meter(), f.meter()
+	for end := f.Now + d; f.Now < end; {
+		f.Run(min(5*Step, end-f.Now))
+		do()
+		if f.Now-part.start < window {
+			continue
+		}
+		if c := part.cost(f); len(worst) > 0 && c.BytesMean > worst[0].BytesMean {
+			*worst[0] = c
+		}
+		part = f.meter()
+	}
+	return whole.cost(f)
+}
+
+// meter holds what the nodes had spent at some time.
+type meter struct {
+	start time.Duration
+	cpu   time.Duration
+	bytes []int64
+}
+
+func (f *Fleet) meter() meter {
+	m := meter{start: f.Now, cpu: cpuTime(), bytes: make([]int64, len(f.Nodes))}
 	for i, n := range f.Nodes {
-		before[i] = n.Bytes
+		m.bytes[i] = n.Bytes
 	}
-	cpu := cpuTime()
-	f.Run(d)
-	c := Cost{CPU: (cpuTime() - cpu).Seconds() / d.Seconds() / float64(len(f.Nodes))}
+	return m
+}
+
+// cost returns what the nodes that were there all the time spent since.
+func (m meter) cost(f *Fleet) Cost {
+	took := (f.Now - m.start).Seconds()
+	c := Cost{CPU: (cpuTime() - m.cpu).Seconds() / took / float64(len(f.Nodes))}
 	var rates []float64
-	for i, n := range f.Nodes {
-		if i < len(before) && !n.Down {
-			rates = append(rates, float64(n.Bytes-before[i])/d.Seconds())
+	for i, before := range m.bytes {
+		if n := f.Nodes[i]; !n.Down {
+			rates = append(rates, float64(n.Bytes-before)/took)
 		}
 	}
 	slices.Sort(rates)
@@ -58,16 +90,7 @@
 	s := Spread{-1, -1, -1}
 	start := f.Now
 	f.RunUntil(limit, 5*Step, func() bool {
-		live, known := f.count(knows)
-		took := f.Now - start
-		for _, q := range []struct {
-			at  *time.Duration
-			per int
-		}{{&s.Half, 500}, {&s.P99, 990}, {&s.All, 1000}} {
-			if *q.at < 0 && known*1000 >= live*q.per {
-				*q.at = took
-			}
-		}
+		f.note(&s, start, knows)
 		return s.All >= 0
 	})
 	return s
@@ -108,6 +131,8 @@
 	}
 }
 
+func idOf(name string) request.TargetID { return request.TargetIDOf(name) }
+
 // Live returns a live node drawn at random.
 func (f *Fleet) Live() *Node {
 	for {
--- a/internal/core/member/join.go
+++ b/internal/core/member/join.go
@@ -19,6 +19,7 @@
 	busy     bool
 	source   Peer
 	after    request.TargetID
+	saved    request.TargetID // where to go on once the preferred services are here
 	next     time.Duration // no attempt before
 	begun    time.Duration // the last attempt
 }
@@ -72,6 +73,19 @@
 // Joined reports whether some peer has let the member in, or none was needed.
 func (s *State) Joined() bool { return !s.join.wanted || s.join.in }
 
+// Prefer fetches the records of some services next. It does nothing once the
+// state is complete.
+func (s *State) Prefer(services []request.Service) {
+	j := &s.join
+	if !j.fetching || len(services) == 0 {
+		return
+	}
+	if len(j.services) == 0 {
+		j.saved = j.after
+	}
+	j.services, j.after = services, 0
+}
+
 // Complete reports whether the whole state has arrived.
 func (s *State) Complete() bool { return !s.join.partial() }
 
@@ -253,7 +267,7 @@
 	case m.More:
 		j.after = m.Next
 	case len(j.services) > 0:
-		j.services, j.after = nil, 0
+		j.services, j.after = nil, j.saved
 	default:
 		j.fetching = false
 		s.actions = append(s.actions, Disconnect{Peer: j.source})
