--- a/internal/claims/result.go
+++ b/internal/claims/result.go
@@ -10,10 +10,10 @@
 
 // Request is one call of an at-most-once class.
 type Request struct {
-	Scope    claim.Scope
-	Key      string // the caller's, or claim.DeriveKey's
-	Method   string
-	Path     string // with its query
+	Scope  claim.Scope
+	Key    string // the caller's, or claim.DeriveKey's
+	Method string
+	Path   string // with its query
 	// Body is the digest of the whole body. A body that is passed on as a stream
 	// has to be read to its end first: with the digest of a part, another
 	// request would get this one's answer.
