Refuse requests whose body length is stated twice; hold short chunked bodies

Found by tests of bad input against a real node. Two Content-Length headers, or one beside Transfer-Encoding, were accepted with the codec's choice of them; a proxy in front that chooses otherwise would see a second request in the rest. And each body of unstated length was a stream, so an at-most-once request sent in chunks was refused as too large, however short.

Internal headers, the trace and baggage from outside reach no target.

--- /dev/null
+++ b/bench/badinput/requests_test.go
@@ -0,0 +1,200 @@
+package badinput
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peardrift/bench/deploy"
+	"peardrift/bench/harness"
+	"peardrift/internal/settings"
+)
+
+// recorder is the own target of the node under test; it keeps the headers that
+// reached it.
+type recorder struct {
+	mu   sync.Mutex
+	last http.Header
+	runs int
+}
+
+func (r *recorder) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if strings.HasPrefix(req.URL.Path, "/health") || req.URL.Path == "/load" {
+		return
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.last = req.Header.Clone()
+	r.runs++
+}
+
+func (r *recorder) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs
+}
+
+// oneNode starts a node for notices.khaosan beside the recorder.
+func oneNode(t *testing.T) (*harness.Host, *recorder) {
+	t.Helper()
+	p := build(t)
+	rec := &recorder{}
+	target := httptest.NewServer(rec)
+	t.Cleanup(target.Close)
+	f, err := harness.New(p.bins)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	f.Tune = func(_ *harness.Host, s *settings.Settings) { s.Target.Address = target.Listener.Addr().String() }
+	d := deploy.Khaosan()
+	d.Services = []deploy.Service{{Name: "notices", Targets: 1, Slots: 190}}
+	for _, step := range []func() error{
+		func() error { return f.Add(d) },
+		f.Start,
+		func() error { return f.Apply(t.Context(), p.root, d.Tenant, 0) },
+		func() error { return f.Ready(time.Minute) },
+	} {
+		if err := step(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return f.Hosts[0], rec
+}
+
+const (
+	goodRequest = "GET /notices/status HTTP/1.1\r\nHost: notices.khaosan\r\n\r\n"
+	// rawTime bounds a raw exchange; a node that answers nothing and holds the
+	// connection open longer is a fault.
+	rawTime = 15 * time.Second
+)
+
+// raw sends bytes and returns the answer's status and head, or 0 if the
+// connection was closed without an answer.
+func raw(t *testing.T, addr, text string) (int, http.Header, string) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(rawTime))
+	_, _ = io.WriteString(c, text)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if ne, ok := err.(net.Error); ok && ne.Timeout() {
+		t.Fatal("the node neither answered nor closed the connection")
+	}
+	if err != nil {
+		return 0, nil, ""
+	}
+	defer resp.Body.Close()
+	b, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header, string(b)
+}
+
+// Symptom: one bad request takes a node down, or reaches the target as if it
+// were a good one. Events: a malformed, oversize or hostile request comes in on
+// any face. Cause: a check that is missing or made too late.
+func TestBadRequestsAreAnsweredAndTheNodeServesOn(t *testing.T) {
+	h, rec := oneNode(t)
+	long := strings.Repeat("x", 300<<10)
+	post := func(path, headers, body string) string {
+		return "POST " + path + " HTTP/1.1\r\nHost: notices.khaosan\r\n" + headers + "\r\n" + body
+	}
+	for _, tt := range []struct {
+		name, addr, text string
+		status           []int // any of them; 0 is a closed connection
+		code             string
+	}{
+		{"no HTTP", h.Addr.Callers, "NONSENSE\r\n\r\n", []int{0, 400}, ""},
+		{"binary", h.Addr.Callers, "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n", []int{0, 400}, ""},
+		{"a header too large", h.Addr.Callers, "GET /notices HTTP/1.1\r\nHost: notices.khaosan\r\nX-Long: " + long + "\r\n\r\n", []int{0, 400, 431}, ""},
+		{"no host", h.Addr.Callers, "GET /notices HTTP/1.1\r\n\r\n", []int{400, 404}, ""},
+		{"an unknown service", h.Addr.Callers, "GET / HTTP/1.1\r\nHost: a/../b\r\n\r\n", []int{400, 404}, ""},
+		{"no class", h.Addr.Callers, "DELETE /notices HTTP/1.1\r\nHost: notices.khaosan\r\n\r\n", []int{404}, "unknown-class"},
+		{"two lengths", h.Addr.Callers, post("/notices", "Idempotency-Key: a\r\nContent-Length: 3\r\nContent-Length: 5\r\n", "abcde"), []int{400}, "malformed-request"},
+		{"a negative length", h.Addr.Callers, post("/notices", "Idempotency-Key: b\r\nContent-Length: -5\r\n", ""), []int{0, 400}, ""},
+		{"a length that is no number", h.Addr.Callers, post("/notices", "Idempotency-Key: c\r\nContent-Length: ten\r\n", ""), []int{0, 400}, ""},
+		{"a broken chunk", h.Addr.Callers, post("/notices", "Idempotency-Key: d\r\nTransfer-Encoding: chunked\r\n", "zz\r\nabc\r\n"), []int{400}, "malformed-request"},
+		{"a length and chunks", h.Addr.Callers, post("/notices", "Idempotency-Key: g\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n", "3\r\nabc\r\n0\r\n\r\n"), []int{400}, "malformed-request"},
+		{"an unknown coding", h.Addr.Callers, post("/notices", "Idempotency-Key: h\r\nTransfer-Encoding: gzip, chunked\r\n", "3\r\nabc\r\n0\r\n\r\n"), []int{400}, "malformed-request"},
+		{"no key", h.Addr.Callers, post("/notices", "Content-Length: 1\r\n", "x"), []int{400}, "idempotency-key-missing"},
+		{"a key too long", h.Addr.Callers, post("/notices", "Idempotency-Key: "+strings.Repeat("k", 5000)+"\r\nContent-Length: 1\r\n", "x"), []int{400}, "malformed-request"},
+		{"a body too large", h.Addr.Callers, post("/notices", fmt.Sprintf("Idempotency-Key: e\r\nContent-Length: %d\r\n", len(long)), long), []int{413}, "request-too-large"},
+		{"a chunked body too large", h.Addr.Callers, post("/notices", "Idempotency-Key: f\r\nTransfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(long), long)), []int{0, 400, 413}, ""},
+		{"a node's call without its headers", h.Addr.Nodes, goodRequest, []int{400}, "protocol"},
+		{"nonsense for the control listener", h.Addr.Control, "GET / HTTP/1.1\r\n\r\n" + long, []int{0}, ""},
+		{"an unknown path of the operators' listener", h.Addr.Ops, "GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n", []int{404}, ""},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			before := rec.count()
+			code, head, body := raw(t, tt.addr, tt.text)
+			t.Log(code, head.Get("Content-Type"), body)
+			is.True(oneOf(code, tt.status))
+			if tt.code != "" {
+				is.Equal(head.Get("Content-Type"), "application/problem+json")
+				is.True(strings.Contains(body, "urn:peardrift:problem:"+tt.code))
+			}
+			is.Equal(rec.count(), before) // it ran nowhere
+			good, _, _ := raw(t, h.Addr.Callers, goodRequest)
+			is.Equal(good, 200) // the node serves on
+			is.True(!h.Node.Ended())
+		})
+	}
+}
+
+// Symptom: a caller raises its own importance, or takes part in another
+// request. Events: it sends the headers by which nodes speak to each other, and
+// a traceparent of its choice. Cause: a face for callers that lets them pass.
+func TestInternalHeadersFromOutsideAreStripped(t *testing.T) {
+	is := is.New(t)
+	h, rec := oneNode(t)
+	const chosen = "0af7651916cd43dd8448eb211c80319c"
+	code, head, _ := raw(t, h.Addr.Callers, "GET /notices/status HTTP/1.1\r\nHost: notices.khaosan\r\n"+
+		"Peardrift-Importance: 100\r\npeardrift-tenant: kalahari\r\nPEARDRIFT-ALLOWANCE: 1000\r\nPeardrift-Depth: 3\r\n"+
+		"Peardrift-Deadline-Ms: 3600000\r\nPeardrift-Class: notice-publish\r\nPeardrift-Anything: 1\r\n"+
+		"Traceparent: 00-"+chosen+"-b7ad6b7169203331-01\r\nBaggage: a=b\r\nX-Own: kept\r\n\r\n")
+	is.Equal(code, 200)
+	is.True(head.Get("Peardrift-Request") != chosen)
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	for name := range rec.last {
+		is.True(!strings.HasPrefix(strings.ToLower(name), "peardrift-"))
+	}
+	is.True(!strings.Contains(rec.last.Get("Traceparent"), chosen))
+	is.Equal(rec.last.Get("Baggage"), "")
+	is.Equal(rec.last.Get("X-Own"), "kept")
+	is.Equal(rec.last.Get("X-Request-Deadline-Ms") < "500", true) // the class allows 500 ms
+}
+
+// Symptom: a client that sends its upload in chunks can't publish a notice.
+// Events: an at-most-once request comes with a short body of unstated length.
+// Cause: each such body was taken for one too long to hold.
+func TestShortChunkedBodyIsHeldWhole(t *testing.T) {
+	is := is.New(t)
+	h, rec := oneNode(t)
+	code, _, _ := raw(t, h.Addr.Callers, "POST /notices HTTP/1.1\r\nHost: notices.khaosan\r\nIdempotency-Key: k\r\n"+
+		"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+	is.Equal(code, 200)
+	is.Equal(rec.last.Get("Content-Length"), "5")
+}
+
+func oneOf(code int, codes []int) bool {
+	for _, c := range codes {
+		if c == code {
+			return true
+		}
+	}
+	return false
+}
