Let only probes lengthen the breaker's pause

Failures of the operations under way when the breaker opened doubled its pause too, so that a short fault under 64 concurrent claims refused at-most-once calls for 8 s instead of 0.5 s.

--- a/internal/core/claim/breaker.go
+++ b/internal/core/claim/breaker.go
@@ -30,6 +30,7 @@
 	failures int
 	pause    time.Duration // 0: closed
 	probe    time.Duration // when the next probe may go
+	probing  bool          // a probe was let through and has not reported
 }
 
 // NewBreaker returns a closed breaker.
@@ -47,7 +48,7 @@
 	if now < b.probe {
 		return false
 	}
-	b.probe = now + b.pause
+	b.probe, b.probing = now+b.pause, true
 	return true
 }
 
@@ -68,12 +69,15 @@
 	}
 	b.failures++
 	switch {
-	case b.Open():
+	case b.Open() && b.probing:
 		b.pause = min(2*b.pause, b.cfg.ProbeMax)
-	case b.failures >= b.cfg.Failures:
+	case !b.Open() && b.failures >= b.cfg.Failures:
 		b.pause = b.cfg.ProbeEvery
 	default:
+		// Open, and no probe: one of the operations under way when it opened.
+		// If each of them doubled the pause, a short fault under load would
+		// close the node to at-most-once calls for the longest pause.
 		return
 	}
-	b.probe = now + b.pause
+	b.probe, b.probing = now+b.pause, false
 }
--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -174,6 +174,10 @@
 		is.True(b.Allow(now))
 		b.Report(now, false)
 	}
+	for range 100 {
+		b.Report(now, false) // what was under way fails as well
+	}
+	is.Equal(b.Wait(now), cfg.ProbeEvery)
 	probes := 0
 	for end := now + time.Minute; now < end; now += 10 * time.Millisecond {
 		if b.Allow(now) {
