Benchmark a request through nodes beside the same request made directly

Whole nodes, their callers and lean targets in one process; processor time and allocations for each request, for one hop and for a chain of five.

--- /dev/null
+++ b/bench/latency/bench_test.go
@@ -0,0 +1,56 @@
+package latency
+
+import (
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// The benchmarks make whole requests, several at a time, with caller, nodes and
+// targets in this process. cpu-ns/op is the processor time of all of them; what
+// the nodes cost is the difference to the direct way.
+func BenchmarkRequest(b *testing.B) {
+	s, err := NewStack()
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Close()
+	for _, kind := range []struct{ name, path string }{{"hop", PathHop}, {"chain5", PathChain}} {
+		b.Run(kind.name+"/direct", func(b *testing.B) { measure(b, s.Direct, kind.path) })
+		b.Run(kind.name+"/nodes", func(b *testing.B) { measure(b, s.Through, kind.path) })
+	}
+}
+
+func measure(b *testing.B, send func(string) bool, path string) {
+	b.ReportAllocs()
+	before := cpuTime()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if !send(path) {
+				b.Error("a request did not complete")
+			}
+		}
+	})
+	b.ReportMetric(float64(cpuTime()-before)/float64(b.N), "cpu-ns/op")
+}
+
+// cpuTime returns the processor time of this process in ns.
+func cpuTime() int64 {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return u.Utime.Nano() + u.Stime.Nano()
+}
+
+func TestStackAnswersBothWays(t *testing.T) {
+	is := is.New(t)
+	s, err := NewStack()
+	is.NoErr(err)
+	defer s.Close()
+	for _, path := range []string{PathHop, PathChain} {
+		is.True(s.Direct(path))
+		is.True(s.Through(path))
+	}
+}
--- /dev/null
+++ b/bench/latency/lean.go
@@ -0,0 +1,97 @@
+package latency
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"peardrift/bench/standin/httpd"
+	"peardrift/bench/standin/target"
+	"peardrift/internal/adapter/hertzhttp"
+	"peardrift/internal/status"
+)
+
+// LeanTarget serves what a stand-in target's settings say, without anything
+// that costs time of its own: no slots, no counters, no check of answers. It
+// passes on traceparent.
+type LeanTarget struct {
+	cfg    target.Config
+	client *hertzhttp.Client
+	http   *httpd.Server
+	next   atomic.Uint64
+}
+
+// StartLean opens the target's port and serves until Close.
+func StartLean(cfg target.Config) (*LeanTarget, error) {
+	t := &LeanTarget{cfg: cfg, client: hertzhttp.NewClient(hertzhttp.DefaultClientConfig())}
+	var err error
+	t.http, err = httpd.Start(httpd.Config{Listen: cfg.Listen}, t.serve)
+	return t, err
+}
+
+// Addr returns the address in use.
+func (t *LeanTarget) Addr() string { return t.http.Addr() }
+
+// Close ends the target.
+func (t *LeanTarget) Close() error {
+	t.client.Close()
+	return t.http.Close()
+}
+
+func (t *LeanTarget) serve(ctx context.Context, c *app.RequestContext) {
+	for _, r := range t.cfg.Routes {
+		if !strings.HasPrefix(string(c.Path()), r.Prefix) {
+			continue
+		}
+		if r.ServiceTime > 0 {
+			time.Sleep(r.ServiceTime)
+		}
+		for _, call := range r.Calls {
+			if err := t.call(ctx, c, call); err != nil {
+				c.String(http.StatusBadGateway, err.Error())
+				return
+			}
+		}
+		c.Data(http.StatusOK, "text/plain", bytes.Repeat([]byte{'a'}, r.Size))
+		return
+	}
+	c.String(http.StatusOK, "ok") // health and load
+}
+
+func (t *LeanTarget) call(ctx context.Context, c *app.RequestContext, call target.Call) error {
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	req.Header.SetMethod(http.MethodGet)
+	req.Header.SetRequestURI(call.Path)
+	req.Header.SetHost(call.Service)
+	if tp := c.GetHeader("traceparent"); len(tp) > 0 {
+		req.Header.Set("Traceparent", string(tp))
+	}
+	res, err := t.client.Do(ctx, t.to(call.Service), req, resp)
+	if err != nil {
+		return err
+	}
+	if res.Stream != nil {
+		_ = res.Stream.Close()
+	}
+	if resp.StatusCode() != http.StatusOK {
+		return status.New(status.CodeTargetFailed, "%s answered %d: %s", call.Service, resp.StatusCode(), resp.Body())
+	}
+	return nil
+}
+
+// to returns the address for a call to a service.
+func (t *LeanTarget) to(service string) string {
+	base := t.cfg.Node
+	if direct := t.cfg.Direct[service]; len(direct) > 0 {
+		base = direct[t.next.Add(1)%uint64(len(direct))]
+	}
+	return strings.TrimPrefix(base, "http://")
+}
--- /dev/null
+++ b/bench/latency/load.go
@@ -0,0 +1,127 @@
+package latency
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"peardrift/internal/adapter/hertzhttp"
+)
+
+const (
+	lowest  = 1          // µs
+	highest = 60_000_000 // µs: a minute
+	digits  = 3
+	// pacers share the rate: one alone would fall behind at high rates, as a
+	// sleep ends late by some tens of µs.
+	pacers = 16
+	// maxOpen bounds requests in flight; arrivals beyond it are overrun.
+	maxOpen = 8192
+	timeout = 10 * time.Second
+)
+
+// Sample is what one slice of load gave.
+type Sample struct {
+	// Latency is that of completed requests in µs, from when each was sent.
+	Latency *hdrhistogram.Histogram
+	// Late is by how much requests were sent after they were due, in µs: where
+	// it is large, the machine or the generator is saturated.
+	Late      *hdrhistogram.Histogram
+	Sent      int
+	Completed int
+	Overrun   int
+}
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(lowest, highest, digits) }
+
+// generator sends GET requests at a mean rate, however long answers take.
+type generator struct {
+	client *hertzhttp.Client
+	open   atomic.Int64
+	next   atomic.Uint64
+}
+
+func newGenerator() *generator {
+	cfg := hertzhttp.DefaultClientConfig()
+	cfg.MaxConns, cfg.MaxIdle = maxOpen, maxOpen
+	return &generator{client: hertzhttp.NewClient(cfg)}
+}
+
+// way is where and what to send.
+type way struct {
+	addrs []string
+	path  string
+}
+
+// run sends Poisson arrivals for a time and waits for all answers.
+func (g *generator) run(ctx context.Context, w way, rate float64, length time.Duration, seed uint64) *Sample {
+	s := &Sample{Latency: newHistogram(), Late: newHistogram()}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	start := time.Now()
+	for p := range pacers {
+		rng := rand.New(rand.NewPCG(seed, uint64(p)))
+		wg.Go(func() {
+			var at time.Duration
+			for ctx.Err() == nil {
+				at += time.Duration(rng.ExpFloat64() / rate * pacers * float64(time.Second))
+				if at >= length {
+					return
+				}
+				time.Sleep(time.Until(start.Add(at)))
+				late := time.Since(start.Add(at))
+				wg.Go(func() { g.request(ctx, w, s, &mu, late) })
+			}
+		})
+	}
+	wg.Wait()
+	return s
+}
+
+func (g *generator) request(ctx context.Context, w way, s *Sample, mu *sync.Mutex, late time.Duration) {
+	if g.open.Add(1) > maxOpen {
+		g.open.Add(-1)
+		mu.Lock()
+		s.Overrun++
+		mu.Unlock()
+		return
+	}
+	defer g.open.Add(-1)
+	began := time.Now()
+	ok := g.send(ctx, w.addrs[g.next.Add(1)%uint64(len(w.addrs))], w.path)
+	took := time.Since(began)
+	mu.Lock()
+	defer mu.Unlock()
+	s.Sent++
+	_ = s.Late.RecordValue(bounded(late))
+	if ok {
+		s.Completed++
+		_ = s.Latency.RecordValue(bounded(took))
+	}
+}
+
+func bounded(d time.Duration) int64 { return min(max(d.Microseconds(), lowest), highest) }
+
+// send makes one request and reports whether it was answered 200, whole.
+func (g *generator) send(ctx context.Context, addr, path string) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	req.Header.SetMethod(http.MethodGet)
+	req.Header.SetRequestURI(path)
+	req.Header.SetHost(first())
+	res, err := g.client.Do(ctx, addr, req, resp)
+	if res.Stream != nil {
+		_ = res.Stream.Close()
+		return false
+	}
+	return err == nil && resp.StatusCode() == http.StatusOK
+}
