Measure latency with real processes, directly and through nodes in turn

go run ./bench/cmd/latency: one hop and a chain of five at 1k, 5k and 20k calls/s; quantiles, what nodes add with its spread over rounds, how late requests were sent, processor time of the nodes for each call, resident memory.

--- /dev/null
+++ b/bench/cmd/latency/main.go
@@ -0,0 +1,87 @@
+// Command latency measures what nodes add to a call, with real processes, and
+// prints a table; or, with --against, compares this version's processor time
+// and allocations with those of another one, and fails over a bound.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"peardrift/bench/harness"
+	"peardrift/bench/latency"
+	"peardrift/internal/settings"
+	"peardrift/internal/status"
+)
+
+const exitUsage = 2
+
+type options struct {
+	Rates   []float64     `long:"rate" default:"1000" default:"5000" default:"20000" description:"calls a second; may be repeated"`
+	Rounds  int           `long:"rounds" default:"5" description:"slices of each way"`
+	Slice   time.Duration `long:"slice" default:"2s" description:"length of one slice"`
+	Warm    time.Duration `long:"warm" default:"1s" description:"load before each cell that isn't counted"`
+	Targets int           `long:"targets" default:"2" description:"targets of each service"`
+	Service time.Duration `long:"service-time" default:"0s" description:"time that each target takes for a call"`
+	Traced  float64       `long:"traced" default:"-1" description:"share of requests traced to a file; by default no traces"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(exitUsage)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := run(ctx, o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, o options) error {
+	root, err := harness.Root()
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "peardrift-bin-")
+	if err != nil {
+		return status.Wrap(harness.CodeHarness, err, "folder of the programs")
+	}
+	defer os.RemoveAll(dir)
+	bins, err := harness.Build(root, dir)
+	if err != nil {
+		return err
+	}
+	if bins.Target, err = harness.BuildOne(root, dir, "./bench/cmd/standin-lean"); err != nil {
+		return err
+	}
+	cfg := latency.Config{
+		Bins: bins, Rates: o.Rates, Rounds: o.Rounds, Slice: o.Slice, Warm: o.Warm,
+		Targets: o.Targets, Service: o.Service, Tune: o.tune,
+	}
+	res, err := latency.Measure(ctx, cfg, func(c latency.Cell) {
+		fmt.Fprintf(os.Stderr, "%s at %.0f calls/s done\n", c.Kind, c.Rate)
+	})
+	if err != nil {
+		return err
+	}
+	latency.Print(os.Stdout, res.Cells)
+	latency.PrintMemory(os.Stdout, res)
+	return nil
+}
+
+// tune turns traces on where the command line asks for them.
+func (o options) tune(h *harness.Host, s *settings.Settings) {
+	if o.Traced >= 0 {
+		s.Traces.File, s.Traces.SampleRatio = h.NodeFile()+".traces", o.Traced
+	}
+}
--- a/bench/harness/build.go
+++ b/bench/harness/build.go
@@ -30,16 +30,29 @@
 		b.Target:   "./bench/cmd/standin-target",
 		b.Platform: "./bench/cmd/standin-platform",
 	} {
-		cmd := exec.Command("go", "build", "-o", out, pkg)
-		cmd.Dir = root
-		cmd.Stderr = os.Stderr
-		if err := cmd.Run(); err != nil {
-			return b, status.Wrap(CodeHarness, err, "build %s", pkg)
+		if err := build(root, out, pkg); err != nil {
+			return b, err
 		}
 	}
 	return b, nil
 }
 
+// BuildOne compiles one more program of the workspace into dir.
+func BuildOne(root, dir, pkg string) (string, error) {
+	out := filepath.Join(dir, filepath.Base(pkg))
+	return out, build(root, out, pkg)
+}
+
+func build(root, out, pkg string) error {
+	cmd := exec.Command("go", "build", "-o", out, pkg)
+	cmd.Dir = root
+	cmd.Stderr = os.Stderr
+	if err := cmd.Run(); err != nil {
+		return status.Wrap(CodeHarness, err, "build %s", pkg)
+	}
+	return nil
+}
+
 // Root finds the workspace's folder from the present one upwards.
 func Root() (string, error) {
 	dir, err := os.Getwd()
--- /dev/null
+++ b/bench/latency/table.go
@@ -0,0 +1,101 @@
+package latency
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+)
+
+// quantiles that are shown.
+var quantiles = []float64{50, 99, 99.9}
+
+// Print writes a table of the cells: the median over the rounds of each
+// quantile, and of what the nodes add to it the least and the greatest as well.
+func Print(out io.Writer, cells []Cell) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "request\tcalls/s\tquantile\tdirect ms\tnodes ms\tadded ms\t(least to greatest)\tadded a call ms\tratio\tcompleted\tlate p99 ms\tnode CPU us/call\t")
+	for _, c := range cells {
+		for i, q := range quantiles {
+			c.printLine(w, q, i == 0)
+		}
+	}
+	_ = w.Flush()
+}
+
+func (c *Cell) printLine(w io.Writer, q float64, head bool) {
+	direct, nodes, added := c.quantile(q)
+	calls := 1.0
+	if c.Kind == PathChain {
+		calls = Depth
+	}
+	mid := median(added)
+	fmt.Fprintf(w, "%s\t%.0f\tp%g\t%.2f\t%.2f\t%.2f\t(%.2f to %.2f)\t%.2f\t%.1f\t", c.Kind, c.Rate, q,
+		median(direct), median(nodes), mid, slices.Min(added), slices.Max(added), mid/calls, median(nodes)/median(direct))
+	if !head {
+		fmt.Fprintln(w, "\t\t\t")
+		return
+	}
+	sent, completed := c.counts()
+	fmt.Fprintf(w, "%d of %d\t%.2f\t%.0f\t\n", completed, sent, c.late(), c.cpu())
+}
+
+// quantile returns the quantile in ms of each round, and what the nodes added.
+func (c *Cell) quantile(q float64) (direct, nodes, added []float64) {
+	for _, r := range c.Rounds {
+		d, n := float64(r.Direct.Latency.ValueAtQuantile(q))/1e3, float64(r.Nodes.Latency.ValueAtQuantile(q))/1e3
+		direct, nodes, added = append(direct, d), append(nodes, n), append(added, n-d)
+	}
+	return direct, nodes, added
+}
+
+// counts sums both ways: requests, overruns included, and those completed.
+func (c *Cell) counts() (sent, completed int) {
+	for _, r := range c.Rounds {
+		for _, s := range []*Sample{r.Direct, r.Nodes} {
+			sent += s.Sent + s.Overrun
+			completed += s.Completed
+		}
+	}
+	return sent, completed
+}
+
+// late returns the p99 in ms by which requests were sent late, of the way and
+// round where it was worst.
+func (c *Cell) late() float64 {
+	worst := 0.0
+	for _, r := range c.Rounds {
+		worst = max(worst, float64(r.Direct.Late.ValueAtQuantile(99))/1e3, float64(r.Nodes.Late.ValueAtQuantile(99))/1e3)
+	}
+	return worst
+}
+
+func (c *Cell) cpu() float64 {
+	var us []float64
+	for _, r := range c.Rounds {
+		us = append(us, float64(r.NodeCPU)/float64(time.Microsecond))
+	}
+	return median(us)
+}
+
+func median(vs []float64) float64 {
+	s := slices.Sorted(slices.Values(vs))
+	if len(s) == 0 {
+		return 0
+	}
+	return s[len(s)/2]
+}
+
+// PrintMemory writes the resident memory of the nodes.
+func PrintMemory(out io.Writer, r *Result) {
+	for _, m := range []struct {
+		when  string
+		bytes []int64
+	}{{"idle", r.Idle}, {"after the load", r.Loaded}} {
+		if len(m.bytes) > 0 {
+			fmt.Fprintf(out, "Resident memory of a node, %s: %.1f to %.1f MB\n", m.when,
+				float64(slices.Min(m.bytes))/1e6, float64(slices.Max(m.bytes))/1e6)
+		}
+	}
+}
