--- a/internal/core/admission/overload_test.go
+++ b/internal/core/admission/overload_test.go
@@ -133,7 +133,7 @@
 		{"archive, twice the demand", 130, 3, trigger(130, 20*ms, 2, 20*ms), 0.95},
 		{"archive, surge and ten times slower", 130, 3, trigger(130, 20*ms, 1.5, 200*ms), 0.95},
 		{"media, twice the demand", 190, 3, trigger(190, 100*ms, 2, 100*ms), 0.95},
-		{"evidencebox, ten times slower", 300, 3, trigger(300, 5*ms, 0.7, 50*ms), 0.95},
+		{"evidencebox, ten times slower", 300, 3, trigger(300, 20*ms, 0.7, 200*ms), 0.95},
 	} {
 		for _, know := range []bool{false, true} {
 			is := is.New(t)
