Serve callers beside a dead target, and tell failing targets from idle ones

Cause: a node whose own target was down refused callers of all services; a target's own 5xx counted as success for routing, so one that fails fast looked idle; its shedding did not reach the gate; a target's call on its own account was taken for the callee's tenant; advice without spread brought the refused back together; keys were remembered for the default, not the declared time. Run: the path tests of bench/e2e under -race.

--- a/bench/e2e/cluster_test.go
+++ b/bench/e2e/cluster_test.go
@@ -103,7 +103,7 @@
 		})
 	}
 	v := dataplane.View{
-		Gen: c.gen, Index: c.idx, Ready: true,
+		Gen: c.gen, Index: c.idx, Ready: true, TargetUp: true,
 		Peers:   func(s request.Service) []dataplane.Peer { return peers[s] },
 		Callers: func(request.Service) int { return 0 },
 	}
--- a/internal/dataplane/call.go
+++ b/internal/dataplane/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -54,6 +55,7 @@
 	attempts int
 	retry    retry.Reason
 	after    time.Duration // advice on when to come back
+	shed     bool          // the own target says that it is overloaded
 }
 
 // fail makes a result of a failure that this node found.
@@ -110,11 +112,11 @@
 	}
 	ch, ok := cl.pick(e.view.Load(), c, tried)
 	if !ok {
-		return fail(now, status.Refuse(status.CodeNoTarget, time.Second, "no target of %s can take the call", c.info.Name)), false
+		return fail(now, status.Refuse(status.CodeNoTarget, later(), "no target of %s can take the call", c.info.Name)), false
 	}
 	grant, ok := c.purse.start(sub, cl.below(c.class.Name))
 	if !ok {
-		r := fail(now, status.Refuse(status.CodeRetriesExhausted, time.Second, "the request's retries are used up"))
+		r := fail(now, status.Refuse(status.CodeRetriesExhausted, later(), "the request's retries are used up"))
 		cl.done(ch, &result{code: status.CodeCanceled})
 		return r, false
 	}
@@ -177,6 +179,7 @@
 	return &result{
 		outcome:  a.Outcome,
 		code:     a.Code,
+		detail:   detailOf(a.Code, resp),
 		answered: true,
 		answer:   a,
 		stream:   res.Stream,
@@ -186,6 +189,15 @@
 	}
 }
 
+// detailOf returns what the answering node says of its failure.
+func detailOf(code status.Code, resp *protocol.Response) string {
+	var p problem
+	if code == "" || json.Unmarshal(resp.Body(), &p) != nil {
+		return ""
+	}
+	return p.Detail
+}
+
 // question puts an ended attempt to the decider.
 func (e *Engine) question(c *outgoing, r *result, sub *retry.Call, cl *callee) *retry.Result {
 	return &retry.Result{
--- a/internal/dataplane/callee.go
+++ b/internal/dataplane/callee.go
@@ -147,6 +147,9 @@
 func (r *result) kind() route.Kind {
 	switch r.code {
 	case "":
+		if r.outcome != request.Completed {
+			return route.Failure // the target's own word that it failed
+		}
 		return route.Success
 	case status.CodeCanceled:
 		return route.Ignored
--- a/internal/dataplane/engine.go
+++ b/internal/dataplane/engine.go
@@ -50,8 +50,10 @@
 	Peers func(request.Service) []Peer
 	// Callers returns how many nodes call the service, 0 if not known.
 	Callers func(request.Service) int
-	// Ready: the configuration in force is known and the target is up.
+	// Ready: the configuration in force and the other nodes are known.
 	Ready bool
+	// TargetUp: the own target takes calls. Calls to others go on without it.
+	TargetUp bool
 	// Leaving: the target takes no new calls.
 	Leaving bool
 }
@@ -177,6 +179,15 @@
 
 func (e *Engine) now() time.Duration { return time.Since(e.epoch) }
 
+// later is when a call is to come back that was refused for want of something
+// other than capacity. It is spread, so that those refused together don't
+// return together.
+func later() time.Duration {
+	return leastLater + time.Duration(rand.Int64N(int64(leastLater)))
+}
+
+const leastLater = time.Second
+
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // tenants gives tenants the small indexes by which the gate knows them.
--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -37,10 +37,10 @@
 	}
 	if x == nil {
 		// The target calls on its own account, or lost the trace: a request of
-		// its own begins here.
+		// its own begins here, of the target's tenant.
 		hop.ID = newID()
 		e.serveOutgoing(ctx, nil, c, hop, func(v *View) (*outgoing, *status.Error) {
-			return e.newRequest(v, c, hop.ID)
+			return e.ownRequest(v, c, hop.ID)
 		})
 		return
 	}
@@ -88,10 +88,10 @@
 func (e *Engine) admitCall(prepare func(*View) (*outgoing, *status.Error)) (*outgoing, *status.Error) {
 	v := e.view.Load()
 	if !v.Ready {
-		return nil, status.Refuse(status.CodeNotReady, time.Second, "the node does not yet know its configuration")
+		return nil, status.Refuse(status.CodeNotReady, later(), "the node does not yet know its configuration")
 	}
 	if e.calls.Load() > int64(e.cfg.MaxCalls) {
-		return nil, status.Refuse(status.CodeOverloaded, time.Second, "the node has %d calls in flight", e.cfg.MaxCalls)
+		return nil, status.Refuse(status.CodeOverloaded, later(), "the node has %d calls in flight", e.cfg.MaxCalls)
 	}
 	return prepare(v)
 }
@@ -134,6 +134,20 @@
 	return out, e.fillRequest(out, c)
 }
 
+// ownRequest begins a request that the own target makes for itself.
+func (e *Engine) ownRequest(v *View, c *app.RequestContext, id request.ID) (*outgoing, *status.Error) {
+	out, fault := e.newRequest(v, c, id)
+	if fault != nil {
+		return nil, fault
+	}
+	if !out.info.Accepts(e.self.Tenant) {
+		protocol.ReleaseRequest(out.req)
+		return nil, status.Refuse(status.CodeForbidden, 0, "%s takes no requests of tenant %s", out.info.Name, e.self.Tenant)
+	}
+	out.meta.Tenant = e.self.Tenant
+	return out, nil
+}
+
 // subCall continues the request x with a call that its target makes.
 func (e *Engine) subCall(v *View, c *app.RequestContext, x *running) (*outgoing, *status.Error) {
 	info, class, fault := e.lookup(v, c)
--- a/internal/dataplane/problem.go
+++ b/internal/dataplane/problem.go
@@ -85,6 +85,8 @@
 		return consts.StatusGatewayTimeout
 	case status.CodeConnectionLost, status.CodeTargetFailed, status.CodeCanceled:
 		return consts.StatusBadGateway
+	case status.CodeAnswerNotKept:
+		return consts.StatusGone // it completed; sending it again would not bring the answer
 	case status.CodeInternal:
 		return consts.StatusInternalServerError
 	default:
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -78,8 +79,8 @@
 	}
 	s.meta = meta
 	v := e.view.Load()
-	if !v.Ready {
-		return status.Refuse(status.CodeNotReady, time.Second, "the target is not ready")
+	if !v.Ready || !v.TargetUp {
+		return status.Refuse(status.CodeNotReady, later(), "the target is not ready")
 	}
 	info, class, fault := e.lookup(v, s.c)
 	if fault != nil {
@@ -103,6 +104,11 @@
 	if s.body, fault = e.takeBody(s.c, s.class.MaxBody, deadline); fault != nil {
 		return fault
 	}
+	// A body that is not at hand whole can't be compared with that of an earlier
+	// call under the same key.
+	if s.class.AtMostOnce && s.body.stream != nil {
+		return status.Refuse(status.CodeTooLarge, 0, "an at-most-once request may have %d bytes", e.cfg.BufferBytes)
+	}
 	s.tenant = e.tenants.of(s.meta.Tenant)
 	s.running = &running{
 		id:       s.trace.id,
@@ -153,6 +159,7 @@
 		Method:   string(h.Method()),
 		Path:     string(h.RequestURI()),
 		Body:     claim.Sum(s.body.whole),
+		Remember: s.class.Remember,
 		Deadline: e.epoch.Add(s.running.deadline),
 	}
 }
@@ -227,7 +234,7 @@
 // judge types what the target did.
 func (e *Engine) judge(s *serving, sent bool, err error, r *result, resp *protocol.Response) *result {
 	if err != nil && !sent {
-		return fail(r.headAt, status.Refuse(status.CodeNoTarget, time.Second, "the target takes no connection"))
+		return fail(r.headAt, status.Refuse(status.CodeNoTarget, later(), "the target takes no connection"))
 	}
 	if err != nil {
 		f := status.From(err)
@@ -243,6 +250,7 @@
 	if s.running.doubtful() {
 		r.outcome = request.Unknown
 	}
+	r.shed = resp.StatusCode() == http.StatusServiceUnavailable && len(resp.Header.Peek(wire.HeaderRetryAfter)) > 0
 	return r
 }
 
@@ -282,6 +290,8 @@
 	switch {
 	case r.outcome == request.Completed:
 		return admission.OK
+	case r.shed:
+		return admission.Overloaded
 	case r.code == status.CodeCanceled, r.code == status.CodeDeadlineExceeded:
 		return admission.Canceled
 	default:
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -44,6 +44,7 @@
 	index   *confset.Index
 	whole   bool // members are all that there are
 	ready   bool
+	up      bool // the target takes calls
 	leaving bool
 }
 
@@ -118,6 +119,7 @@
 		index:   c.conf.index(),
 		whole:   c.state.Complete(),
 		ready:   c.ready(),
+		up:      c.targetUp,
 		leaving: c.leaving,
 	}
 	if next == c.shown {
@@ -141,21 +143,22 @@
 	c.engine.Publish(c.view(next))
 }
 
-// ready: calls can be judged and run. A node that took calls before it knew the
+// ready: calls can be judged and sent. A node that took calls before it knew the
 // configuration would refuse them as of unknown services; one that didn't know
 // the other members, for lack of targets.
 func (c *control) ready() bool {
 	_, known := c.conf.index().Service(c.self.Service)
-	return known && c.targetUp && c.state.Complete() && c.conf.state.Ready()
+	return known && c.state.Complete() && c.conf.state.Ready()
 }
 
 func (c *control) view(s shown) *dataplane.View {
 	seen := c.seen
 	return &dataplane.View{
-		Gen:     c.gen,
-		Index:   s.index,
-		Ready:   s.ready,
-		Leaving: s.leaving,
+		Gen:      c.gen,
+		Index:    s.index,
+		Ready:    s.ready,
+		TargetUp: s.up,
+		Leaving:  s.leaving,
 		Peers: func(svc request.Service) []dataplane.Peer {
 			info, ok := s.index.Service(svc)
 			if !ok {
--- a/internal/node/ops.go
+++ b/internal/node/ops.go
@@ -40,7 +40,7 @@
 
 func (n *Node) serveReady(c *app.RequestContext) {
 	var s shown
-	if n.control.ask(func() { s = n.control.shown }) && s.ready && !s.leaving {
+	if n.control.ask(func() { s = n.control.shown }) && s.ready && s.up && !s.leaving {
 		c.String(http.StatusOK, "ready\n")
 		return
 	}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -41,7 +41,7 @@
 	}
 	ok := n.control.ask(func() {
 		c := n.control
-		s.Ready, s.Leaving, s.Complete = c.ready(), c.leaving, c.state.Complete()
+		s.Ready, s.Leaving, s.Complete = c.ready() && c.targetUp, c.leaving, c.state.Complete()
 		s.Control = ControlCost{Bytes: c.meter.Total(), Calls: c.meter.Calls()}
 		for _, t := range c.conf.index().Tenants() {
 			s.Versions[t] = c.conf.index().Version(t)
