Say 'not run' of an at-most-once call only after a look at its key

Cause: a refusal before the claim (overload, draining, no target) spoke of its own call, but a caller whose earlier call under the key was in doubt would take 'refused, not run' for the whole request, and begin anew under another key. Now the entry node reads the key's row once before it says so, for at most 100 ms; where an earlier call ended it gives that outcome, where the platform does not answer it says 'unknown'. Ruled out: answering 'unknown' to every such refusal, which would leave first calls in doubt for nothing; passing the look to the callee's node, which the refusal may never have reached. Run: the new tests of internal/core/claim (they fail without the look), claims and the path tests of bench/e2e.

--- a/bench/e2e/cluster_test.go
+++ b/bench/e2e/cluster_test.go
@@ -16,6 +16,7 @@
 	"peardrift/internal/core/request"
 	"peardrift/internal/core/route"
 	"peardrift/internal/dataplane"
+	"peardrift/internal/status"
 )
 
 // host is one instance: a target and its node.
@@ -43,6 +44,10 @@
 	return run(ctx)
 }
 
+func (claimAll) Explain(_ context.Context, _ claims.Request, refusal *status.Error) claims.Result {
+	return claims.Failure(refusal)
+}
+
 func newCluster(t *testing.T, idx *confset.Index) *cluster { return &cluster{t: t, idx: idx} }
 
 // add starts an instance of a service.
--- a/internal/claims/config.go
+++ b/internal/claims/config.go
@@ -22,6 +22,10 @@
 	// a refusal for its claim to be released. Default 100 ms. Raising it lets
 	// more repeats find the outcome; lowering it answers sooner.
 	RecordWait time.Duration
+	// ExplainWait bounds how long a refusal waits for a look at earlier calls
+	// under its key. Default 100 ms. Raising it tells more callers for certain
+	// while the platform is slow; lowering it answers sooner.
+	ExplainWait time.Duration
 	// RetryMin and RetryMax bound the pause between tries of a duty, which
 	// grows by half each time and is spread by half either way. Default 500 ms
 	// and 30 s. Raising them spares a platform that comes back; lowering them
@@ -32,12 +36,13 @@
 // DefaultConfig returns the defaults named at each field.
 func DefaultConfig() Config {
 	return Config{
-		Claim:      claim.DefaultConfig(),
-		Breaker:    claim.DefaultBreakerConfig(),
-		MaxClaims:  64,
-		MaxPending: 1024,
-		RecordWait: 100 * time.Millisecond,
-		RetryMin:   500 * time.Millisecond,
-		RetryMax:   30 * time.Second,
+		Claim:       claim.DefaultConfig(),
+		Breaker:     claim.DefaultBreakerConfig(),
+		MaxClaims:   64,
+		MaxPending:  1024,
+		RecordWait:  100 * time.Millisecond,
+		ExplainWait: 100 * time.Millisecond,
+		RetryMin:    500 * time.Millisecond,
+		RetryMax:    30 * time.Second,
 	}
 }
--- a/internal/claims/runner.go
+++ b/internal/claims/runner.go
@@ -68,7 +68,24 @@
 	defer r.work.Done()
 	c := &call{runner: r, key: claim.RowKey(req.Scope, req.Key), slot: true}
 	defer c.freeSlot()
-	return c.drive(ctx, req, run)
+	attempt := claim.New(r.cfg.Claim, requestOf(req))
+	return c.drive(ctx, &attempt, run)
+}
+
+// Explain returns what may be said of a call that was refused before it came to
+// Do: the refusal with its outcome corrected for earlier calls under the key, or
+// how such a call ended. It costs one read, and runs nothing.
+func (r *Runner) Explain(ctx context.Context, req Request, refusal *status.Error) Result {
+	unsure := claim.Answer{Outcome: claim.Outcome{Code: refusal.Code}, RetryAfter: refusal.RetryAfter, NotRunHere: true}
+	if err := r.enter(); err != nil {
+		return resultOf(unsure)
+	}
+	defer r.work.Done()
+	c := &call{runner: r, key: claim.RowKey(req.Scope, req.Key), slot: true}
+	defer c.freeSlot()
+	req.Deadline = time.Now().Add(r.cfg.ExplainWait)
+	attempt := claim.NewLook(r.cfg.Claim, requestOf(req), refusal)
+	return c.drive(ctx, &attempt, nil)
 }
 
 // enter takes a slot of the claim phase, or says why there is none. It never
@@ -108,8 +125,7 @@
 }
 
 // drive does what the attempt says until it has its answer.
-func (c *call) drive(ctx context.Context, req Request, run func(context.Context) Result) Result {
-	attempt := claim.New(c.runner.cfg.Claim, requestOf(req))
+func (c *call) drive(ctx context.Context, attempt *claim.Attempt, run func(context.Context) Result) Result {
 	var ran Result
 	var ev claim.Event = claim.Begin{}
 	for {
--- a/internal/core/claim/attempt.go
+++ b/internal/core/claim/attempt.go
@@ -32,6 +32,8 @@
 	doubt  bool  // an own claim write may be in the table, or get there yet
 	clear  bool  // at an instant since Begin nothing had run under the key
 	gone   bool  // the caller has left
+
+	refusal *status.Error // of an attempt that only looks; nil: one that claims
 }
 
 // New returns an attempt that waits for Begin.
@@ -42,6 +44,19 @@
 	return Attempt{cfg: &cfg, req: req}
 }
 
+// NewLook returns an attempt for a call that was refused before it came to a
+// claim. It writes and runs nothing: it finds out whether the refusal may say
+// "not run", or how an earlier call under the key ended.
+//
+// Symptom of its absence: a payout is paid twice. The first call's answer was
+// lost, its repeat met an overloaded target and was told "not run", so the
+// caller began anew under another key.
+func NewLook(cfg Config, req Request, refusal *status.Error) Attempt {
+	a := New(cfg, req)
+	a.refusal = refusal
+	return a
+}
+
 // Step takes the next event and returns what to do. An event that does not
 // belong to the phase is ignored: a repeated one must not run anything again.
 func (a *Attempt) Step(now time.Duration, e Event) Action {
@@ -71,6 +86,9 @@
 	if a.req.KeyTime > 0 && now > a.req.KeyTime+a.req.Remember-a.cfg.Skew {
 		return a.end(Answer{Outcome: Outcome{Code: status.CodeOutcomeUnknown}, NotRunHere: true})
 	}
+	if a.refusal != nil {
+		return a.lookOr(now, a.refusal.Code)
+	}
 	if code, hopeless := a.hopeless(now); hopeless {
 		return a.giveUp(code)
 	}
@@ -102,7 +120,7 @@
 		a.doubt = false // versions only rise: no write of ours is in that row
 		return a.end(Answer{Outcome: Outcome{Code: status.CodeOutcomeUnknown}, NotRunHere: true})
 	case ReadFailed:
-		return a.lookOr(now, status.CodePlatformDown)
+		return a.lookOr(now, a.code(status.CodePlatformDown))
 	}
 	return nil
 }
@@ -138,6 +156,9 @@
 
 // again claims a row that is absent or Free.
 func (a *Attempt) again(now time.Duration, version int64) Action {
+	if a.refusal != nil {
+		return a.giveUp(a.refusal.Code)
+	}
 	if code, hopeless := a.hopeless(now); hopeless {
 		return a.giveUp(code)
 	}
@@ -214,6 +235,9 @@
 		Outcome: Outcome{Kind: refusedIf(a.clear), Code: code}, NotRunHere: true,
 		RetryAfter: a.spread(a.cfg.RetryAfter),
 	}
+	if a.refusal != nil {
+		ans.RetryAfter = a.refusal.RetryAfter
+	}
 	if a.doubt {
 		ans.Duty = fence(a.cfg, a.req.Token, a.base)
 	}
@@ -225,6 +249,14 @@
 	return ans
 }
 
+// code returns why a call that looks was refused, def for any other.
+func (a *Attempt) code(def status.Code) status.Code {
+	if a.refusal != nil {
+		return a.refusal.Code
+	}
+	return def
+}
+
 // hopeless says whether nobody would take an answer, and why.
 func (a *Attempt) hopeless(now time.Duration) (status.Code, bool) {
 	switch {
--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -190,3 +190,52 @@
 	b.Report(now, true)
 	is.True(b.Allow(now))
 }
+
+// Symptom: a payout is paid twice.
+// Events: the first call runs and its answer is lost; its repeat meets an
+// overloaded target and is told "refused, not run"; the caller begins anew under
+// another key.
+// Cause: the refusal spoke for all calls under the key without looking.
+func TestRefusalLooksForEarlierCalls(t *testing.T) {
+	print := testRequest("x").Print
+	done := Outcome{Kind: request.Completed, Status: 200}
+	for name, tc := range map[string]struct {
+		ev   Event
+		want request.Outcome
+		code status.Code
+	}{
+		"absent":     {RowRead{}, request.Refused, status.CodeOverloaded},
+		"free":       {RowRead{Row{Version: 2, State: Free}}, request.Refused, status.CodeOverloaded},
+		"held":       {RowRead{Row{Version: 1, State: Held, Print: print, Until: time.Hour * 1e6}}, request.Unknown, status.CodeInProgress},
+		"done":       {RowRead{Row{Version: 2, State: Done, Print: print, Outcome: done}}, request.Completed, ""},
+		"unreadable": {RowUnreadable{}, request.Unknown, status.CodeOutcomeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			refusal := status.Refuse(status.CodeOverloaded, time.Second, "full")
+			a := NewLook(DefaultConfig(), testRequest("x"), refusal)
+			_, reads := a.Step(0, Begin{}).(Read)
+			is.True(reads) // and writes nothing
+			ans, ok := a.Step(0, tc.ev).(Answer)
+			is.True(ok)
+			is.Equal(ans.Outcome.Kind, tc.want)
+			is.Equal(ans.Outcome.Code, tc.code)
+			is.True(ans.NotRunHere)
+		})
+	}
+}
+
+func TestRefusalClaimsNothingWhilePlatformIsDown(t *testing.T) {
+	is := is.New(t)
+	a := NewLook(DefaultConfig(), testRequest("x"), status.Refuse(status.CodeOverloaded, time.Second, "full"))
+	act := a.Step(0, Begin{})
+	for range 100 {
+		if ans, ok := act.(Answer); ok {
+			is.Equal(ans.Outcome.Kind, request.Unknown)
+			is.Equal(ans.Outcome.Code, status.CodeOverloaded)
+			return
+		}
+		act = a.Step(0, ReadFailed{})
+	}
+	t.Fatal("no answer")
+}
--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -57,12 +57,8 @@
 	e.calls.Add(1)
 	defer e.calls.Add(-1)
 	out, fault := e.admitCall(prepare)
-	if fault != nil {
-		hop.Outcome, hop.Code = fault.Outcome, fault.Code
-		hop.End = time.Now()
-		e.observe(hop)
-		writeProblem(&c.Response, hop.ID, fault)
-		c.Response.Header.Set(wire.HeaderRequest, hop.ID.String())
+	if out == nil {
+		e.refuseCall(c, hop, fault)
 		return
 	}
 	defer protocol.ReleaseRequest(out.req)
@@ -72,7 +68,7 @@
 		context.AfterFunc(within, cancel)
 	}
 	resp := protocol.AcquireResponse()
-	r := e.call(ctx, out, resp)
+	r := e.outcome(ctx, out, fault, resp)
 	hop.fill(out, r)
 	e.answer(&c.Response, resp, out, r, hop)
 	if r.stream == nil {
@@ -83,6 +79,32 @@
 	}
 }
 
+// outcome makes the call, unless it is refused already, and has a refusal
+// checked against what is known of earlier calls.
+func (e *Engine) outcome(ctx context.Context, out *outgoing, fault *status.Error, resp *protocol.Response) *result {
+	if fault != nil {
+		return e.explain(ctx, out, fail(e.now(), fault), resp)
+	}
+	return e.explain(ctx, out, e.call(ctx, out, resp), resp)
+}
+
+// refuseCall answers a call that could not even be read as a request. Of one
+// that carries an idempotency key an earlier call may have run; without its
+// class nothing can be looked up, so no more is claimed than is known.
+func (e *Engine) refuseCall(c *app.RequestContext, hop *Hop, fault *status.Error) {
+	if len(c.Request.Header.Peek(wire.HeaderIdempotencyKey)) > 0 && forNow(fault.Code) {
+		f := *fault
+		f.Outcome = request.Unknown
+		f.Detail += "; this call ran nothing, an earlier one with its key may have"
+		fault = &f
+	}
+	hop.Outcome, hop.Code = fault.Outcome, fault.Code
+	hop.End = time.Now()
+	e.observe(hop)
+	writeProblem(&c.Response, hop.ID, fault)
+	c.Response.Header.Set(wire.HeaderRequest, hop.ID.String())
+}
+
 // admitCall bounds the calls in flight: each costs a goroutine and buffers, and
 // without a bound a flood would end in the instance's memory, not in refusals.
 func (e *Engine) admitCall(prepare func(*View) (*outgoing, *status.Error)) (*outgoing, *status.Error) {
@@ -128,16 +150,16 @@
 			Origin:     info.Name,
 		},
 	}
-	if fault := e.levels.check(out); fault != nil {
+	if fault := e.fillRequest(out, c); fault != nil {
 		return nil, fault
 	}
-	return out, e.fillRequest(out, c)
+	return out, e.levels.check(out)
 }
 
 // ownRequest begins a request that the own target makes for itself.
 func (e *Engine) ownRequest(v *View, c *app.RequestContext, id request.ID) (*outgoing, *status.Error) {
 	out, fault := e.newRequest(v, c, id)
-	if fault != nil {
+	if out == nil {
 		return nil, fault
 	}
 	if !out.info.Accepts(e.self.Tenant) {
@@ -145,7 +167,7 @@
 		return nil, status.Refuse(status.CodeForbidden, 0, "%s takes no requests of tenant %s", out.info.Name, e.self.Tenant)
 	}
 	out.meta.Tenant = e.self.Tenant
-	return out, nil
+	return out, fault
 }
 
 // subCall continues the request x with a call that its target makes.
@@ -176,7 +198,10 @@
 	}
 	out.meta.Depth++
 	out.meta.Origin = e.self.Service
-	return out, e.fillRequest(out, c)
+	if fault := e.fillRequest(out, c); fault != nil {
+		return nil, fault
+	}
+	return out, nil
 }
 
 // lookup finds the service that Host names, and the class of the request. A
--- /dev/null
+++ b/internal/dataplane/explain.go
@@ -0,0 +1,60 @@
+package dataplane
+
+import (
+	"context"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"peardrift/internal/claims"
+	"peardrift/internal/core/claim"
+	"peardrift/internal/core/request"
+	"peardrift/internal/status"
+	"peardrift/internal/wire"
+)
+
+// explain corrects the refusal of an at-most-once call: "not run" is said only
+// if no earlier call under its key has run, and where one has, the answer is
+// that call's. See claims.Runner.Explain.
+func (e *Engine) explain(ctx context.Context, out *outgoing, r *result, resp *protocol.Response) *result {
+	if !out.class.AtMostOnce || r.outcome != request.Refused || !forNow(r.code) {
+		return r
+	}
+	res := e.claims.Explain(ctx, out.claimRequest(e.epoch.Add(out.deadline)), r.failure())
+	if res.Err != nil {
+		x := fail(e.now(), res.Err)
+		x.attempts, x.retry = r.attempts, r.retry
+		return x
+	}
+	earlier, answer := fromClaim(e.now(), res)
+	answer.CopyTo(resp)
+	protocol.ReleaseResponse(answer)
+	earlier.attempts = r.attempts
+	return earlier
+}
+
+// claimRequest describes the call as its callee's node would claim it.
+func (c *outgoing) claimRequest(deadline time.Time) claims.Request {
+	h := &c.req.Header
+	return claims.Request{
+		Scope:    claim.Scope{Tenant: c.meta.Tenant, Service: c.info.Name, Class: c.class.Name},
+		Key:      string(h.Peek(wire.HeaderIdempotencyKey)),
+		Method:   string(h.Method()),
+		Path:     string(h.RequestURI()),
+		Body:     claim.Sum(c.req.BodyBytes()),
+		Remember: c.class.Remember,
+		Deadline: deadline,
+	}
+}
+
+// forNow reports the codes of refusals that say nothing of the request itself:
+// the same request may have been taken before.
+func forNow(code status.Code) bool {
+	switch code {
+	case status.CodeOverloaded, status.CodeOverShare, status.CodeDeadline, status.CodeNoTarget,
+		status.CodeDraining, status.CodeNotReady, status.CodeConnectFailed,
+		status.CodeRetriesExhausted, status.CodeSuspect, status.CodeCanceled:
+		return true
+	}
+	return false
+}
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -22,6 +22,7 @@
 // Claims runs requests of at-most-once classes; *claims.Runner is one.
 type Claims interface {
 	Do(ctx context.Context, req claims.Request, run func(context.Context) claims.Result) claims.Result
+	Explain(ctx context.Context, req claims.Request, refusal *status.Error) claims.Result
 }
 
 // serving is one call that another node sent, on its way through this one.
