--- /dev/null
+++ b/internal/core/inforce/fuzz_test.go
@@ -0,0 +1,59 @@
+package inforce
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"peardrift/internal/core/confset"
+)
+
+// FuzzReply feeds a node what a peer may send, as bytes on the wire: it must not
+// end the process, and nothing but the announced set may come in force.
+func FuzzReply(f *testing.F) {
+	pack := func(slots int, version int64) *confset.Packed {
+		set := testSet("khaosan", slots)
+		set.Version = version
+		p, err := confset.Pack(set)
+		if err != nil {
+			f.Fatal(err)
+		}
+		return p
+	}
+	old, next := pack(2, 1), pack(4, 2)
+	d, _ := next.Following(old).Since(1)
+	delta, err := d.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, r := range []Reply{
+		{Head: next.Head(), Delta: delta},
+		{Head: next.Head(), Whole: (&tenant{held: next}).compressed()},
+		{Head: next.Head(), Whole: (&tenant{held: old}).compressed()},
+		{Heads: []confset.Head{next.Head(), old.Head()}, Informed: true},
+	} {
+		body, err := msgpack.Marshal(r)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(body)
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		var r Reply
+		if msgpack.Unmarshal(body, &r) != nil {
+			return
+		}
+		peers := manyPeers(3, 1)
+		s := New(DefaultConfig(), peers[0], rand.New(rand.NewPCG(1, 1)), 0)
+		s.SetPeers(peers, peers, true)
+		s.start.informed = true
+		s.Learn(1, next.Head())
+		s.tenants["khaosan"].held = old
+		s.fetched(1, s.tenants["khaosan"], r)
+		if v := s.InForce("khaosan"); v == 2 && s.tenants["khaosan"].held.Head() != next.Head() {
+			t.Fatal("another set came in force as version 2")
+		}
+		s.headsTold(1, peers[1].ID, r)
+	})
+}
