Replay lost targets, false slots, hasty clients and a chain eight deep

The former scenarios overload entry services first, so that what a mechanism does for a shortage deep in a chain didn't show. The highest possible goodput now takes in lost slots and requests that can't end in time. Nodes forget the levels of members that left, and the table of targets is told the number of calling nodes, not of all.

--- a/bench/cmd/replay/main.go
+++ b/bench/cmd/replay/main.go
@@ -16,7 +16,7 @@
 )
 
 type options struct {
-	Deployments []string `short:"d" long:"deployment" description:"khaosan, kalahari or shared; may be repeated (default: khaosan and kalahari, shared for flood)"`
+	Deployments []string `short:"d" long:"deployment" description:"khaosan, kalahari, shared or ladder; may be repeated (default: khaosan and kalahari, shared for flood)"`
 	Scenarios   []string `short:"s" long:"scenario" description:"normal, worst, surge, slow, replace, restart, failfast, flood or all; may be repeated" default:"worst"`
 	Policies    []string `short:"p" long:"policy" description:"a policy, or baselines, ablations, all; may be repeated" default:"peardrift"`
 	Seed        uint64   `long:"seed" description:"first seed" default:"1"`
--- a/bench/replay/client.go
+++ b/bench/replay/client.go
@@ -71,10 +71,10 @@
 	}
 	w.after(w.dep.ClientDelay, func() {
 		n.entries[seq] = c
-		c.deadline = w.now + w.dep.Timeout - 2*w.dep.ClientDelay
+		c.deadline = w.now + w.timeout - 2*w.dep.ClientDelay
 		c.try()
 	})
-	u.timer = w.after(w.dep.Timeout, func() { u.timeout(c) })
+	u.timer = w.after(w.timeout, func() { u.timeout(c) })
 }
 
 // timeout gives the try up; the entry node sees the connection close.
--- a/bench/replay/core.go
+++ b/bench/replay/core.go
@@ -150,7 +150,25 @@
 		ts = append(ts, route.Target{ID: m.id, Incarnation: 1, Zone: zoneName(m.zone), Slots: m.target.slots,
 			Conns: m.target.conns, Since: m.target.started})
 	}
-	r.table.Update(r.n.w.now, ts, r.n.w.nodes)
+	r.table.Update(r.n.w.now, ts, r.n.w.callers(r.svc))
+}
+
+// callers is the number of nodes that call a service: those of the services
+// above it, and all of them if clients' requests begin there.
+func (w *world) callers(svc *service) int {
+	above := map[string]bool{}
+	for i := range w.dep.Classes {
+		root := &w.dep.Classes[i].Root
+		if root.Service == svc.spec.Name {
+			return w.nodes
+		}
+		root.Callers(svc.spec.Name, above)
+	}
+	n := 0
+	for name := range above {
+		n += len(w.service(name).nodes)
+	}
+	return n
 }
 
 func (r *router) pick(c *call, p request.Priority) (*node, int) {
@@ -180,14 +198,14 @@
 	switch {
 	case r.outcome == request.Completed:
 		return route.Success
+	case r.code == status.CodeConnectionLost && !r.below:
+		return route.Broken
 	case r.outcome == request.Refused && r.code == status.CodeDraining:
 		return route.Leaves
 	case r.outcome == request.Refused:
 		return route.Shed
 	case r.code == status.CodeTargetFailed && !r.below, r.code == status.CodeDeadlineExceeded && !r.answered:
 		return route.Failure
-	case r.code == status.CodeConnectionLost:
-		return route.Broken
 	}
 	return route.Ignored
 }
--- a/bench/replay/measure.go
+++ b/bench/replay/measure.go
@@ -41,7 +41,7 @@
 	refusal map[spot]map[uint8]int // refused calls by importance
 	least   map[spot]uint8         // least importance that completed
 	deep    amplification
-	slowed  workload.Slowdown
+	in      workload.Condition
 }
 
 // series is what became of the users of one class, by bin of time.
@@ -63,7 +63,8 @@
 
 func newMeasures(w *world, h workload.Header) *measures {
 	m := &measures{w: w, header: h, classes: map[string]*series{},
-		refusal: map[spot]map[uint8]int{}, least: map[spot]uint8{}, slowed: workload.Slowdown{}}
+		refusal: map[spot]map[uint8]int{}, least: map[spot]uint8{},
+		in: workload.Condition{Slow: map[string]float64{}, Part: map[string]float64{}, Within: w.timeout - 2*w.dep.ClientDelay}}
 	n := int((h.Lasts+w.dep.Patience)/bin) + 1
 	for i := range w.dep.Classes {
 		m.classes[w.dep.Classes[i].Name] = &series{arrived: make([]int, n), served: make([]int, n),
--- a/bench/replay/node.go
+++ b/bench/replay/node.go
@@ -22,6 +22,7 @@
 	live     map[uint64]*attempt // received and not ended
 	entries  map[uint64]*call    // whole requests that entered here
 	draining bool
+	gone     bool
 }
 
 // gate is the admission control of a node. It answers arrive by node.begin or
@@ -41,6 +42,10 @@
 	a.arrived = n.w.now
 	a.purse = retry.NewPurse(a.grant.Allowance, a.grant.Repeat)
 	n.live[a.seq] = a
+	if n.gone {
+		n.end(a, result{outcome: request.Refused, code: status.CodeConnectionLost})
+		return
+	}
 	if n.draining {
 		n.refuse(a, result{code: status.CodeDraining})
 		return
--- a/bench/replay/policy.go
+++ b/bench/replay/policy.go
@@ -69,6 +69,7 @@
 		without("brake", func(p *Policy) { p.Brake = false }),
 		without("retry-bounds", func(p *Policy) { p.CoreRetry = false }),
 		without("deadlines", func(p *Policy) { p.Deadlines = false }),
+		without("time-bounds", func(p *Policy) { p.Deadlines, p.Cancel = false, false }),
 		without("cancel", func(p *Policy) { p.Cancel = false }),
 		without("deep-first", func(p *Policy) { p.DeepFirst = false }),
 		without("route", func(p *Policy) { p.CorePick = false }),
--- a/bench/replay/result.go
+++ b/bench/replay/result.go
@@ -56,7 +56,7 @@
 		name := d.Classes[i].Name
 		demand[name] = mean(m.classes[name].arrived, from, to)
 	}
-	best := d.Best(demand, m.slowdown())
+	best := d.Best(demand, m.in)
 	before := 0
 	for i := range d.Classes {
 		name := d.Classes[i].Name
@@ -90,9 +90,6 @@
 	return r
 }
 
-// slowdown is what the trace does to services for the whole of the trigger.
-func (m *measures) slowdown() workload.Slowdown { return m.slowed }
-
 // A service has recovered when goodput over recoveryWindow reaches recoveredAt
 // of normal and the mean of the following stableFor does so too.
 const (
--- a/bench/replay/target.go
+++ b/bench/replay/target.go
@@ -20,6 +20,7 @@
 // bound, cold start, drain, and faults.
 type target struct {
 	slots, conns int
+	real         int // slots that work, slots if all do
 	used         int
 	waiting      []*attempt
 	started      time.Duration
@@ -43,7 +44,7 @@
 	switch {
 	case t.failFast:
 		n.end(a, result{outcome: request.Failed, code: status.CodeTargetFailed})
-	case t.used < t.slots:
+	case t.used < t.real:
 		n.work(a)
 	case len(t.waiting) < t.conns-t.slots:
 		t.waiting = append(t.waiting, a)
@@ -135,7 +136,7 @@
 	}
 	a.running = false
 	t.used--
-	if len(t.waiting) > 0 && t.used < t.slots {
+	if len(t.waiting) > 0 && t.used < t.real {
 		next := t.waiting[0]
 		t.waiting = slices.Delete(t.waiting, 0, 1)
 		n.work(next)
--- a/bench/replay/workload/capacity.go
+++ b/bench/replay/workload/capacity.go
@@ -19,12 +19,15 @@
 	return time.Duration(sum / gammaShape * float64(mean))
 }
 
-// Slowdown is the factor by which a service's own work takes longer; a service
-// that is not listed works at its usual speed.
-type Slowdown map[string]float64
+// Condition is what a fleet suffers from; the zero value is a healthy one.
+type Condition struct {
+	Slow   map[string]float64 // factor on a service's own work; 1 if not listed
+	Part   map[string]float64 // part of a service's slots that work; 1 if not listed
+	Within time.Duration      // a client waits this long for an answer; 0: for good
+}
 
-func (s Slowdown) factor(service string) float64 {
-	if f, ok := s[service]; ok {
+func factor(m map[string]float64, service string) float64 {
+	if f, ok := m[service]; ok {
 		return f
 	}
 	return 1
@@ -39,22 +42,30 @@
 )
 
 // HoldOf computes by sampling what one request of a class takes when nothing
-// queues: the least slot time that completing it needs.
-func (d *Deployment) HoldOf(c *Class, slow Slowdown) Hold {
+// queues: the least slot time that completing it needs. Requests that don't end
+// in time are left out; the second result is the part of those that do.
+func (d *Deployment) HoldOf(c *Class, in Condition) (Hold, float64) {
 	rng := rand.New(rand.NewPCG(capacitySeed, uint64(c.Importance)))
-	hold := Hold{}
+	hold, ended := Hold{}, 0
 	for range capacitySamples {
-		d.sample(rng, &c.Root, slow, hold)
+		one := Hold{}
+		if took := d.sample(rng, &c.Root, in, one); in.Within > 0 && took > in.Within {
+			continue
+		}
+		ended++
+		for s, h := range one {
+			hold[s] += h
+		}
 	}
 	for s := range hold {
-		hold[s] /= capacitySamples
+		hold[s] /= float64(ended)
 	}
-	return hold
+	return hold, float64(ended) / capacitySamples
 }
 
 // sample runs one call on idle targets and returns how long it takes.
-func (d *Deployment) sample(rng *rand.Rand, c *Call, slow Slowdown, hold Hold) time.Duration {
-	took := time.Duration(float64(Draw(rng, c.Work)) * slow.factor(c.Service))
+func (d *Deployment) sample(rng *rand.Rand, c *Call, in Condition, hold Hold) time.Duration {
+	took := time.Duration(float64(Draw(rng, c.Work)) * factor(in.Slow, c.Service))
 	for _, step := range c.Steps {
 		longest := time.Duration(0)
 		for i := range step {
@@ -62,7 +73,7 @@
 				if step[i].Chance < 1 && rng.Float64() >= step[i].Chance {
 					continue
 				}
-				sub := d.sample(rng, &step[i].Call, slow, hold) + 2*d.LocalDelay
+				sub := d.sample(rng, &step[i].Call, in, hold) + 2*d.LocalDelay
 				longest = max(longest, sub)
 			}
 		}
@@ -77,7 +88,8 @@
 func (d *Deployment) Sustainable() float64 {
 	need := Hold{}
 	for i := range d.Classes {
-		for s, h := range d.HoldOf(&d.Classes[i], nil) {
+		hold, _ := d.HoldOf(&d.Classes[i], Condition{})
+		for s, h := range hold {
 			need[s] += d.Classes[i].Share * h
 		}
 	}
@@ -96,19 +108,19 @@
 
 // Best is the highest goodput per class, in requests a second, that the slots
 // allow for a demand per class when the classes are served in their order of
-// importance. Tenants have equal shares of what one importance gets, and lend
+// importance, by a policy that knows beforehand which requests end in time. Tenants have equal shares of what one importance gets, and lend
 // what they don't need; one tenant's classes of it share in proportion to demand.
-func (d *Deployment) Best(demand map[string]float64, slow Slowdown) map[string]float64 {
+func (d *Deployment) Best(demand map[string]float64, in Condition) map[string]float64 {
 	left := map[string]float64{}
 	for _, s := range d.Services {
-		left[s.Name] = float64(s.Targets * s.Slots)
+		left[s.Name] = float64(s.Targets*s.Slots) * factor(in.Part, s.Name)
 	}
 	best := map[string]float64{}
 	for _, group := range d.byImportance() {
 		tenants := byTenant(group, demand)
 		for i, classes := range tenants {
 			share := 1 / float64(len(tenants)-i)
-			d.fill(classes, demand, slow, share, left, best)
+			d.fill(classes, demand, in, share, left, best)
 		}
 	}
 	return best
@@ -116,11 +128,13 @@
 
 // fill gives classes their demand, or as much of it as a share of what is left
 // of the slots allows.
-func (d *Deployment) fill(classes []*Class, demand map[string]float64, slow Slowdown, share float64, left, best map[string]float64) {
+func (d *Deployment) fill(classes []*Class, demand map[string]float64, in Condition, share float64, left, best map[string]float64) {
 	need := Hold{}
 	for _, c := range classes {
-		for s, h := range d.HoldOf(c, slow) {
-			need[s] += h * demand[c.Name]
+		hold, inTime := d.HoldOf(c, in)
+		best[c.Name] = demand[c.Name] * inTime
+		for s, h := range hold {
+			need[s] += h * best[c.Name]
 		}
 	}
 	part := 1.0
@@ -133,7 +147,7 @@
 		left[s] -= n * part
 	}
 	for _, c := range classes {
-		best[c.Name] = demand[c.Name] * part
+		best[c.Name] *= part
 	}
 }
 
--- a/bench/replay/workload/deployment.go
+++ b/bench/replay/workload/deployment.go
@@ -1,6 +1,9 @@
 package workload
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Deployment is a fleet of services and the mix of requests that it serves.
 type Deployment struct {
@@ -48,6 +51,18 @@
 	Chance float64
 }
 
+// Callers adds to out the services that call the named one in this chain.
+func (c *Call) Callers(name string, out map[string]bool) {
+	for _, step := range c.Steps {
+		for i := range step {
+			if step[i].Service == name {
+				out[c.Service] = true
+			}
+			step[i].Callers(name, out)
+		}
+	}
+}
+
 func ms(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
 
 func call(service string, work time.Duration, steps ...[]Sub) Call {
@@ -129,10 +144,40 @@
 	}
 }
 
+// ladderDepth is the length of the ladder's chain.
+const ladderDepth = 8
+
+// Ladder is no deployment of the brief: one chain, eight deep, in which each
+// service does as much work of its own before it calls the next. It stands for
+// the deep chains to come, where a refusal at the end wastes the most.
+func Ladder() *Deployment {
+	const tenant, slotsPerHop = "ladder", 20
+	d := &Deployment{
+		Name: tenant, Zones: 3, ZoneDelay: ms(1.5), LocalDelay: ms(0.1), ClientDelay: ms(4),
+		Deep: "s8", Patience: 4 * time.Second, Timeout: 2 * time.Second,
+	}
+	chain := Call{}
+	for hop := ladderDepth; hop >= 1; hop-- {
+		name := fmt.Sprintf("s%d", hop)
+		next := call(name, ms(10))
+		if hop < ladderDepth {
+			next.Steps = [][]Sub{step(times(1, chain))}
+		}
+		chain = next
+		slots := slotsPerHop * (ladderDepth + 1 - hop)
+		d.Services = append(d.Services, Service{name, 3, slots, 8 * slots})
+	}
+	d.Classes = []Class{
+		{"read", tenant, 40, 0.9, false, chain},
+		{"write", tenant, 80, 0.1, true, chain},
+	}
+	return d
+}
+
 // Deployments lists the deployments by name.
 func Deployments() map[string]*Deployment {
 	all := map[string]*Deployment{}
-	for _, d := range []*Deployment{Khaosan(), Kalahari(), Shared()} {
+	for _, d := range []*Deployment{Khaosan(), Kalahari(), Shared(), Ladder()} {
 		all[d.Name] = d
 	}
 	return all
--- a/bench/replay/workload/scenario.go
+++ b/bench/replay/workload/scenario.go
@@ -18,7 +18,8 @@
 	Restart  Fault = "restart"  // the target's node loses its state and its calls
 	FailFast Fault = "failfast" // the target fails every call at once; Factor 0 ends it
 	Lie      Fault = "lie"      // the target reports no load; Factor 0 ends it
-	Mark     Fault = "mark"     // nothing happens: the trigger's end, for measuring
+	Lose     Fault = "lose"     // the target and its node are gone at once
+	Shrink   Fault = "shrink"   // 1/Factor of all targets' slots work; 1 ends it
 )
 
 // Phase is a stretch of a scenario with steady demand.
@@ -36,6 +37,7 @@
 	Phases []Phase
 	Faults []Event // T counted from the start of the trigger
 	Hard   float64 // part of the clients that ignore Retry-After
+	Hasty  float64 // clients wait 1/Hasty of their usual time for a try; 0 counts as 1
 }
 
 // Normal load, and the surge that the goals speak of.
@@ -43,6 +45,8 @@
 	NormalLoad = 0.6
 	SurgeLoad  = 2.0
 	slowFactor = 4
+	shrinkage  = 6
+	hasty      = 4
 	floodLoad  = 10
 )
 
@@ -58,7 +62,7 @@
 }
 
 // ScenarioNames lists the scenarios in the order of the tables.
-var ScenarioNames = []string{"normal", "worst", "surge", "slow", "replace", "restart", "failfast", "flood"}
+var ScenarioNames = []string{"normal", "worst", "surge", "slow", "replace", "restart", "lost", "shrink", "hasty", "failfast", "flood"}
 
 // ScenarioFor returns a scenario as it applies to a deployment, or nil.
 func ScenarioFor(name string, d *Deployment, l Lengths) *Scenario {
@@ -73,25 +77,33 @@
 	cured := Event{T: l.During, Fault: Slow, Service: d.Deep, Factor: 1}
 	switch name {
 	case "normal":
-		return &Scenario{name, "normal load, patient clients", l.phases(Phase{Load: NormalLoad}), nil, 0}
+		return &Scenario{Name: name, About: "normal load, patient clients", Phases: l.phases(Phase{Load: NormalLoad}), Faults: nil, Hard: 0}
 	case "worst":
-		return &Scenario{name, "a deep service slows, demand surges, clients retry hard", surge, []Event{slowed, cured}, 1}
+		return &Scenario{Name: name, About: "a deep service slows, demand surges, clients retry hard", Phases: surge, Faults: []Event{slowed, cured}, Hard: 1}
 	case "surge":
-		return &Scenario{name, "twice the sustainable demand, clients retry hard", surge, nil, 1}
+		return &Scenario{Name: name, About: "twice the sustainable demand, clients retry hard", Phases: surge, Faults: nil, Hard: 1}
 	case "slow":
-		return &Scenario{name, "a deep service slows at normal demand", l.phases(Phase{Load: NormalLoad}), []Event{slowed, cured}, 1}
+		return &Scenario{Name: name, About: "a deep service slows at normal demand", Phases: l.phases(Phase{Load: NormalLoad}), Faults: []Event{slowed, cured}, Hard: 1}
 	case "replace":
-		return &Scenario{name, "the entry service's targets are replaced in the surge", surge, d.replacement(entry, l), 1}
+		return &Scenario{Name: name, About: "the entry service's targets are replaced in the surge", Phases: surge, Faults: d.replacement(entry, l), Hard: 1}
 	case "restart":
-		return &Scenario{name, "a node of the entry service loses its history in the surge", surge,
-			[]Event{{T: l.During / 2, Fault: Restart, Service: entry}}, 1}
+		return &Scenario{Name: name, About: "a node of the entry service loses its history in the surge", Phases: surge, Hard: 1,
+			Faults: []Event{{T: l.During / 2, Fault: Restart, Service: entry}}}
+	case "lost":
+		return &Scenario{Name: name, About: "most targets of a deep service are lost in the surge", Phases: surge, Faults: d.loss(l), Hard: 1}
+	case "shrink":
+		return &Scenario{Name: name, About: "a deep service can run few requests at once, and doesn't say so", Phases: surge, Hard: 1,
+			Faults: []Event{{Fault: Shrink, Service: d.Deep, Factor: shrinkage}, {T: l.During, Fault: Shrink, Service: d.Deep, Factor: 1}}}
+	case "hasty":
+		return &Scenario{Name: name, About: "the worst case, with clients that soon time out", Phases: surge,
+			Faults: []Event{slowed, cured}, Hard: 1, Hasty: hasty}
 	case "failfast":
-		return &Scenario{name, "one target of the deep service fails fast and reports no load", l.phases(Phase{Load: NormalLoad}),
-			[]Event{{Fault: FailFast, Service: d.Deep, Factor: 1}, {Fault: Lie, Service: d.Deep, Factor: 1},
-				{T: l.During, Fault: FailFast, Service: d.Deep}, {T: l.During, Fault: Lie, Service: d.Deep}}, 1}
+		return &Scenario{Name: name, About: "one target of the deep service fails fast and reports no load", Phases: l.phases(Phase{Load: NormalLoad}), Hard: 1,
+			Faults: []Event{{Fault: FailFast, Service: d.Deep, Factor: 1}, {Fault: Lie, Service: d.Deep, Factor: 1},
+				{T: l.During, Fault: FailFast, Service: d.Deep}, {T: l.During, Fault: Lie, Service: d.Deep}}}
 	case "flood":
-		return &Scenario{name, "one tenant floods a shared service", l.phases(Phase{Load: NormalLoad,
-			Tenants: map[string]float64{"khaosan": floodLoad}}), nil, 1}
+		return &Scenario{Name: name, About: "one tenant floods a shared service", Hard: 1, Phases: l.phases(Phase{Load: NormalLoad,
+			Tenants: map[string]float64{"khaosan": floodLoad}})}
 	}
 	return nil
 }
@@ -113,6 +125,23 @@
 	return out
 }
 
+// loss takes all targets of the deep service but one, and brings new ones after
+// the trigger.
+func (d *Deployment) loss(l Lengths) []Event {
+	var out []Event
+	for i := range d.Services {
+		s := &d.Services[i]
+		if s.Name != d.Deep {
+			continue
+		}
+		for n := range s.Targets - 1 {
+			out = append(out, Event{Fault: Lose, Service: s.Name, Target: n},
+				Event{T: l.During, Fault: Start, Service: s.Name, Target: s.Targets + n})
+		}
+	}
+	return out
+}
+
 // clients is how many different clients the generator draws from.
 const clients = 20000
 
@@ -120,7 +149,7 @@
 func Generate(d *Deployment, s *Scenario, seed uint64) *Trace {
 	rng := rand.New(rand.NewPCG(seed, 0x7ea2))
 	sustainable := d.Sustainable()
-	tr := &Trace{Header: Header{Format: Format, Deployment: d.Name, Scenario: s.Name, Seed: seed, Hard: s.Hard}}
+	tr := &Trace{Header: Header{Format: Format, Deployment: d.Name, Scenario: s.Name, Seed: seed, Hard: s.Hard, Hasty: s.Hasty}}
 	at := time.Duration(0)
 	for _, p := range s.Phases {
 		if p.Trigger {
--- a/bench/replay/workload/trace.go
+++ b/bench/replay/workload/trace.go
@@ -20,6 +20,7 @@
 	Seed       uint64
 	Scale      int           // slots and connections of the deployment are divided by it
 	Hard       float64       // part of the clients that ignore Retry-After
+	Hasty      float64       // clients wait 1/Hasty of their usual time for a try; 0 counts as 1
 	From, To   time.Duration // the trigger
 	Lasts      time.Duration
 }
@@ -103,5 +104,5 @@
 			return true
 		}
 	}
-	return e.Fault == Mark
+	return false
 }
--- a/bench/replay/world.go
+++ b/bench/replay/world.go
@@ -40,6 +40,7 @@
 	zones    [][]*node
 	nodes    int
 	hard     float64
+	timeout  time.Duration // of a client's try
 	retryCfg retry.Config
 	earlyCfg early.Config
 	m        *measures
@@ -48,6 +49,7 @@
 func newWorld(d *workload.Deployment, p Policy, h workload.Header, seed uint64) *world {
 	w := &world{dep: d, pol: p, hard: h.Hard, rng: rand.New(rand.NewPCG(seed, 0x3c0e)),
 		retryCfg: retry.DefaultConfig(), earlyCfg: early.DefaultConfig()}
+	w.timeout = time.Duration(float64(d.Timeout) / max(1, h.Hasty))
 	w.zones = make([][]*node, d.Zones)
 	w.m = newMeasures(w, h)
 	for i := range d.Classes {
@@ -72,7 +74,7 @@
 	n := &node{w: w, index: w.nodes, svc: svc, zone: (len(svc.nodes) + svc.index) % w.dep.Zones}
 	w.nodes++
 	n.id = request.TargetIDOf(fmt.Sprintf("%s-%d", svc.spec.Name, len(svc.nodes)))
-	n.target = target{slots: svc.spec.Slots, conns: svc.spec.Connections, started: w.now}
+	n.target = target{slots: svc.spec.Slots, real: svc.spec.Slots, conns: svc.spec.Connections, started: w.now}
 	n.reset()
 	svc.nodes = append(svc.nodes, n)
 	w.zones[n.zone] = append(w.zones[n.zone], n)
@@ -107,7 +109,7 @@
 	if w.pol.Deadlines {
 		return above
 	}
-	return w.now + w.dep.Timeout
+	return w.now + w.timeout
 }
 
 // fault applies a fault of the trace.
@@ -117,7 +119,7 @@
 	case workload.Slow:
 		svc.slow = e.Factor
 		if e.Factor > 1 {
-			w.m.slowed[e.Service] = e.Factor
+			w.m.in.Slow[e.Service] = e.Factor
 		}
 	case workload.Start:
 		w.start(svc)
@@ -127,11 +129,41 @@
 		svc.nodes[e.Target].restart()
 	case workload.FailFast:
 		svc.nodes[e.Target].target.failFast = e.Factor > 0
+	case workload.Lose:
+		w.lose(svc.nodes[e.Target])
+	case workload.Shrink:
+		w.shrink(svc, e.Factor)
 	case workload.Lie:
 		svc.nodes[e.Target].target.lies = e.Factor > 0
 	}
 }
 
+// lose ends a target and its node at once; the others notice by connections that
+// break, and from the members a while later.
+func (w *world) lose(n *node) {
+	w.m.in.Part[n.svc.spec.Name] = factorOf(w.m.in.Part, n.svc.spec.Name) - 1/float64(n.svc.spec.Targets)
+	n.restart()
+	n.gone = true
+	w.drain(n)
+}
+
+// shrink leaves 1/by of the slots of all targets working.
+func (w *world) shrink(svc *service, by float64) {
+	if by > 1 {
+		w.m.in.Part[svc.spec.Name] = 1 / by
+	}
+	for _, n := range svc.nodes {
+		n.target.real = max(1, int(float64(n.target.slots)/by))
+	}
+}
+
+func factorOf(m map[string]float64, service string) float64 {
+	if f, ok := m[service]; ok {
+		return f
+	}
+	return 1
+}
+
 func (w *world) start(svc *service) {
 	n := w.addNode(svc)
 	n.target.cold = true
@@ -146,6 +178,11 @@
 	w.after(announceDelay, func() {
 		n.svc.generation++
 		n.svc.members = slices.DeleteFunc(slices.Clone(n.svc.members), func(x *node) bool { return x == n })
+		for _, s := range w.services {
+			for _, other := range s.nodes {
+				other.levels.Forget(n.id)
+			}
+		}
 	})
 }
 
