Test what nodes tell each other, and fuzz what a peer may send

Cause: the headers between nodes had no test. Stripping is tested in any spelling and for headers that Connection names.

--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,123 @@
+package wire
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/matryer/is"
+
+	"peardrift/internal/core/request"
+	"peardrift/internal/status"
+)
+
+func TestMetaTravels(t *testing.T) {
+	is := is.New(t)
+	in := Meta{
+		Tenant: "khaosan", Class: "morning-feed", Importance: 40, Remaining: 1500 * time.Millisecond,
+		Allowance: 2, Repeat: true, Depth: 3, RootKey: "k", Origin: "feed.khaosan",
+	}
+	var h protocol.RequestHeader
+	SetMeta(&h, &in)
+	out, err := GetMeta(&h)
+	is.NoErr(err)
+	is.Equal(out, in)
+}
+
+func TestAnswerTravels(t *testing.T) {
+	is := is.New(t)
+	in := Answer{
+		Outcome: request.Refused, Code: status.CodeOverloaded, Level: 7 << 16, Chain: 9 << 16,
+		Unspent: 1, Made: 4, InFlight: 20, Limit: 25, Pushback: 1200 * time.Millisecond,
+	}
+	var h protocol.ResponseHeader
+	SetAnswer(&h, &in)
+	is.Equal(GetAnswer(&h), in)
+}
+
+// Symptom: a caller raises its own importance, allowance or depth.
+// Events: it sends the headers by which nodes talk, in any spelling.
+// Cause: a face that copies what it was sent.
+func TestInternalHeadersStayOutside(t *testing.T) {
+	is := is.New(t)
+	var src, dst protocol.RequestHeader
+	src.DisableNormalizing()
+	src.SetMethod("GET")
+	src.SetRequestURI("/a?b=c")
+	src.SetHost("feed.khaosan")
+	src.Set("X-Mine", "kept")
+	src.Set("Connection", "X-Private, keep-alive")
+	for _, name := range []string{
+		"Peardrift-Importance", "peardrift-tenant", "PEARDRIFT-Anything", "Traceparent", "tracestate",
+		"Baggage", "X-Private", "Keep-Alive", "Te", "Upgrade", "Expect",
+	} {
+		src.Set(name, "hostile")
+	}
+	CopyRequest(&dst, &src)
+	is.Equal(string(dst.Peek("X-Mine")), "kept")
+	is.Equal(string(dst.RequestURI()), "/a?b=c")
+	is.True(!strings.Contains(string(dst.Header()), "hostile"))
+}
+
+func TestAnswersOutsideCarryNoInternalHeaders(t *testing.T) {
+	is := is.New(t)
+	var src, dst protocol.ResponseHeader
+	src.SetStatusCode(201)
+	SetAnswer(&src, &Answer{Outcome: request.Completed, Level: 1, Unspent: 3, Limit: 2})
+	src.Set("Content-Type", "text/plain")
+	CopyAnswer(&dst, &src)
+	is.Equal(dst.StatusCode(), 201)
+	is.Equal(string(dst.ContentType()), "text/plain")
+	is.Equal(len(dst.Peek(HeaderLevel)), 0)
+	is.Equal(GetAnswer(&dst), Answer{}) // claims nothing
+}
+
+// FuzzMeta: whatever a peer sends, the fields stay in their ranges or the
+// failure is typed, and what is accepted travels on unchanged.
+func FuzzMeta(f *testing.F) {
+	f.Add("40", "1500", "2", "3")
+	f.Add("-1", "99999999999", "x", "")
+	f.Add("101", "0", "1025", "33")
+	f.Fuzz(func(t *testing.T, importance, deadline, allowance, depth string) {
+		var h protocol.RequestHeader
+		h.Set(HeaderImportance, importance)
+		h.Set(HeaderDeadline, deadline)
+		h.Set(HeaderAllowance, allowance)
+		h.Set(HeaderDepth, depth)
+		m, err := GetMeta(&h)
+		if err != nil {
+			if status.CodeOf(err) != status.CodeProtocol {
+				t.Fatalf("untyped failure %v", err)
+			}
+			return
+		}
+		if m.Importance > request.MaxImportance || m.Depth > MaxDepth || m.Remaining < 0 || m.Allowance < 0 {
+			t.Fatalf("out of range: %+v", m)
+		}
+		var again protocol.RequestHeader
+		SetMeta(&again, &m)
+		if back, err := GetMeta(&again); err != nil || back != m {
+			t.Fatalf("%+v came back as %+v, %v", m, back, err)
+		}
+	})
+}
+
+// FuzzAnswer: a malformed answer never claims more than "unknown".
+func FuzzAnswer(f *testing.F) {
+	f.Add("refused", "65536", "1/2")
+	f.Add("Refused", "-1", "/")
+	f.Fuzz(func(t *testing.T, outcome, level, load string) {
+		var h protocol.ResponseHeader
+		h.Set(HeaderOutcome, outcome)
+		h.Set(HeaderLevel, level)
+		h.Set(HeaderLoad, load)
+		a := GetAnswer(&h)
+		if a.Outcome != request.Unknown && a.Outcome.String() != string(h.Peek(HeaderOutcome)) {
+			t.Fatalf("%q was read as %v", outcome, a.Outcome)
+		}
+		if a.Level > request.MaxPriority || a.InFlight < 0 || a.Limit < 0 {
+			t.Fatalf("out of range: %+v", a)
+		}
+	})
+}
