Let go of an answer that is tried again

Cause: a target's failure with a long answer is a stream; the next attempt left it open, so its connection and the target's slot were held until the end of the whole request. The test failed with 1 call still booked, passes now. Two more tests hold the outcome rules of the call loop against scripted nodes.

--- a/internal/dataplane/call.go
+++ b/internal/dataplane/call.go
@@ -90,10 +90,23 @@
 		if !d.Retry() || c.once && r.code != status.CodeConnectFailed || !pause(ctx, d.Wait) {
 			return conclude(r, &sub)
 		}
+		r.discard()
 		last = r
 	}
 }
 
+// discard lets go of an answer that is to be tried again. Its stream would
+// otherwise hold its connection, and the target's slot, until the whole request
+// ends.
+func (r *result) discard() {
+	if r.stream == nil {
+		return
+	}
+	_ = r.stream.Close()
+	r.stream = nil
+	r.code, r.detail = status.CodeTargetFailed, "the target failed"
+}
+
 // conclude corrects the outcome of the last attempt for what the earlier ones
 // may have done: a request of which one attempt may have run is not "refused",
 // though the last one was.
