Prove outcomes by a cut at each step of a call

A request goes through three services and their nodes, and the connection at each hop is reset, ended or its peer killed after a byte of the request or of the answer: a few places of each message and every byte around the end of its head. Held each time: an answer is byte for byte its own, "not run" only without any run, no second run of what may not run twice, runs within the chain's allowance; and the next request completes.

--- a/bench/e2e/cluster_test.go
+++ b/bench/e2e/cluster_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 
+	"peardrift/bench/faults/link"
 	"peardrift/bench/standin/target"
 	"peardrift/internal/adapter/hertzhttp"
 	"peardrift/internal/claims"
@@ -28,6 +29,15 @@
 	nodes  *hertzhttp.Server
 	egress *hertzhttp.Server
 	entry  *hertzhttp.Server
+	links  links
+}
+
+// links are the networks around a host, by who connects to whom.
+type links struct {
+	entry  *link.Link // a caller to the face for callers
+	node   *link.Link // other nodes to the face for nodes
+	target *link.Link // the node to its target
+	egress *link.Link // the target to its node
 }
 
 type cluster struct {
@@ -35,6 +45,8 @@
 	hosts []*host
 	idx   *confset.Index
 	gen   uint64
+	tune  func(*dataplane.Config)                       // may be nil
+	wrap  func(dataplane.Transport) dataplane.Transport // may be nil
 }
 
 // claimAll runs every request: claims have tests of their own.
@@ -55,28 +67,58 @@
 	h := &host{name: name, svc: request.Service(cfg.Service)}
 	var relay relayHandler
 	h.egress = c.listen(relay.serve)
-	cfg.Node = "http://" + h.egress.Addr()
+	h.links.egress = c.link(h.egress.Addr())
+	cfg.Node = "http://" + h.links.egress.Addr()
 	h.target = target.New(cfg)
 	if err := h.target.Start(); err != nil {
 		c.t.Fatal(err)
 	}
+	h.links.target = c.link(h.target.Addr())
 	if cl == nil {
 		cl = claimAll{}
 	}
-	self := dataplane.Self{
-		Name: name, ID: request.TargetIDOf(name), Service: h.svc, Tenant: "khaosan",
-		Place: route.Place{Caller: uint64(request.TargetIDOf(name)), Region: "r", Zone: "z"}, Target: h.target.Addr(),
-	}
-	h.engine = dataplane.New(dataplane.DefaultConfig(), self, hertzhttp.NewClient(hertzhttp.DefaultClientConfig()),
-		hertzhttp.NewClient(hertzhttp.DefaultClientConfig()), cl, nil)
+	h.engine = c.engine(h, cl)
 	relay.h = h.engine.ServeTarget
 	h.nodes = c.listen(h.engine.ServeNode)
+	h.links.node = c.link(h.nodes.Addr())
 	h.entry = c.listen(h.engine.ServeCaller)
+	h.links.entry = c.link(h.entry.Addr())
 	c.hosts = append(c.hosts, h)
 	c.t.Cleanup(func() { _ = h.target.Close() })
 	return h
 }
 
+func (c *cluster) engine(h *host, cl dataplane.Claims) *dataplane.Engine {
+	self := dataplane.Self{
+		Name: h.name, ID: request.TargetIDOf(h.name), Service: h.svc, Tenant: "khaosan",
+		Place:  route.Place{Caller: uint64(request.TargetIDOf(h.name)), Region: "r", Zone: "z"},
+		Target: h.links.target.Addr(),
+	}
+	dc := dataplane.DefaultConfig()
+	if c.tune != nil {
+		c.tune(&dc)
+	}
+	peers := hertzhttp.NewClient(hertzhttp.DefaultClientConfig())
+	local := hertzhttp.NewClient(hertzhttp.DefaultClientConfig())
+	c.t.Cleanup(func() {
+		peers.Close()
+		local.Close()
+	})
+	if c.wrap != nil {
+		return dataplane.New(dc, self, c.wrap(peers), c.wrap(local), cl, nil)
+	}
+	return dataplane.New(dc, self, peers, local, cl, nil)
+}
+
+func (c *cluster) link(to string) *link.Link {
+	l, err := link.Listen(to)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(l.Close)
+	return l
+}
+
 // relayHandler lets a listener start before its engine is there.
 type relayHandler struct{ h hertzhttp.Handler }
 
@@ -104,7 +146,7 @@
 		info, _ := c.idx.Service(h.svc)
 		peers[h.svc] = append(peers[h.svc], dataplane.Peer{
 			Target: route.Target{ID: request.TargetIDOf(h.name), Incarnation: 1, Region: "r", Zone: "z", Slots: info.Slots, Conns: info.Connections},
-			Addr:   h.nodes.Addr(),
+			Addr:   h.links.node.Addr(),
 		})
 	}
 	v := dataplane.View{
--- a/bench/e2e/path_test.go
+++ b/bench/e2e/path_test.go
@@ -39,11 +39,16 @@
 
 func startChain(t *testing.T) *cluster {
 	c := newCluster(t, threeServices())
+	c.startChain(500_000)
+	return c
+}
+
+// startChain starts one host of each service; media's answers have size bytes.
+func (c *cluster) startChain(size int) {
 	c.add("feed-1", chainConfig("feed.khaosan", 10, target.Call{Service: "archive.khaosan", Path: "/a", Required: true}), nil)
 	c.add("archive-1", chainConfig("archive.khaosan", 10, target.Call{Service: "media.khaosan", Path: "/m", Required: true}), nil)
-	c.add("media-1", chainConfig("media.khaosan", 500_000), nil)
+	c.add("media-1", chainConfig("media.khaosan", size), nil)
 	c.publish()
-	return c
 }
 
 func call(t *testing.T, c *cluster, method, host, path, mark string, hdr map[string]string, body io.Reader) (*http.Response, []byte) {
