Let a node's own slots hold, and drop the load endpoint that nobody asks

Cause: target.slots reached the membership record but not the gate, and target.loadPath had no effect: admission and routing go by what nodes measure, since the endpoint lags and lies (decisions/admission.md, routing.md). A setting without effect would be believed by an operator. Run: tests of settings and dataplane.

--- a/internal/dataplane/engine.go
+++ b/internal/dataplane/engine.go
@@ -1,6 +1,7 @@
 package dataplane
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -66,6 +67,7 @@
 	Tenant  request.Tenant
 	Place   route.Place
 	Target  string // address ip:port of the target
+	Slots   int    // of the target; 0: as the configuration says
 }
 
 // Config bounds the engine.
@@ -155,7 +157,7 @@
 func (e *Engine) Publish(v *View) {
 	e.view.Store(v)
 	if info, ok := v.Index.Service(e.self.Service); ok {
-		e.gate.configure(info.Slots, e.tenants.weights(v.Index))
+		e.gate.configure(cmp.Or(e.self.Slots, info.Slots), e.tenants.weights(v.Index))
 	}
 	if v.Leaving {
 		e.gate.drain()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -112,6 +112,7 @@
 		Tenant:  request.Tenant(tenant),
 		Place:   route.Place{Caller: uint64(id), Region: set.Node.Region, Zone: set.Node.Zone},
 		Target:  set.Target.Address,
+		Slots:   set.Target.Slots,
 	}
 }
 
--- a/internal/settings/default.go
+++ b/internal/settings/default.go
@@ -6,7 +6,7 @@
 // node must be told: its name, region, zone, target, and the platform.
 func Default() Settings {
 	return Settings{
-		Target: Target{HealthPath: "/health", LoadPath: "/load", HealthPeriod: time.Second},
+		Target: Target{HealthPath: "/health", HealthPeriod: time.Second},
 		Listen: Listen{
 			Callers: "127.0.0.1:7400",
 			Nodes:   "127.0.0.1:7401",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -57,16 +57,12 @@
 	Slots int `yaml:"slots" validate:"min=0,max=100000"`
 
 	// HealthPath is the path of the target's health endpoint. Default
-	// "/health". Empty: not asked; only the answers to real calls count.
+	// "/health". Empty: a target that takes connections counts as healthy.
 	HealthPath string `yaml:"healthPath" validate:"omitempty,startswith=/"`
 
-	// LoadPath is the path of the target's load endpoint. Default "/load".
-	// Empty: not asked; the node's own measurements alone count.
-	LoadPath string `yaml:"loadPath" validate:"omitempty,startswith=/"`
-
-	// HealthPeriod is the time between two questions to the health and load
-	// endpoints. Default 1s. Lower notices a dead idle target sooner and costs
-	// the target more calls; higher does the reverse.
+	// HealthPeriod is the time between two questions to the health endpoint.
+	// Default 1s. Lower notices a dead idle target sooner and costs the target
+	// more calls; higher does the reverse.
 	HealthPeriod time.Duration `yaml:"healthPeriod" validate:"min=100ms,max=1m"`
 }
 
