--- a/internal/core/member/config.go
+++ b/internal/core/member/config.go
@@ -87,6 +87,10 @@
 	// MaxItems bounds the bytes of changes, facts and records in one message.
 	// Default 1100, so that a message fits one packet.
 	MaxItems int
+	// JoinRate is the bytes per second at which a new member fetches the whole
+	// state, beyond its Budget. Default 24000. Raising it makes a member complete
+	// sooner; those that it fetches from keep to their own budgets.
+	JoinRate int
 	// JoinRetry is the time between attempts to join. Default 1 s.
 	JoinRetry time.Duration
 }
@@ -120,6 +124,7 @@
 		Burst:           2 * time.Second,
 		ExchangeCost:    300,
 		MaxItems:        1100,
+		JoinRate:        24000,
 		JoinRetry:       time.Second,
 	}
 }
--- a/internal/core/member/join.go
+++ b/internal/core/member/join.go
@@ -8,8 +8,8 @@
 )
 
 // joinState follows the way into the fleet: first one peer lets the member in
-// and names its neighbours, then the rest of the state is fetched in parts at
-// the pace that the budget allows.
+// and names its neighbours, then the rest of the state is fetched in parts, each
+// from another member, so that none of them exceeds its budget.
 type joinState struct {
 	seeds    []Peer
 	services []request.Service // wanted first
@@ -20,8 +20,10 @@
 	source   Peer
 	after    request.TargetID
 	saved    request.TargetID // where to go on once the preferred services are here
-	next     time.Duration // no attempt before
-	begun    time.Duration // the last attempt
+	wrapped  bool             // the last member was passed; the first ones are left
+	next     time.Duration    // no attempt before
+	begun    time.Duration    // the last attempt
+	misses   int              // attempts in a row that brought nothing
 }
 
 func (j *joinState) partial() bool { return j.wanted && (!j.in || j.fetching) }
@@ -106,14 +108,24 @@
 		s.exchange(j.source, m, true)
 		return
 	}
-	if int(s.budget.tokens) < s.cfg.ExchangeCost+s.cfg.MaxItems {
-		return
-	}
 	j.busy, j.begun = true, now
+	j.source = s.anyPeer()
 	m := s.message(Pull)
 	m.After, m.Services = j.after, j.services
-	m.Room = uint32(s.cfg.MaxItems)
-	s.exchange(j.source, m, false)
+	m.Room = uint32(maxJoin * s.cfg.MaxItems)
+	s.exchange(j.source, m, true)
+}
+
+// anyPeer returns a member drawn at random, or the last source if none is known.
+func (s *State) anyPeer() Peer {
+	const tries = 8
+	for range tries {
+		e := &s.tab.members[s.rng.IntN(len(s.tab.members))]
+		if e.present() && e.id != s.self.ID && !s.unreachableGroup(e.rec.Region) {
+			return s.peer(e.id)
+		}
+	}
+	return s.join.source
 }
 
 // answerJoin lets a member in. A small fleet goes into the reply as a whole; of a
@@ -220,23 +232,27 @@
 		}
 		return
 	}
+	// The state is fetched from the own identity on and round, so that members
+	// that join together don't all come to know, and ask, the same ones first.
+	j.saved = s.self.ID
+	if len(j.services) == 0 {
+		j.after = j.saved
+	}
 	j.in, j.fetching = true, m.More
 	j.source = Peer{ID: m.From, Control: to.Control}
 	s.overlay.dirty = true
 	s.queue.put(memberKey(s.self.ID), classJoin, s.allLinks(), 0)
 }
 
-// answerPull sends the next part of the state, as much as the budget allows.
+// answerPull sends the next part of the state. A part of the budget is left for
+// news, so that members that join don't hold it up.
 func (s *State) answerPull(m, r *Message) {
 	r.More, r.Next = true, m.After
 	if s.join.partial() {
 		r.Full = true
 		return
 	}
-	room := int(min(m.Room, uint32(s.cfg.MaxItems)))
-	if int(s.budget.tokens) < s.cfg.ExchangeCost+room {
-		return
-	}
+	room := min(int(min(m.Room, maxJoin*uint32(s.cfg.MaxItems))), int(s.budget.tokens-s.budget.limit/4))
 	i, ok := s.tab.index(m.After)
 	if ok {
 		i++
@@ -261,17 +277,31 @@
 		return
 	}
 	j.busy = false
+	took := float64(m.Size()+s.cfg.ExchangeCost) / float64(s.cfg.JoinRate)
+	j.next = j.begun + time.Duration(took*float64(time.Second))
 	switch {
 	case m.Full, m.More && m.Next <= j.after:
-		s.joinFailed(now, to)
-	case m.More:
+		j.backOff(now, s)
+		return
+	case m.More && !(j.wrapped && len(j.services) == 0 && m.Next >= s.self.ID):
 		j.after = m.Next
 	case len(j.services) > 0:
 		j.services, j.after = nil, j.saved
+	case !j.wrapped:
+		j.wrapped, j.after = true, 0
 	default:
 		j.fetching = false
-		s.actions = append(s.actions, Disconnect{Peer: j.source})
 	}
+	j.misses = 0
+}
+
+// backOff waits longer each time that a peer had nothing to spare. When a whole
+// zone joins at once, all are short of budget, and asking them costs more of it.
+func (j *joinState) backOff(now time.Duration, s *State) {
+	const doublings = 4
+	wait := s.cfg.TickEvery << min(j.misses, doublings)
+	j.misses++
+	j.next = now + wait/2 + s.jitter(wait)
 }
 
 // joinFailed turns to another peer; what has arrived is kept.
@@ -282,8 +312,4 @@
 	}
 	j.busy = false
 	j.next = now + s.cfg.JoinRetry/2 + s.jitter(s.cfg.JoinRetry)
-	if !j.in || len(s.order) == 0 {
-		return
-	}
-	j.source = s.peer(s.order[s.rng.IntN(len(s.order))].peer)
 }
