--- a/bench/cmd/latency/main.go
+++ b/bench/cmd/latency/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -22,13 +23,18 @@
 const exitUsage = 2
 
 type options struct {
-	Rates   []float64     `long:"rate" default:"1000" default:"5000" default:"20000" description:"calls a second; may be repeated"`
-	Rounds  int           `long:"rounds" default:"5" description:"slices of each way"`
-	Slice   time.Duration `long:"slice" default:"2s" description:"length of one slice"`
-	Warm    time.Duration `long:"warm" default:"1s" description:"load before each cell that isn't counted"`
-	Targets int           `long:"targets" default:"2" description:"targets of each service"`
-	Service time.Duration `long:"service-time" default:"0s" description:"time that each target takes for a call"`
-	Traced  float64       `long:"traced" default:"-1" description:"share of requests traced to a file; by default no traces"`
+	Rates     []float64     `long:"rate" default:"1000" default:"5000" default:"20000" description:"calls a second; may be repeated"`
+	Rounds    int           `long:"rounds" default:"5" description:"slices of each way"`
+	Slice     time.Duration `long:"slice" default:"2s" description:"length of one slice"`
+	Warm      time.Duration `long:"warm" default:"1s" description:"load before each cell that isn't counted"`
+	Targets   int           `long:"targets" default:"2" description:"targets of each service"`
+	Service   time.Duration `long:"service-time" default:"0s" description:"time that each target takes for a call"`
+	Procs     int           `long:"procs" default:"2" description:"GOMAXPROCS of each node and target, as on an instance with so many cores; 0: all of the machine's"`
+	Against   string        `long:"against" value-name:"REVISION" description:"compare the benchmarks with those of a revision of git, such as HEAD~1, and measure nothing else"`
+	Requests  int           `long:"requests" default:"20000" description:"requests of each benchmark of a comparison"`
+	MaxCPU    float64       `long:"max-cpu" default:"1.25" description:"bound of the ratio of processor time in a comparison"`
+	MaxAllocs float64       `long:"max-allocs" default:"1.05" description:"bound of the ratio of allocations in a comparison"`
+	Traced    float64       `long:"traced" default:"-1" description:"share of requests traced to a file; by default no traces"`
 }
 
 func main() {
@@ -52,6 +58,11 @@
 	if err != nil {
 		return err
 	}
+	if o.Against != "" {
+		return latency.Compare(ctx, latency.Comparison{
+			Root: root, Against: o.Against, Rounds: o.Rounds, Requests: o.Requests, MaxCPU: o.MaxCPU, MaxAllocs: o.MaxAllocs,
+		}, os.Stdout)
+	}
 	dir, err := os.MkdirTemp("", "peardrift-bin-")
 	if err != nil {
 		return status.Wrap(harness.CodeHarness, err, "folder of the programs")
@@ -64,6 +75,11 @@
 	if bins.Target, err = harness.BuildOne(root, dir, "./bench/cmd/standin-lean"); err != nil {
 		return err
 	}
+	if o.Procs > 0 {
+		if err := os.Setenv("GOMAXPROCS", strconv.Itoa(o.Procs)); err != nil { // for the processes started from here
+			return status.Wrap(harness.CodeHarness, err, "environment of the processes")
+		}
+	}
 	cfg := latency.Config{
 		Bins: bins, Rates: o.Rates, Rounds: o.Rounds, Slice: o.Slice, Warm: o.Warm,
 		Targets: o.Targets, Service: o.Service, Tune: o.tune,
--- /dev/null
+++ b/bench/latency/compare_test.go
@@ -0,0 +1,43 @@
+package latency
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"peardrift/internal/status"
+)
+
+func TestComparisonFailsOverItsBound(t *testing.T) {
+	one := func(cpu, allocs float64) samples {
+		return samples{"Request/hop/nodes": {unitCPU: {cpu * 1.5, cpu}, unitAllocs: {allocs}}}
+	}
+	c := Comparison{Against: "before", MaxCPU: 1.3, MaxAllocs: 1.05}
+	for name, tt := range map[string]struct {
+		other, this samples
+		ok          bool
+	}{
+		"the same":             {one(1, 100), one(1, 100), true},
+		"within the bounds":    {one(1, 100), one(1.29, 105), true},
+		"more processor time":  {one(1, 100), one(1.31, 100), false},
+		"more allocations":     {one(1, 100), one(1, 106), false},
+		"nothing to compare":   {samples{}, one(1, 100), false},
+		"less of everything":   {one(1, 100), one(0.5, 50), true},
+		"a benchmark is added": {one(1, 100), add(one(1, 100), "Request/new"), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var out strings.Builder
+			err := c.judge(tt.other, tt.this, &out)
+			is := is.New(t)
+			is.Equal(err == nil, tt.ok)
+			is.True(tt.ok || errors.Is(err, &status.Error{Code: CodeRegression}))
+		})
+	}
+}
+
+func add(s samples, name string) samples {
+	s[name] = map[string][]float64{unitCPU: {1}, unitAllocs: {1}}
+	return s
+}
