Measure demand above the level only, and let callers pass over its peaks

Levels swung by ten times the admitted part, and callers all followed each peak.

(1) The gate kept the highest rate ever seen in a bucket that the level cut, with the retries that had swollen it, and counted requests below the level, which were admitted upstream before it rose. Now only arrivals above the level count; the cut bucket is scaled up by its visible part and the rest of its importance taken to be as dense, since hashes are spread evenly. (2) Callers compared with the last level heard. Now they compare with the lowest of the last one to two 250 ms, and pass the latest on unfiltered, since a delay would add up over hops. (3) A level that aged fell in proportion to its whole value and after a tenth of the time was below its importance; it now opens that first.

--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -59,7 +59,7 @@
 	t := g.levels.tenant(int(a.Tenant))
 	imp := int(a.Priority.Importance())
 	expected := g.service.estimate(imp)
-	t.demand.note(a.Priority, g.service.factor(imp))
+	t.demand.note(a.Priority, g.service.factor(imp), t.level)
 	g.window.arrivals++
 
 	if g.draining {
--- a/internal/core/early/chain.go
+++ b/internal/core/early/chain.go
@@ -83,7 +83,7 @@
 		if c.decay(u.calls, now-u.at) < need {
 			continue
 		}
-		level = max(level, c.table.Level(now, u.key))
+		level = max(level, c.table.latest(now, u.key))
 	}
 	return level
 }
--- a/internal/core/early/config.go
+++ b/internal/core/early/config.go
@@ -10,6 +10,10 @@
 	// Age is when a level without news counts as 0; from Hold on it falls in
 	// proportion. Default 1s. Longer slows recovery.
 	Age time.Duration
+	// Span is over how long the lowest of a target's levels counts: the last one
+	// to two spans. Default 250ms. Longer rides out deeper chains' overshoot and
+	// refuses later.
+	Span time.Duration
 	// Quantile of the targets' levels, weighted by slots, that counts as the
 	// service's level, 0 to 1. Default 0.25: a request is sent as long as more
 	// than a quarter of the capacity that is heard of would take it. Higher
@@ -51,6 +55,7 @@
 	return Config{
 		Hold:       250 * time.Millisecond,
 		Age:        time.Second,
+		Span:       250 * time.Millisecond,
 		Quantile:   0.25,
 		MinTargets: 2,
 		Probe:      0.01,
--- a/internal/core/early/doc.go
+++ b/internal/core/early/doc.go
@@ -8,7 +8,8 @@
 //
 // A Table holds the levels that one node learned, by callee service and class.
 // The level of a service is a capacity-weighted quantile over its targets, so
-// that one outlier neither shuts nor opens the service. Levels age out within a
+// that one outlier neither shuts nor opens the service; of each target the lowest
+// of the last moments counts, so that a passing peak doesn't either. Levels age out within a
 // second without news, and a small share of the refused is let through: so the
 // node learns of a recovery soon, whatever the traffic.
 //
--- a/internal/core/early/table.go
+++ b/internal/core/early/table.go
@@ -32,18 +32,46 @@
 	Slots int
 }
 
-// heard is the last report of one target.
+// heard is what one target reported lately.
 type heard struct {
 	target request.TargetID
-	level  request.Level
+	last   request.Level
+	level  request.Level // the lowest since `since`
+	before request.Level // the lowest in the span before that
+	since  time.Duration
 	weight int
-	at     time.Duration
+	at     time.Duration // of the last report
 }
 
+// never is long before any report.
+const never = -time.Hour
+
+// hear takes in a report. A level rises until its effect shows, which over a
+// deep chain takes some hundred milliseconds, and so it overshoots. Callers that
+// followed each peak would starve the callee, all of them the same requests at
+// the same time; they go by the lowest level of the last one to two spans.
+func (h *heard) hear(level request.Level, weight int, now, span time.Duration) {
+	switch {
+	case now-h.since >= 2*span:
+		h.level, h.before, h.since = level, level, now
+	case now-h.since >= span:
+		h.level, h.before, h.since = level, h.level, now
+	default:
+		h.level = min(h.level, level)
+	}
+	h.last, h.weight, h.at = level, weight, now
+}
+
+// low is the lowest level reported lately.
+func (h *heard) low() request.Level { return min(h.level, h.before) }
+
+func (h *heard) latest() request.Level { return h.last }
+
 // levels is what is known of one key.
 type levels struct {
 	heard []heard
-	level request.Level // worked out at `at`
+	level request.Level // that requests are compared with, worked out at `at`
+	last  request.Level // that is passed on, likewise
 	at    time.Duration
 	fresh bool
 	skip  float64 // part of a probe that is due
@@ -65,13 +93,11 @@
 
 // Learn takes in the levels that an answer carried.
 func (t *Table) Learn(now time.Duration, k Key, r Report) {
-	h := heard{target: r.Target, level: r.Own, weight: max(r.Slots, 1), at: now}
-	t.learn(now, k.own(), h)
-	h.level = r.Chain
-	t.learn(now, k, h)
+	t.learn(now, k.own(), &r, r.Own)
+	t.learn(now, k, &r, r.Chain)
 }
 
-func (t *Table) learn(now time.Duration, k Key, news heard) {
+func (t *Table) learn(now time.Duration, k Key, r *Report, level request.Level) {
 	l := t.keys[k]
 	if l == nil {
 		if len(t.keys) >= t.cfg.MaxKeys {
@@ -80,11 +106,11 @@
 		l = &levels{}
 		t.keys[k] = l
 	}
-	h := l.entry(news.target, t.cfg.MaxTargets)
+	h := l.entry(r.Target, t.cfg.MaxTargets)
 	if h.at > now {
 		return // an answer that was overtaken by a newer one
 	}
-	*h = news
+	h.hear(level, max(r.Slots, 1), now, t.cfg.Span)
 	if now-l.at >= t.cfg.Reuse {
 		l.fresh = false
 	}
@@ -102,10 +128,10 @@
 		}
 	}
 	if len(l.heard) < limit {
-		l.heard = append(l.heard, heard{})
+		l.heard = append(l.heard, heard{target: id, since: never})
 		return &l.heard[len(l.heard)-1]
 	}
-	l.heard[oldest] = heard{}
+	l.heard[oldest] = heard{target: id, since: never}
 	return &l.heard[oldest]
 }
 
@@ -155,17 +181,30 @@
 // Level returns the level learned of a service and class, 0 if it takes all or
 // nothing is known.
 func (t *Table) Level(now time.Duration, k Key) request.Level {
-	return max(t.levelOf(now, k.own()), t.levelOf(now, k))
+	own, chain := t.levelsOf(now, k.own()), t.levelsOf(now, k)
+	return max(own.level, chain.level)
+}
+
+// latest returns the level as last reported, to be passed on up the chain.
+// Passed on as the lowest of a while, it would be as much older at each hop.
+func (t *Table) latest(now time.Duration, k Key) request.Level {
+	own, chain := t.levelsOf(now, k.own()), t.levelsOf(now, k)
+	return max(own.last, chain.last)
 }
 
-func (t *Table) levelOf(now time.Duration, k Key) request.Level {
+// levelsOf returns what is known of a key, worked out for now.
+func (t *Table) levelsOf(now time.Duration, k Key) *levels {
 	l := t.keys[k]
 	if l == nil {
-		return 0
+		return &nothing
 	}
-	return t.work(now, l)
+	t.work(now, l)
+	return l
 }
 
+// nothing stands for a key of which nothing was heard.
+var nothing levels
+
 // probe reports whether the next refused request is sent after all. A class
 // that was never sent to the service (nil) learns from the others.
 func (l *levels) probe(share float64) bool {
@@ -181,17 +220,18 @@
 }
 
 // work returns the level of a key, worked out again if it isn't fresh.
-func (t *Table) work(now time.Duration, l *levels) request.Level {
+func (t *Table) work(now time.Duration, l *levels) {
 	if l.fresh && now-l.at < t.cfg.Reuse {
-		return l.level
+		return
 	}
-	l.level, l.at, l.fresh = t.quantile(now, l), now, true
-	return l.level
+	l.level = t.quantile(now, l, (*heard).low)
+	l.last = t.quantile(now, l, (*heard).latest)
+	l.at, l.fresh = now, true
 }
 
 // quantile returns the lowest level such that targets with more than Quantile
 // of the capacity heard of are at or below it.
-func (t *Table) quantile(now time.Duration, l *levels) request.Level {
+func (t *Table) quantile(now time.Duration, l *levels, of func(*heard) request.Level) request.Level {
 	t.sort = t.sort[:0]
 	total := 0
 	for i := range l.heard {
@@ -201,7 +241,7 @@
 			continue
 		}
 		total += h.weight
-		t.insert(heard{level: t.aged(h.level, age), weight: h.weight})
+		t.insert(heard{level: t.aged(of(h), age), weight: h.weight})
 	}
 	if len(t.sort) < min(t.cfg.MinTargets, len(l.heard)) {
 		return 0
@@ -225,7 +265,10 @@
 	}
 }
 
-// aged is what a level counts for after age without news.
+// aged is what a level counts for after age without news: it opens the
+// importance that it cuts through bit by bit, and only then those below. If it
+// fell in proportion to its whole value, a level within one importance would
+// soon be below all of it and admit everything.
 func (t *Table) aged(level request.Level, age time.Duration) request.Level {
 	if age <= t.cfg.Hold {
 		return level
@@ -234,5 +277,6 @@
 		return 0
 	}
 	left := float64(t.cfg.Age-age) / float64(t.cfg.Age-t.cfg.Hold)
-	return request.Level(float64(level) * left)
+	floor := request.Level(level.Importance()) << 16
+	return floor + request.Level(float64(level-floor)*left)
 }
