--- a/bench/replay/measure.go
+++ b/bench/replay/measure.go
@@ -113,7 +113,7 @@
 
 // sent notes an attempt that goes out to a service.
 func (m *measures) sent(c *call, to *service) {
-	extra := c.tries > 1 || c.repeat
+	extra := c.tree.again(c)
 	if extra {
 		c.tree.extra++
 		m.deep.worst = max(m.deep.worst, c.tree.extra)
--- /dev/null
+++ b/bench/replay/workload/workload_test.go
@@ -0,0 +1,82 @@
+package workload
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peardrift/internal/status"
+)
+
+var short = Lengths{time.Second, time.Second, time.Second}
+
+func TestTraceIsReadAsWritten(t *testing.T) {
+	is := is.New(t)
+	d := Kalahari().Scaled(10)
+	tr := Generate(d, ScenarioFor("replace", d, short), 7)
+	var b bytes.Buffer
+	is.NoErr(tr.Write(&b))
+	got, err := Read(&b)
+	is.NoErr(err)
+	is.Equal(got, tr)
+	is.Equal(Generate(d, ScenarioFor("replace", d, short), 7), tr) // the seed decides
+}
+
+func TestReadRefuses(t *testing.T) {
+	head := `{"Format":"peardrift-trace/1","Deployment":"khaosan"}` + "\n"
+	for name, text := range map[string]string{
+		"empty":              "",
+		"another format":     `{"Format":"x/1"}`,
+		"unknown deployment": `{"Format":"peardrift-trace/1","Deployment":"x"}`,
+		"unknown key":        head + `{"t":1,"class":"upload","colour":1}`,
+		"unknown class":      head + `{"t":1,"class":"x"}`,
+		"unknown service":    head + `{"t":1,"fault":"slow","service":"x"}`,
+		"no such zone":       head + `{"t":1,"class":"upload","zone":9}`,
+		"time goes back":     head + `{"t":2,"class":"upload"}` + "\n" + `{"t":1,"class":"upload"}`,
+		"cut short":          head + `{"t":1,"cla`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Read(strings.NewReader(text))
+			is.True(errors.Is(err, &status.Error{Code: status.CodeMalformed}))
+		})
+	}
+}
+
+func TestBest(t *testing.T) {
+	is := is.New(t)
+	d := &Deployment{Services: []Service{{Name: "s", Targets: 2, Slots: 5}}, Classes: []Class{
+		{Name: "low", Tenant: "a", Importance: 10, Root: call("s", 100*time.Millisecond)},
+		{Name: "high", Tenant: "a", Importance: 90, Root: call("s", 100*time.Millisecond)},
+		{Name: "other", Tenant: "b", Importance: 10, Root: call("s", 100*time.Millisecond)},
+	}}
+	near := func(got, want float64) {
+		t.Helper()
+		if got < want*0.97 || got > want*1.03 {
+			t.Errorf("got %v, want about %v", got, want)
+		}
+	}
+	best := d.Best(map[string]float64{"low": 200, "high": 40, "other": 20}, Condition{})
+	near(best["high"], 40)  // first
+	near(best["other"], 20) // under its half of the other 60
+	near(best["low"], 40)   // the rest
+	best = d.Best(map[string]float64{"high": 200}, Condition{Slow: map[string]float64{"s": 2}, Part: map[string]float64{"s": 0.5}})
+	near(best["high"], 25)
+	best = d.Best(map[string]float64{"high": 10}, Condition{Within: 50 * time.Millisecond})
+	is.True(best["high"] < 2) // few end that soon
+}
+
+func TestScenariosOfAllDeployments(t *testing.T) {
+	is := is.New(t)
+	for _, d := range Deployments() {
+		for _, name := range ScenarioNames {
+			s := ScenarioFor(name, d, short)
+			is.True(s != nil && s.About != "")
+		}
+		is.True(ScenarioFor("nothing", d, short) == nil)
+	}
+}
