--- a/bench/cmd/latency/main.go
+++ b/bench/cmd/latency/main.go
@@ -30,6 +30,7 @@
 	Targets   int           `long:"targets" default:"2" description:"targets of each service"`
 	Service   time.Duration `long:"service-time" default:"0s" description:"time that each target takes for a call"`
 	Procs     int           `long:"procs" default:"2" description:"GOMAXPROCS of each node and target, as on an instance with so many cores; 0: all of the machine's"`
+	Members   []int         `long:"members" value-name:"N" description:"measure the memory of a node that knows so many members, and nothing else; may be repeated, rising"`
 	Against   string        `long:"against" value-name:"REVISION" description:"compare the benchmarks with those of a revision of git, such as HEAD~1, and measure nothing else"`
 	Requests  int           `long:"requests" default:"20000" description:"requests of each benchmark of a comparison"`
 	MaxCPU    float64       `long:"max-cpu" default:"1.25" description:"bound of the ratio of processor time in a comparison"`
@@ -84,6 +85,9 @@
 		Bins: bins, Rates: o.Rates, Rounds: o.Rounds, Slice: o.Slice, Warm: o.Warm,
 		Targets: o.Targets, Service: o.Service, Tune: o.tune,
 	}
+	if len(o.Members) > 0 {
+		return memory(ctx, cfg, o.Members)
+	}
 	res, err := latency.Measure(ctx, cfg, func(c latency.Cell) {
 		fmt.Fprintf(os.Stderr, "%s at %.0f calls/s done\n", c.Kind, c.Rate)
 	})
@@ -95,6 +99,17 @@
 	return nil
 }
 
+func memory(ctx context.Context, cfg latency.Config, members []int) error {
+	found, err := latency.MeasureMemory(ctx, cfg, members)
+	if err != nil {
+		return err
+	}
+	for _, m := range found {
+		fmt.Printf("a node that knows %5d members: %.1f MB resident\n", m.Known, float64(m.Resident)/1e6)
+	}
+	return nil
+}
+
 // tune turns traces on where the command line asks for them.
 func (o options) tune(h *harness.Host, s *settings.Settings) {
 	if o.Traced >= 0 {
--- a/bench/latency/measure.go
+++ b/bench/latency/measure.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"os"
-	"path/filepath"
 	"time"
 
+	"peardrift/bench/deploy"
 	"peardrift/bench/harness"
 	"peardrift/bench/standin/target"
 	"peardrift/internal/settings"
@@ -91,10 +91,16 @@
 
 func start(ctx context.Context, f *harness.Fleet, cfg Config) error {
 	d := chain(cfg.Targets, cfg.Service)
-	if err := f.Add(d); err != nil {
+	if err := f.AddDirect(d); err != nil {
 		return err
 	}
-	if err := f.AddDirect(d); err != nil {
+	return bringUp(ctx, f, d)
+}
+
+// bringUp starts the hosts of a deployment, applies the set and waits until
+// all nodes know all.
+func bringUp(ctx context.Context, f *harness.Fleet, d deploy.Deployment) error {
+	if err := f.Add(d); err != nil {
 		return err
 	}
 	if err := f.Start(); err != nil {
@@ -108,7 +114,7 @@
 	if err := writeSet(root); err != nil {
 		return err
 	}
-	if err := f.Apply(ctx, filepath.Clean(root), tenant, 0); err != nil {
+	if err := f.Apply(ctx, root, tenant, 0); err != nil {
 		return err
 	}
 	if err := f.Ready(readyTime); err != nil {
