--- a/internal/core/inforce/main_test.go
+++ b/internal/core/inforce/main_test.go
@@ -1,16 +1,9 @@
 package inforce
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"peardrift/internal/rapidtest"
 )
 
-// TestMain draws the same cases in each run; -rapid.seed on the command line
-// draws others.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m) }
