Bound how long a call sits on a silent connection, and let no stray byte reach one

The client's pools now do what internal/core/conn decides. A call that is silent for longer than usual (250 ms to 1 s) is asked for at the peer over a fresh connection: the callee's node knows the attempt's span, or not, and whether the call waits for its own connection. A call that the peer works on waits on; one that it lacks is failed as unknown within the core's bound, its connection and the idle ones of its time are closed. A target can't be asked: its idle connections are closed on the mere doubt, and a call is given up after 30 s without a byte. Calls that wait for their own caller don't count as silent.

Symptoms that the new tests show without the change: a call on a silent connection hung until its deadline, each idle connection swallowed another; a target's second copy of an answer was given to the next request ("answered mark mark-0, not mark-1"), and so was a "timed out" said on an idle connection. Idle connections are now watched for bytes and for their end: at once towards targets, whose answers bear no mark; after 10 ms towards nodes, whose do.

--- a/bench/e2e/cluster_test.go
+++ b/bench/e2e/cluster_test.go
@@ -47,6 +47,7 @@
 	gen   uint64
 	tune  func(*dataplane.Config)                       // may be nil
 	wrap  func(dataplane.Transport) dataplane.Transport // may be nil
+	local func(*hertzhttp.ClientConfig)                 // of clients of targets; may be nil
 }
 
 // claimAll runs every request: claims have tests of their own.
@@ -103,8 +104,14 @@
 	if c.tune != nil {
 		c.tune(&dc)
 	}
-	peers := hertzhttp.NewClient(hertzhttp.DefaultClientConfig())
-	local := hertzhttp.NewClient(hertzhttp.DefaultClientConfig())
+	cc := hertzhttp.DefaultClientConfig()
+	toTarget := cc
+	if c.local != nil {
+		c.local(&toTarget)
+	}
+	local := hertzhttp.NewClient(toTarget)
+	cc.Prober, cc.WatchAfter = dataplane.Prober{}, 10*time.Millisecond
+	peers := hertzhttp.NewClient(cc)
 	c.t.Cleanup(func() {
 		peers.Close()
 		local.Close()
--- a/bench/e2e/own_test.go
+++ b/bench/e2e/own_test.go
@@ -66,6 +66,47 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(b), b)
 }
 
+// Symptom: a caller gets the answer to an earlier request, whole and well formed.
+// Events: a target's answer comes twice, or with more bytes than it states, or a
+// target says on an idle connection that it will close it; the connection
+// carries the next call.
+// Cause: what comes on a connection is taken for the answer to the last request
+// on it.
+func TestStrayBytesReachNobody(t *testing.T) {
+	const timedOut = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"
+	for name, tt := range map[string]struct {
+		answer func(r *http.Request) string
+		late   string // comes when the first answer has been taken
+	}{
+		"twice at once":      {answer: func(r *http.Request) string { return own(r) + own(r) }},
+		"more than stated":   {answer: func(r *http.Request) string { return own(r) + "HTTP/1.1 200 OK\r\n" }},
+		"unasked, when idle": {answer: own, late: timedOut},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, threeServices())
+			c.tune = eager
+			conns := make(chan net.Conn, 10)
+			h, open := c.addScript("media-1", "media.khaosan", func(c net.Conn, r *http.Request, _ int64) {
+				_, _ = io.WriteString(c, tt.answer(r))
+				conns <- c
+			})
+			c.publish()
+			q := query{method: "GET", host: "media.khaosan", path: "/m"}
+			for n := range 4 {
+				to, err := c.ask(h, q, fmt.Sprint("mark-", n))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if to.outcome != "completed" {
+					t.Fatalf("call %d: %s %s", n, to.outcome, to.code)
+				}
+				_, _ = io.WriteString(<-conns, tt.late)
+				await(t, "the node ends the connection", func() bool { return open.Load() == 0 })
+			}
+		})
+	}
+}
+
 // Symptom: a caller gets the first part of a long answer as if it were whole.
 // Events: the target dies while it sends an answer in chunks, whose length it
 // never stated.
--- a/bench/e2e/path_test.go
+++ b/bench/e2e/path_test.go
@@ -16,11 +16,13 @@
 )
 
 // threeServices is a chain feed -> archive -> media.
-func threeServices() *confset.Index {
+func threeServices() *confset.Index { return threeServicesWithin(2 * time.Second) }
+
+func threeServicesWithin(deadline time.Duration) *confset.Index {
 	class := func(name string) []confset.Class {
 		return []confset.Class{
-			{Name: request.Class(name), Path: "/", Importance: 10, Deadline: 2 * time.Second, Attempts: 2, MaxBody: 64 << 20},
-			{Name: "pay", Method: "POST", Path: "/pay", Importance: 90, Deadline: 2 * time.Second, AtMostOnce: true, Remember: time.Hour, MaxBody: 1 << 10},
+			{Name: request.Class(name), Path: "/", Importance: 10, Deadline: deadline, Attempts: 2, MaxBody: 64 << 20},
+			{Name: "pay", Method: "POST", Path: "/pay", Importance: 90, Deadline: deadline, AtMostOnce: true, Remember: time.Hour, MaxBody: 1 << 10},
 		}
 	}
 	return confset.NewIndex(confset.Set{Tenant: "khaosan", Version: 1, Share: 1, Services: []confset.Service{
--- a/bench/faults/link/link.go
+++ b/bench/faults/link/link.go
@@ -100,6 +100,18 @@
 	return l.passed[w]
 }
 
+// Open returns the connections that the connecting side has not closed.
+func (l *Link) Open() (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.pairs {
+		if !p.left {
+			n++
+		}
+	}
+	return n
+}
+
 // Break breaks all connections that are open now. After Silence and the others
 // but Kill new ones work.
 func (l *Link) Break(h How) {
@@ -195,7 +207,7 @@
 		}
 		l.strike(p, w)
 		if err != nil {
-			l.ended(p)
+			l.ended(p, w)
 			return
 		}
 	}
@@ -237,9 +249,10 @@
 	close(l.struck)
 }
 
-func (l *Link) ended(p *pair) {
+func (l *Link) ended(p *pair, w Way) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	p.left = p.left || w == Request
 	if p.silent {
 		return // the end is lost too; only Close ends the other side
 	}
@@ -253,6 +266,7 @@
 	silent    bool
 	doomed    [2]bool // its cut's byte has come, by way
 	over      bool
+	left      bool // by the side that connected
 }
 
 func (p *pair) end(h How) {
--- a/internal/adapter/hertzhttp/client.go
+++ b/internal/adapter/hertzhttp/client.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
-	http1req "github.com/cloudwego/hertz/pkg/protocol/http1/req"
 	http1resp "github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 
+	"peardrift/internal/core/conn"
 	"peardrift/internal/status"
 )
 
@@ -31,6 +31,19 @@
 	// DialTimeout bounds a dial (default 1 s). Lower notices an unreachable
 	// peer sooner; too low refuses peers that are merely busy.
 	DialTimeout time.Duration
+	// GiveUp is how long a call may wait in silence for a peer of which nobody
+	// can say whether it has the call (default 5 s with a Prober, else 30 s).
+	// Lower frees callers of dead connections sooner; too low fails calls that
+	// merely take long.
+	GiveUp time.Duration
+	// Prober asks peers for silent calls; nil if they can't be asked.
+	Prober Prober
+	// WatchAfter is how long a connection is idle before bytes that nobody
+	// asked for, or its end, are looked out for (default 0: at once, which costs
+	// some microseconds a call). Above 0 is for peers whose answers are marked,
+	// as stray bytes may then reach a call; a connection that the peer has
+	// closed is noticed later by as much.
+	WatchAfter time.Duration
 	// BufferBytes is the largest answer that is read whole before a byte of it
 	// is passed on (default 64 KiB). Up to it a broken answer can still become
 	// a typed failure or a retry; above it the answer is streamed.
@@ -52,13 +65,37 @@
 // use.
 type Client struct {
 	cfg   ClientConfig
+	conns conn.Config
+	epoch time.Time
 	mu    sync.RWMutex
 	pools map[string]*pool
 }
 
 // NewClient returns a client; Close ends it.
 func NewClient(cfg ClientConfig) *Client {
-	return &Client{cfg: cfg, pools: make(map[string]*pool)}
+	cc := conn.DefaultConfig()
+	cc.MaxConns, cc.MaxIdle, cc.IdleTimeout = cfg.MaxConns, cfg.MaxIdle, cfg.IdleTimeout
+	switch {
+	case cfg.GiveUp > 0:
+		cc.GiveUp = cfg.GiveUp
+	case cfg.Prober == nil:
+		cc.GiveUp = giveUpUnasked
+	}
+	return &Client{cfg: cfg, conns: cc, epoch: time.Now(), pools: make(map[string]*pool)}
+}
+
+// giveUpUnasked is ClientConfig.GiveUp without a Prober. A target says nothing
+// while it works, so this must exceed what targets take.
+const giveUpUnasked = 30 * time.Second
+
+func (c *Client) now() time.Duration { return time.Since(c.epoch) }
+
+// tag returns what the peer knows a call by, empty if it can't be asked.
+func (c *Client) tag(req *protocol.Request) string {
+	if c.cfg.Prober == nil {
+		return ""
+	}
+	return c.cfg.Prober.Tag(&req.Header)
 }
 
 // Result tells how far a call got.
@@ -78,49 +115,55 @@
 
 // Do sends req to addr and reads the answer into resp, whole if it is at most
 // BufferBytes long. When ctx ends, the call ends at once and its connection is
-// closed, so that the peer sees it. Do never repeats a request.
+// closed, so that the peer sees it. So does a call whose connection went silent
+// while the peer can be reached and doesn't have it. Do never repeats a request.
 func (c *Client) Do(ctx context.Context, addr string, req *protocol.Request, resp *protocol.Response) (Result, error) {
 	if err := ctx.Err(); err != nil {
 		return Result{}, endOf(ctx)
 	}
-	conn, err := c.pool(addr).get(remaining(ctx))
+	cc, err := c.pool(addr).get(c.tag(req), remaining(ctx))
 	if err != nil {
 		return Result{}, err
 	}
-	res := Result{Reused: conn.calls > 0, Sent: true}
+	res := Result{Reused: cc.calls > 0, Sent: true}
 	// The dial may have outlasted the call; nothing has been written yet.
 	if ctx.Err() != nil {
-		conn.pool.drop(conn)
+		cc.pool.end(cc, conn.Aborted)
 		return Result{}, endOf(ctx)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Conn.Close() })
-	body := guardSource(req, conn)
-	if err := c.exchange(conn, req, resp, &res, stop); err != nil {
+	stop := context.AfterFunc(ctx, func() { _ = cc.Conn.Close() })
+	body := guardSource(req, cc)
+	if err := c.exchange(cc, req, resp, &res, stop); err != nil {
 		stop()
-		conn.pool.drop(conn)
-		if ctx.Err() != nil {
-			return res, endOf(ctx)
-		}
-		if err := body.failure(); err != nil {
-			return res, err
-		}
-		return res, status.Wrap(status.CodeConnectionLost, err, "call to %s broke", addr)
+		cc.pool.end(cc, conn.Aborted)
+		return res, failureOf(ctx, cc, body, err)
 	}
 	return res, nil
 }
 
+// failureOf types the failure of an exchange by what caused it.
+func failureOf(ctx context.Context, c *clientConn, body *source, err error) error {
+	switch {
+	case ctx.Err() != nil:
+		return endOf(ctx)
+	case body.failure() != nil:
+		return body.failure()
+	case c.lost.Load():
+		return status.New(status.CodeConnectionLost, "the connection to %s went silent", c.pool.addr)
+	default:
+		return status.Wrap(status.CodeConnectionLost, err, "call to %s broke", c.pool.addr)
+	}
+}
+
 // exchange writes the request and reads the answer's head, and its body where
 // it is short. On success the connection is back in the pool or owned by
 // res.Stream.
-func (c *Client) exchange(conn *clientConn, req *protocol.Request, resp *protocol.Response, res *Result, stop func() bool) error {
-	if err := http1req.Write(req, conn); err != nil {
-		return err
-	}
-	if err := conn.Flush(); err != nil {
+func (c *Client) exchange(cc *clientConn, req *protocol.Request, resp *protocol.Response, res *Result, stop func() bool) error {
+	if err := cc.send(req); err != nil {
 		return err
 	}
 	resp.SkipBody = req.Header.IsHead()
-	if err := http1resp.ReadHeaders(resp, conn); err != nil {
+	if err := http1resp.ReadHeaders(resp, cc); err != nil {
 		return err
 	}
 	n := resp.Header.ContentLength()
@@ -128,38 +171,28 @@
 		return status.New(status.CodeProtocol, "an answer of no stated length can't be told from a broken one")
 	}
 	if resp.MustSkipBody() || (n >= 0 && n <= c.cfg.BufferBytes) {
-		return c.readWhole(conn, resp, stop)
+		return c.readWhole(cc, resp, stop)
 	}
-	if err := http1resp.ReadRespBodyStream(resp, conn, 0, nil); err != nil {
+	if err := http1resp.ReadRespBodyStream(resp, cc, 0, nil); err != nil {
 		return err
 	}
-	res.Stream = &Stream{r: resp.BodyStream(), conn: conn, stop: stop, keep: !resp.ConnectionClose()}
+	cc.ours.Store(true) // until someone reads
+	res.Stream = &Stream{r: resp.BodyStream(), conn: cc, stop: stop, keep: !resp.ConnectionClose()}
 	res.Length = max(n, -1)
 	return nil
 }
 
-func (c *Client) readWhole(conn *clientConn, resp *protocol.Response, stop func() bool) error {
-	if err := http1resp.ReadRespBody(resp, conn, 0); err != nil {
+func (c *Client) readWhole(cc *clientConn, resp *protocol.Response, stop func() bool) error {
+	if err := http1resp.ReadRespBody(resp, cc, 0); err != nil {
 		return err
 	}
-	if err := conn.Release(); err != nil {
+	if err := cc.Release(); err != nil {
 		return err
 	}
-	conn.giveBack(stop, !resp.ConnectionClose())
+	cc.giveBack(stop, !resp.ConnectionClose())
 	return nil
 }
 
-// giveBack returns the connection after a whole answer. If the call's context
-// ended meanwhile, its AfterFunc is closing the connection, or soon will: it
-// must not reach another call, which would lose its answer to that close.
-func (c *clientConn) giveBack(stop func() bool, keep bool) {
-	if !stop() || !keep {
-		c.pool.drop(c)
-		return
-	}
-	c.pool.put(c, time.Now())
-}
-
 // Reachable reports whether a new connection to addr can be made.
 func (c *Client) Reachable(addr string) bool {
 	conn, err := net.DialTimeout("tcp", addr, c.cfg.DialTimeout)
@@ -170,19 +203,6 @@
 	return true
 }
 
-// Reap closes connections that were idle too long. Call it every few seconds.
-func (c *Client) Reap(now time.Time) {
-	c.mu.RLock()
-	pools := make([]*pool, 0, len(c.pools))
-	for _, p := range c.pools {
-		pools = append(pools, p)
-	}
-	c.mu.RUnlock()
-	for _, p := range pools {
-		p.reap(now.Add(-c.cfg.IdleTimeout))
-	}
-}
-
 // Forget closes the idle connections to addr: for a peer that has left, or one
 // whose open connections have gone silent.
 func (c *Client) Forget(addr string) {
@@ -213,7 +233,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if p = c.pools[addr]; p == nil {
-		p = newPool(addr, &c.cfg)
+		p = newPool(c, addr)
 		c.pools[addr] = p
 	}
 	return p
@@ -238,7 +258,9 @@
 
 // Read implements io.Reader; io.EOF comes only after the whole answer.
 func (s *Stream) Read(p []byte) (int, error) {
+	s.conn.ours.Store(false)
 	n, err := s.r.Read(p)
+	s.conn.ours.Store(true)
 	s.whole = s.whole || err == io.EOF
 	s.broken = s.broken || err != nil && err != io.EOF
 	return n, err
@@ -266,7 +288,7 @@
 func (s *Stream) end() {
 	if !s.whole {
 		s.stop()
-		s.conn.pool.drop(s.conn)
+		s.conn.pool.end(s.conn, conn.Aborted)
 		s.release()
 		return
 	}
--- a/internal/adapter/hertzhttp/client_test.go
+++ b/internal/adapter/hertzhttp/client_test.go
@@ -251,10 +251,14 @@
 	cl := NewClient(DefaultClientConfig())
 	_, err := cl.Do(context.Background(), addr, get("/"), &protocol.Response{})
 	is.NoErr(err)
-	cl.Reap(time.Now())
-	is.Equal(cl.pool(addr).open, 1)
-	cl.Reap(time.Now().Add(time.Minute))
-	is.Equal(cl.pool(addr).open, 0)
+	p := cl.pool(addr)
+	p.tick()
+	is.Equal(p.open(), 1)
+	p.mu.Lock()
+	cl.epoch = cl.epoch.Add(-time.Minute)
+	p.mu.Unlock()
+	p.tick()
+	is.Equal(p.open(), 0)
 	<-closed
 }
 
--- a/internal/adapter/hertzhttp/pool.go
+++ b/internal/adapter/hertzhttp/pool.go
@@ -1,129 +1,227 @@
 package hertzhttp
 
 import (
+	"math"
 	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 
+	"peardrift/internal/core/conn"
 	"peardrift/internal/status"
 )
 
-// clientConn is one connection to a peer. It belongs either to its pool's idle
-// list or to one call.
-type clientConn struct {
-	network.Conn
-	pool      *pool
-	idleSince time.Time
-	calls     int // calls completed on it
-}
-
-// pool keeps the connections to one address. Safe for concurrent use.
+// pool keeps the connections to one address. It does what the conn core says.
+// Safe for concurrent use.
 type pool struct {
+	client *Client
 	addr   string
-	cfg    *ClientConfig
 	dialer network.Dialer
 
 	mu     sync.Mutex
-	idle   []*clientConn // oldest first; taken from the end
-	open   int           // idle, in use and being dialed
+	core   *conn.Peer
+	conns  map[conn.ID]*clientConn
+	acts   []conn.Action
+	timer  *time.Timer
+	armed  time.Duration // when the timer fires
+	sweeps bool          // sweep is due
 	closed bool
 }
 
-func newPool(addr string, cfg *ClientConfig) *pool {
-	return &pool{addr: addr, cfg: cfg, dialer: standard.NewDialer()}
+func newPool(c *Client, addr string) *pool {
+	p := &pool{
+		client: c, addr: addr, dialer: standard.NewDialer(),
+		core: conn.NewPeer(&c.conns), conns: make(map[conn.ID]*clientConn), armed: math.MaxInt64,
+	}
+	p.timer = time.AfterFunc(math.MaxInt64, p.tick)
+	return p
 }
 
-// get returns an idle connection or dials one within timeout. Its failures
+// get returns a connection for a call known to the peer by tag. Its failures
 // mean that nothing was sent.
-func (p *pool) get(timeout time.Duration) (*clientConn, error) {
-	c, err := p.takeIdle()
-	if c != nil || err != nil {
-		return c, err
+func (p *pool) get(tag string, timeout time.Duration) (*clientConn, error) {
+	for {
+		c, offer := p.take(tag)
+		switch offer {
+		case conn.Full:
+			return nil, status.New(status.CodeConnectFailed, "all %d connections to %s are in use", p.client.conns.MaxConns, p.addr)
+		case conn.Dial:
+			return p.dial(tag, timeout)
+		}
+		if c.unwatch() {
+			return c, nil
+		}
+		p.end(c, conn.Aborted)
+	}
+}
+
+func (p *pool) take(tag string) (*clientConn, conn.Offer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	id, offer := p.core.Take(p.client.now())
+	p.arm()
+	if offer != conn.Reuse {
+		return nil, offer
 	}
-	raw, err := p.dialer.DialConnection("tcp", p.addr, min(timeout, p.cfg.DialTimeout), nil)
+	c := p.conns[id]
+	c.idle, c.tag = false, tag
+	c.ours.Store(false)
+	return c, offer
+}
+
+func (p *pool) dial(tag string, timeout time.Duration) (*clientConn, error) {
+	raw, err := p.dialer.DialConnection("tcp", p.addr, min(timeout, p.client.cfg.DialTimeout), nil)
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if err != nil {
-		p.forget()
+		p.core.DialFailed()
 		return nil, status.Wrap(status.CodeConnectFailed, err, "cannot connect to %s", p.addr)
 	}
-	return &clientConn{Conn: raw, pool: p}, nil
+	c := newClientConn(p, raw)
+	c.id, c.tag = p.core.Opened(p.client.now()), tag
+	p.conns[c.id] = c
+	p.arm()
+	return c, nil
 }
 
-// takeIdle returns the connection used last, or counts a new one that the
-// caller then dials.
-func (p *pool) takeIdle() (*clientConn, error) {
+// end books how a call on a connection ended, and closes the connection unless
+// it may serve another.
+func (p *pool) end(c *clientConn, how conn.End) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if n := len(p.idle); n > 0 {
-		c := p.idle[n-1]
-		p.idle = p.idle[:n-1]
-		return c, nil
+	if p.closed {
+		how = conn.Aborted
 	}
-	if p.open >= p.cfg.MaxConns {
-		return nil, status.New(status.CodeConnectFailed, "all %d connections to %s are in use", p.cfg.MaxConns, p.addr)
+	if !p.core.End(p.client.now(), c.id, how) {
+		p.forget(c)
+		return
 	}
-	p.open++
-	return nil, nil
+	c.idle, c.since = true, p.client.now()
+	c.calls++
+	p.arm()
+	if p.client.cfg.WatchAfter == 0 {
+		c.watch()
+		return
+	}
+	p.sweepLater()
 }
 
-// put takes back a connection whose answer was read whole.
-func (p *pool) put(c *clientConn, now time.Time) {
-	c.idleSince = now
-	c.calls++
+// sweep watches the connections that are idle for a while.
+func (p *pool) sweep() {
 	p.mu.Lock()
-	keep := !p.closed && len(p.idle) < p.cfg.MaxIdle
-	if keep {
-		p.idle = append(p.idle, c)
-	} else {
-		p.open--
+	defer p.mu.Unlock()
+	p.sweeps = false
+	now := p.client.now()
+	for _, c := range p.conns {
+		switch {
+		case !c.idle || c.watching:
+		case now-c.since >= p.client.cfg.WatchAfter:
+			c.watch()
+		default:
+			p.sweepLater()
+		}
 	}
-	p.mu.Unlock()
-	if !keep {
-		_ = c.Conn.Close()
+}
+
+// sweepLater is called with mu held.
+func (p *pool) sweepLater() {
+	if !p.sweeps {
+		p.sweeps = true
+		time.AfterFunc(p.client.cfg.WatchAfter, p.sweep)
 	}
 }
 
-// drop closes a connection that must not serve another call.
-func (p *pool) drop(c *clientConn) {
-	_ = c.Conn.Close()
-	p.forget()
+// broke takes in that an idle connection was closed by the peer, or that bytes
+// came on it. Left in place, the bytes would be the answer to the next call.
+func (p *pool) broke(c *clientConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.idle {
+		p.core.Broke(c.id)
+		p.forget(c)
+	}
 }
 
-func (p *pool) forget() {
+// heard takes in that bytes moved on a connection.
+func (p *pool) heard(c *clientConn, answer bool) {
 	p.mu.Lock()
-	p.open--
-	p.mu.Unlock()
+	defer p.mu.Unlock()
+	p.core.Heard(p.client.now(), c.id, answer)
+	p.arm()
+}
+
+// forget closes a connection that the core no longer knows. Called with mu held.
+func (p *pool) forget(c *clientConn) {
+	c.idle = false
+	delete(p.conns, c.id)
+	_ = c.Conn.Close()
 }
 
-// reap closes connections idle since before the given time and reports whether
-// the pool is empty.
-func (p *pool) reap(before time.Time) (empty bool) {
+// tick looks for connections that are idle too long or silent.
+func (p *pool) tick() {
 	p.mu.Lock()
-	n := 0
-	for n < len(p.idle) && p.idle[n].idleSince.Before(before) {
-		n++
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	p.armed = math.MaxInt64
+	p.acts = p.core.Tick(p.client.now(), p.acts[:0])
+	for _, a := range p.acts {
+		p.act(a)
+	}
+	p.arm()
+}
+
+// act does what the core says. Called with mu held.
+func (p *pool) act(a conn.Action) {
+	if a.Kind == conn.Probe {
+		tags := make(map[conn.ID]string, len(a.Conns))
+		for _, id := range a.Conns {
+			tags[id] = p.conns[id].tag
+		}
+		go p.probe(tags)
+		return
 	}
-	old := append([]*clientConn(nil), p.idle[:n]...)
-	p.idle = append(p.idle[:0], p.idle[n:]...)
-	p.open -= n
-	empty = p.open == 0
-	p.mu.Unlock()
-	for _, c := range old {
-		_ = c.Conn.Close()
+	for _, id := range a.Conns {
+		c := p.conns[id]
+		if a.Kind == conn.Fail {
+			c.lost.Store(true)
+		}
+		p.forget(c)
 	}
-	return empty
 }
 
-// flush closes all idle connections, for a peer whose connections are suspect.
+// arm sets the timer if the core is due earlier than it fires. Called with mu
+// held.
+func (p *pool) arm() {
+	next := p.core.Next()
+	if p.closed || next >= p.armed {
+		return
+	}
+	p.armed = next
+	p.timer.Reset(max(next-p.client.now(), time.Millisecond))
+}
+
+// flush closes all idle connections.
 func (p *pool) flush(final bool) {
 	p.mu.Lock()
-	old := p.idle
-	p.idle = nil
-	p.open -= len(old)
-	p.closed = p.closed || final
-	p.mu.Unlock()
-	for _, c := range old {
-		_ = c.Conn.Close()
+	defer p.mu.Unlock()
+	for id, c := range p.conns {
+		if c.idle {
+			p.core.Broke(id)
+			p.forget(c)
+		}
 	}
+	if final {
+		p.closed = true
+		p.timer.Stop()
+	}
+}
+
+// open returns the number of connections, in use, idle and being dialed.
+func (p *pool) open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.core.Open()
 }
--- a/internal/core/conn/doc.go
+++ b/internal/core/conn/doc.go
@@ -14,7 +14,8 @@
 // on; one that it doesn't know, or has answered, sits on a dead connection,
 // and is failed as unknown. One dead connection casts suspicion on all that
 // weren't heard of since: the idle ones are closed, those in use are asked for
-// at once.
+// at once. Where the peer can't tell, the idle ones are closed on the mere
+// doubt, since that costs no more than a dial each.
 //
 // The bound: a call whose connection was dead when it began sits on it for at
 // most SilentMax + 2 ProbeTimeout + Grace; one whose answer is lost, for at most
--- a/internal/core/conn/peer.go
+++ b/internal/core/conn/peer.go
@@ -54,6 +54,7 @@
 	last    ID
 	wait    estimate // of the time to the first byte
 	probe   probe
+	doubt   bool // a peer could not tell of a call: idle connections may be dead too
 	next    time.Duration
 }
 
--- a/internal/core/conn/peer_test.go
+++ b/internal/core/conn/peer_test.go
@@ -249,6 +249,29 @@
 	is.True(!p.End(400*ms, ids[0], Whole)) // too late: the connection is gone
 }
 
+// Symptom: while one call waits on a connection that may be dead, each further
+// one takes another such connection. Events: a peer that can't tell what it has
+// in hand; idle connections from before the silence. Cause: only proof closed
+// them.
+func TestDoubtClosesIdleConnections(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig()
+	p := NewPeer(&cfg)
+	var ids []ID
+	for range 3 {
+		p.Take(0)
+		ids = append(ids, p.Opened(0))
+	}
+	is.True(p.End(10*ms, ids[1], Whole))
+	is.Equal(p.Tick(250*ms, nil), []Action{{Probe, []ID{ids[0], ids[2]}}})
+	is.True(p.End(252*ms, ids[2], Whole)) // heard of since
+	p.Told(253*ms, ids[0], CannotTell)
+	p.Probed(253*ms, true)
+	is.Equal(p.Tick(p.Next(), nil), []Action{{Close, []ID{ids[1]}}})
+	is.Equal(p.Idle(), 1)
+	is.Equal(p.Open(), 2)
+}
+
 func TestUnreachablePeer(t *testing.T) {
 	is := is.New(t)
 	cfg := DefaultConfig()
--- a/internal/core/conn/watch.go
+++ b/internal/core/conn/watch.go
@@ -82,6 +82,12 @@
 	if ids := p.expire(now); len(ids) > 0 {
 		acts = append(acts, Action{Close, ids})
 	}
+	if p.doubt {
+		p.doubt = false
+		if ids := p.forgetUnheard(); len(ids) > 0 {
+			acts = append(acts, Action{Close, ids})
+		}
+	}
 	failed, ask := p.judge(now)
 	if len(failed) > 0 {
 		acts = append(acts, Action{Fail, failed})
@@ -161,6 +167,10 @@
 		w.missing = true
 		p.arm(c, now+p.cfg.Grace)
 	default:
+		// Alive or dead, nobody knows. Until that is settled no further call
+		// should take the risk of an idle connection from the same time.
+		p.doubt = true
+		p.wake(now)
 		p.arm(c, now+p.silence())
 	}
 }
@@ -215,8 +225,14 @@
 			p.arm(c, min(c.watch.due, now))
 		}
 	}
+	return p.forgetUnheard()
+}
+
+// forgetUnheard forgets the idle connections that weren't heard of since the
+// last probe began.
+func (p *Peer) forgetUnheard() []ID {
 	n := 0
-	for n < len(p.idle) && p.conns[p.idle[n]].heard <= since {
+	for n < len(p.idle) && p.conns[p.idle[n]].heard <= p.probe.began {
 		n++
 	}
 	return p.forgetIdle(n)
--- a/internal/dataplane/engine.go
+++ b/internal/dataplane/engine.go
@@ -126,6 +126,7 @@
 	suspects *suspects
 	tenants  tenants
 	reqs     *registry
+	inHand   *inHand
 	calls    atomic.Int64
 	closing  atomic.Bool // callers are to go elsewhere
 
@@ -147,6 +148,7 @@
 		callees: make(map[request.Service]*callee),
 	}
 	e.view.Store(&View{})
+	e.inHand = &inHand{now: e.now, calls: make(map[SpanID]*handled)}
 	e.suspects = newSuspects(cfg.Suspect, self.ID, e.now, func() bool { return local.Reachable(self.Target) })
 	e.levels = newLevels(&e.cfg.Early, e.now)
 	e.gate = newGate(cfg.Gate, newRand(), e.now)
--- a/internal/dataplane/hop.go
+++ b/internal/dataplane/hop.go
@@ -60,6 +60,12 @@
 // String returns the span as in traceparent.
 func (s SpanID) String() string { return hex.EncodeToString(s[:]) }
 
+// parseSpan is the inverse of String.
+func parseSpan(v string) (s SpanID, ok bool) {
+	b, err := hex.DecodeString(v)
+	return s, err == nil && copy(s[:], b) == len(s) && len(b) == len(s)
+}
+
 func newSpan() SpanID {
 	var s SpanID
 	binary.BigEndian.PutUint64(s[:], rand.Uint64()|1) // all zero is invalid
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -36,14 +36,19 @@
 	tenant  uint16
 	ticket  admission.Ticket
 	hop     *Hop
+	hand    *handled
 }
 
 // ServeNode is the face for other nodes: a call passes the gate and runs on the
 // own target.
 func (e *Engine) ServeNode(ctx context.Context, c *app.RequestContext) {
+	if e.inHand.tell(c) {
+		return
+	}
 	e.calls.Add(1)
 	defer e.calls.Add(-1)
 	s := &serving{c: c, hop: &Hop{Kind: HopServe, Span: newSpan(), Start: time.Now(), Target: e.self.ID, Zone: e.self.Place.Zone}}
+	defer e.letGo(s)
 	if fault := e.accept(s); fault != nil {
 		e.refuse(s, fault)
 		return
@@ -74,6 +79,7 @@
 		return status.Refuse(status.CodeProtocol, 0, "a call between nodes without a trace")
 	}
 	s.trace, s.hop.ID, s.hop.Parent = tc, tc.id, tc.span
+	s.hand = e.inHand.add(tc.span)
 	meta, err := wire.GetMeta(h)
 	if err != nil {
 		return status.Refuse(status.CodeProtocol, 0, "%s", status.From(err).Detail)
@@ -102,9 +108,13 @@
 func (e *Engine) prepare(s *serving) *status.Error {
 	deadline := e.now() + s.meta.Remaining
 	var fault *status.Error
-	if s.body, fault = e.takeBody(s.c, s.class.MaxBody, deadline); fault != nil {
+	s.hand.waits()
+	s.body, fault = e.takeBody(s.c, s.class.MaxBody, deadline)
+	s.hand.goes()
+	if fault != nil {
 		return fault
 	}
+	s.body.stream = s.hand.requestOf(s.body.stream)
 	// A body that is not at hand whole can't be compared with that of an earlier
 	// call under the same key.
 	if s.class.AtMostOnce && s.body.stream != nil {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -40,7 +40,6 @@
 		n.control.post(func() { n.control.setTarget(up) })
 	}}
 	n.run(func() { h.run(ctx) })
-	n.run(func() { every(ctx, reapEvery, n.reap) })
 	n.run(func() { every(ctx, probeEvery, func(time.Time) { n.engine.ProbeTargets(n.pool.Submit) }) })
 	n.faces.ops.Start()
 	n.faces.nodes.Start()
@@ -102,18 +101,10 @@
 	})
 }
 
-// reapEvery is the time between sweeps of idle connections.
-const reapEvery = 5 * time.Second
-
 // probeEvery is the time between looks for targets that are due to be tried
 // again after their connections broke.
 const probeEvery = 100 * time.Millisecond
 
-func (n *Node) reap(now time.Time) {
-	n.peers.Reap(now)
-	n.local.Reap(now)
-}
-
 // every calls f at each tick until ctx ends.
 func every(ctx context.Context, d time.Duration, f func(time.Time)) {
 	tick := time.NewTicker(d)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -55,6 +55,10 @@
 	// HeaderPushback tells the caller's node to wait before retrying, in
 	// milliseconds; Retry-After has whole seconds only.
 	HeaderPushback = Prefix + "Pushback-Ms"
+	// HeaderProbe asks a node which of these attempts, by their spans, it has in
+	// hand; HeaderInHand names them in the answer.
+	HeaderProbe  = Prefix + "Probe"
+	HeaderInHand = Prefix + "In-Hand"
 )
 
 // Headers of others' making that nodes use.
