Balance by calls in flight, price other zones by the own zone's load

Causes: (1) a report is as old as the last answer, callers that all follow it fill the targets in turn; (2) so does a mean time that wanders because classes differ; (3) the share of calls that look at other zones followed reports too. Now calls in flight decide from four on, a target's time counts only if it is twice the mean, and the other zones are compared in each pick, up to four times as dear while the own zone is half loaded and no dearer when it is full. The lists of local and remote targets become two halves of one.

--- a/internal/core/route/config.go
+++ b/internal/core/route/config.go
@@ -23,11 +23,12 @@
 	// fewer of them can do so at a time.
 	PeakFactor float64
 	// ZoneCost is added to the expected time of a target in another zone of the
-	// region that wasn't measured yet. Default 3ms: there and back.
+	// region. Default 3ms: there and back.
 	ZoneCost time.Duration
 	// ZoneFactor is how much dearer than by its time and load a target in another
-	// zone counts. Default 1.5. Higher keeps more calls in the zone when it is
-	// more loaded than the others.
+	// zone counts while the own zone is loaded at Floor; it falls to 1 at a full
+	// load. Default 4. Higher keeps more calls in the zone when it is more
+	// loaded than the others.
 	ZoneFactor float64
 	// Refresh is how long derived values (mean load, cost, hot or not) are
 	// reused. Default 10ms. Longer is cheaper and slower to react.
@@ -83,7 +84,7 @@
 		ConnShare:     0.5,
 		PeakFactor:    4,
 		ZoneCost:      3 * time.Millisecond,
-		ZoneFactor:    1.5,
+		ZoneFactor:    4,
 		Refresh:       10 * time.Millisecond,
 		LatencyWeight: 0.05,
 		Forget:        5 * time.Second,
--- a/internal/core/route/measure.go
+++ b/internal/core/route/measure.go
@@ -149,11 +149,9 @@
 
 func (t *Table) ejected(now time.Duration) int {
 	n := 0
-	for _, list := range [...][]int32{t.local, t.remote} {
-		for _, i := range list {
-			if e := &t.entries[i]; e.avoid == avoidErrors && now < e.until {
-				n++
-			}
+	for _, i := range t.all {
+		if e := &t.entries[i]; e.avoid == avoidErrors && now < e.until {
+			n++
 		}
 	}
 	return n
@@ -200,14 +198,12 @@
 // connection and no request: then no call is risked. Answer with Probed.
 // A node that doesn't probe may leave it; Pick then sends one call at a time.
 func (t *Table) NextProbe(now time.Duration) (idx int, ok bool) {
-	for _, list := range [...][]int32{t.local, t.remote} {
-		for _, i := range list {
-			e := &t.entries[i]
-			if e.avoid == avoidBroken && !e.probing && now >= e.until && !e.Leaving {
-				e.probing = true
-				e.inFlight++ // keeps the index until Probed
-				return int(i), true
-			}
+	for _, i := range t.all {
+		e := &t.entries[i]
+		if e.avoid == avoidBroken && !e.probing && now >= e.until && !e.Leaving {
+			e.probing = true
+			e.inFlight++ // keeps the index until Probed
+			return int(i), true
 		}
 	}
 	return 0, false
--- a/internal/core/route/pick.go
+++ b/internal/core/route/pick.go
@@ -45,24 +45,43 @@
 // used; then the call ran nowhere and is refused with status.CodeNoTarget.
 func (t *Table) Pick(now time.Duration, p request.Priority, tried *Tried) (idx int, ok bool) {
 	t.refresh(now)
-	c := t.draw(now, t.local, p, tried)
-	if c.rank > cold || t.entries[c.idx].util > t.cfg.Floor {
-		c = better(c, t.draw(now, t.remote, p, tried))
+	c := none
+	near, far := t.all[:len(t.local)], t.all[len(t.local):]
+	if len(near) > 0 {
+		c = t.draw(now, near, p, tried)
+	}
+	if len(far) > 0 && t.looksFurther(c) {
+		c = better(c, t.dearer(c, t.draw(now, far, p, tried)))
 	}
 	if c.rank > hot {
-		c = t.scan(now, c, t.local, p, tried)
-		c = t.scan(now, c, t.remote, p, tried)
+		c = t.scan(now, c, p, tried)
 	}
 	return int(c.idx), c.rank < never
 }
 
+// looksFurther reports whether the other zones are to be compared with the best
+// candidate of the own one.
+func (t *Table) looksFurther(c choice) bool {
+	return c.rank > cold || t.entries[c.idx].util > t.cfg.Floor
+}
+
+// dearer prices a candidate of another zone against the own zone's: ZoneFactor
+// times as dear while that is loaded at Floor, no dearer when it is full.
+// Symptom otherwise: one zone's targets refuse requests while others have slots
+// free, since each zone finds a level of its own.
+func (t *Table) dearer(near, far choice) choice {
+	if near.idx < 0 {
+		return far
+	}
+	free := (1 - t.entries[near.idx].util) / (1 - t.cfg.Floor)
+	far.cost *= 1 + (t.cfg.ZoneFactor-1)*min(max(free, 0), 1)
+	return far
+}
+
 // draw compares two random targets of a list. Two, and not the best of all:
 // callers that all know of the same best target would all go there.
 func (t *Table) draw(now time.Duration, list []int32, p request.Priority, tried *Tried) choice {
 	c := none
-	if len(list) == 0 {
-		return c
-	}
 	for range 2 {
 		i := t.sample(list)
 		c = better(c, t.judge(now, i, p, tried))
@@ -83,10 +102,10 @@
 	return i
 }
 
-// scan looks at all targets of a list, for the rare case that those drawn are
+// scan looks at all targets, for the rare case that those drawn are
 // not good; the subset bounds it.
-func (t *Table) scan(now time.Duration, c choice, list []int32, p request.Priority, tried *Tried) choice {
-	for _, i := range list {
+func (t *Table) scan(now time.Duration, c choice, p request.Priority, tried *Tried) choice {
+	for _, i := range t.all {
 		c = better(c, t.judge(now, i, p, tried))
 	}
 	return c
--- a/internal/core/route/refresh.go
+++ b/internal/core/route/refresh.go
@@ -6,7 +6,11 @@
 	// errorCost is how much dearer a target is that fails always.
 	errorCost = 20
 	// loadCost is how much dearer a target is that is fully loaded.
-	loadCost = 4
+	loadCost = 1
+	// telling is the number of calls in flight from here from which it says more
+	// about a target than the target's report does: that is as old as the last
+	// answer, and callers that all follow it fill the targets in turn.
+	telling = 4
 	// minTime keeps times that are too short to tell apart from deciding, in
 	// seconds.
 	minTime = 100e-6
@@ -23,15 +27,13 @@
 	t.refreshed, t.fresh = now, true
 	t.means(now, dt)
 	topWeight := t.weigh(now)
-	for _, list := range [...][]int32{t.local, t.remote} {
-		for _, i := range list {
-			e := &t.entries[i]
-			if topWeight > 0 {
-				e.weight /= topWeight
-			}
-			e.hot = e.util > t.hotLoad()
-			e.cost = t.price(e)
+	for _, i := range t.all {
+		e := &t.entries[i]
+		if topWeight > 0 {
+			e.weight /= topWeight
 		}
+		e.hot = e.util > t.hotLoad() && e.inFlight < telling
+		e.cost = t.price(e)
 	}
 }
 
@@ -42,14 +44,12 @@
 func (t *Table) means(now, dt time.Duration) {
 	sum, n := 0.0, 0
 	f := decay{shed: fade(dt, shedMemory), rest: fade(dt, t.cfg.Forget)}
-	for _, list := range [...][]int32{t.local, t.remote} {
-		for _, i := range list {
-			e := &t.entries[i]
-			t.forget(now, e, f)
-			if e.measured && e.avoid == avoidNot {
-				sum += e.latency
-				n++
-			}
+	for _, i := range t.all {
+		e := &t.entries[i]
+		t.forget(now, e, f)
+		if e.measured && e.avoid == avoidNot {
+			sum += e.latency
+			n++
 		}
 	}
 	if n > 0 {
@@ -64,25 +64,21 @@
 // nothing of, and learns.
 func (t *Table) meanLoad(now time.Duration) float64 {
 	sum, known := 0.0, 0
-	for _, list := range [...][]int32{t.local, t.remote} {
-		for _, i := range list {
-			e := &t.entries[i]
-			if e.util = t.estimate(now, e); e.util >= 0 {
-				sum += e.util
-				known++
-			}
+	for _, i := range t.all {
+		e := &t.entries[i]
+		if e.util = t.estimate(now, e); e.util >= 0 {
+			sum += e.util
+			known++
 		}
 	}
 	guess := 0.0
 	if known > 0 {
 		guess = min(sum/float64(known), t.cfg.Floor)
 	}
-	for _, list := range [...][]int32{t.local, t.remote} {
-		for _, i := range list {
-			if e := &t.entries[i]; e.util < 0 {
-				e.util = guess
-				sum += guess
-			}
+	for _, i := range t.all {
+		if e := &t.entries[i]; e.util < 0 {
+			e.util = guess
+			sum += guess
 		}
 	}
 	return sum / float64(max(t.Len(), 1))
@@ -142,12 +138,10 @@
 // returns the highest.
 func (t *Table) weigh(now time.Duration) float64 {
 	top := 0.0
-	for _, list := range [...][]int32{t.local, t.remote} {
-		for _, i := range list {
-			e := &t.entries[i]
-			e.weight = float64(max(e.Slots, 1)) * t.ramp(now, e)
-			top = max(top, e.weight)
-		}
+	for _, i := range t.all {
+		e := &t.entries[i]
+		e.weight = float64(max(e.Slots, 1)) * t.ramp(now, e)
+		top = max(top, e.weight)
 	}
 	return top
 }
@@ -162,18 +156,17 @@
 }
 
 // price is the cost of a target without the calls in flight from here: the time
-// that a call is expected to take, dearer with load and failures.
+// that a call is expected to take, dearer with load and failures. A target's own
+// time counts only if it stands out. Symptom otherwise: targets of a service with
+// short and long classes are full in turn, since a mean time wanders by more than
+// targets differ, and callers all go where it happens to be short.
 func (t *Table) price(e *entry) float64 {
-	s := e.latency
-	if !e.measured {
-		s = t.meanLatency
-		if !e.local {
-			s += t.cfg.ZoneCost.Seconds()
-		}
+	s := t.meanLatency
+	if e.measured && e.latency > slowFactor*s {
+		s = e.latency
 	}
-	c := max(s, minTime) * (1 + loadCost*e.util*e.util) * (1 + errorCost*e.errors)
 	if !e.local {
-		c *= t.cfg.ZoneFactor
+		s += t.cfg.ZoneCost.Seconds()
 	}
-	return c
+	return max(s, minTime) * (1 + loadCost*e.util*e.util) * (1 + errorCost*e.errors)
 }
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -60,7 +60,8 @@
 	entries []entry
 	free    []int32
 	index   map[request.TargetID]int32
-	local   []int32
+	all     []int32 // the subset, those of the own zone first
+	local   []int32 // parts of all
 	remote  []int32
 
 	refreshed   time.Duration
@@ -85,8 +86,9 @@
 	}
 	// The callers that one target is to expect, from the subsets' size.
 	expected := float64(callers*(len(local)+len(remote))) / float64(max(len(ts), 1))
-	t.local = t.place(t.local[:0], now, ts, local, expected)
-	t.remote = t.place(t.remote[:0], now, ts, remote, expected)
+	t.all = t.place(t.all[:0], now, ts, local, expected)
+	t.all = t.place(t.all, now, ts, remote, expected)
+	t.local, t.remote = t.all[:len(local)], t.all[len(local):]
 	for _, i := range t.local {
 		t.entries[i].local = true
 	}
@@ -159,7 +161,7 @@
 }
 
 // Len returns the number of targets in the subset.
-func (t *Table) Len() int { return len(t.local) + len(t.remote) }
+func (t *Table) Len() int { return len(t.all) }
 
 // Target returns the target at an index that Pick returned.
 func (t *Table) Target(idx int) Target { return t.entries[idx].Target }
