Keep the mean service time still when only the mix of classes changes

Cause: a level that refuses the short requests leaves the long ones, which raised the mean of all samples; capacity is counted in mean requests, the ratios of the importances follow slowly, so the gate counted half of its capacity.

--- a/internal/core/admission/service.go
+++ b/internal/core/admission/service.go
@@ -20,11 +20,16 @@
 
 // service estimates how long a request runs in the target.
 //
-// An estimate is the mean of all requests times a ratio of the importance's
-// own. When the target slows down or recovers, the frequent importances move
-// the mean, and with it the estimates of the rare ones. With separate means a
-// rare importance would keep the estimate from a bad time: its requests would
-// be refused as unable to finish and never measured again.
+// An estimate is a mean common to all importances times a ratio of the
+// importance's own. When the target slows down or recovers, the frequent
+// importances move the mean, and with it the estimates of the rare ones. With
+// separate means a rare importance would keep the estimate from a bad time: its
+// requests would be refused as unable to finish and never measured again.
+//
+// A sample counts in the mean divided by its importance's ratio, so that a
+// changed mix leaves the mean where it is. Symptom otherwise: as soon as a level
+// refuses the short requests, the long ones that are left raise the mean, the
+// capacity counted in mean requests falls, and the level rises into them too.
 type service struct {
 	mean    float64 // seconds; 0 before the first sample
 	fast    float64 // seconds
@@ -82,8 +87,9 @@
 	s.samples[imp]++
 	s.ratio[imp] = f + max(ratioWeight, 1/float64(1+s.samples[imp]))*(x/s.mean-f)
 	s.n++
-	s.mean += max(slowWeight, 1/float64(s.n)) * (x - s.mean)
-	s.fast += max(fastWeight, 1/float64(s.n)) * (x - s.fast)
+	pace := x / f
+	s.mean += max(slowWeight, 1/float64(s.n)) * (pace - s.mean)
+	s.fast += max(fastWeight, 1/float64(s.n)) * (pace - s.fast)
 	if s.fast > jump*s.mean || s.fast < s.mean/jump {
 		s.mean, s.n = s.fast, int(1/fastWeight)
 	}
