Make the adaptive baseline a fair one

It began at 20 calls whatever the slots and took the shortest latency ever seen for normal, so at full size it already refused at normal load (mean time 251 ms instead of 94).

--- a/bench/replay/gates.go
+++ b/bench/replay/gates.go
@@ -12,7 +12,7 @@
 	case GateStatic:
 		return &limitGate{n: n, limit: float64(n.target.slots)}
 	case GateAdaptive:
-		return &limitGate{n: n, limit: adaptiveStart, adapt: true}
+		return &limitGate{n: n, limit: float64(n.target.slots), adapt: true}
 	case GateCore:
 		return newCoreGate(n)
 	default:
@@ -31,9 +31,9 @@
 // The adaptive baseline follows the ratio of the least to the recent latency,
 // as the usual gradient limiters do.
 const (
-	adaptiveStart   = 20
 	adaptiveSamples = 50
-	adaptiveSlack   = 1.5
+	adaptiveSlack   = 2
+	adaptiveDrift   = 0.01 // of the least latency towards the recent, each time
 	adaptiveSmooth  = 0.2
 	adaptiveHeadway = 4
 )
@@ -75,6 +75,7 @@
 	if g.least == 0 || mean < g.least {
 		g.least = mean
 	}
+	g.least += time.Duration(adaptiveDrift * float64(mean-g.least))
 	gradient := min(1, max(0.5, adaptiveSlack*float64(g.least)/float64(mean)))
 	next := g.limit*gradient + adaptiveHeadway
 	if float64(g.used) < g.limit/2 {
