Join through members that are found when all seeds are gone

Found by the random faults once they split a zone off: a node restarted with one seed, which died; it stayed a partial member for good, and could not give the second vote on the seed's death.

--- a/internal/core/member/join.go
+++ b/internal/core/member/join.go
@@ -101,7 +101,7 @@
 	}
 	if !j.in {
 		j.busy, j.begun = true, now
-		j.source = j.seeds[s.rng.IntN(len(j.seeds))]
+		j.source = s.seed()
 		m := s.message(Join)
 		m.Records = []*Record{s.selfRecord()}
 		m.Services = j.services
@@ -116,6 +116,17 @@
 	s.exchange(j.source, m, true)
 }
 
+// seed returns whom to join through: a seed or, now and then, a member that has
+// found this one by itself. All seeds may be gone for good.
+func (s *State) seed() Peer {
+	if len(s.order) > 0 && s.rng.IntN(2) == 0 {
+		if p := s.anyPeer(); p.Control != "" {
+			return p
+		}
+	}
+	return s.join.seeds[s.rng.IntN(len(s.join.seeds))]
+}
+
 // anyPeer returns a member drawn at random, or the last source if none is known.
 func (s *State) anyPeer() Peer {
 	const tries = 8
--- a/internal/core/member/prop_test.go
+++ b/internal/core/member/prop_test.go
@@ -75,7 +75,7 @@
 func disturb(t *rapid.T, net *testNet, version *uint64) {
 	i := rapid.IntRange(0, len(net.nodes)-1).Draw(t, "node")
 	n := net.nodes[i]
-	switch rapid.SampledFrom([]string{"leave", "depart", "kill", "restart", "freeze", "fact", "update", "cut", "heal", "loss"}).Draw(t, "what") {
+	switch rapid.SampledFrom([]string{"leave", "depart", "kill", "restart", "freeze", "fact", "update", "cut", "split", "heal", "loss"}).Draw(t, "what") {
 	case "leave":
 		n.s.Leave(net.now)
 	case "depart":
@@ -99,6 +99,8 @@
 		n.s.Update(net.now, rec)
 	case "cut":
 		net.cut = func(a, b *testNode) bool { return a.rec.Region != b.rec.Region }
+	case "split":
+		net.cut = func(a, b *testNode) bool { return (a.rec.Zone == "z0") != (b.rec.Zone == "z0") }
 	case "heal":
 		net.cut = nil
 	case "loss":
