--- a/internal/adapter/rpc/rpc_test.go
+++ b/internal/adapter/rpc/rpc_test.go
@@ -1,14 +1,17 @@
 package rpc
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"peardrift/internal/core/member"
 	"peardrift/internal/core/request"
@@ -115,7 +118,7 @@
 		})
 		m.Doubts = append(m.Doubts, member.Doubt{Subject: id, Incarnation: 200_000_000, Silence: 6000})
 		m.Wants = append(m.Wants, id)
-		m.Digests = append(m.Digests, member.Digest{Prefix: 1, Depth: 1, Sums: make([]uint32, 16)})
+		m.Digests = append(m.Digests, member.Digest{Prefix: 1, Depth: 1, Sums: slices.Repeat([]uint32{1 << 30}, 16)})
 		m.Leaves = append(m.Leaves, member.Leaf{Prefix: 1, Depth: 2, Changes: m.Changes[:1]})
 	}
 	return m
@@ -197,3 +200,19 @@
 	is.Equal(s.Stats().Failures, uint64(1))
 	is.Equal(len(p.clients), 0)
 }
+
+// TestSizeIsAnUpperEstimate: members size their messages by Message.Size; if it
+// were below what goes over the wire, they would exceed their budget unseen.
+func TestSizeIsAnUpperEstimate(t *testing.T) {
+	is := is.New(t)
+	for n := range 6 {
+		m := sampleMessage(n)
+		var buf bytes.Buffer
+		enc := msgpack.NewEncoder(&buf)
+		enc.UseArrayEncodedStructs(true)
+		enc.UseCompactInts(true)
+		is.NoErr(enc.Encode(m))
+		is.True(buf.Len() <= m.Size())
+		is.True(m.Size() <= buf.Len()*13/10)
+	}
+}
