Show a restart without changes as a new incarnation

A record that needn't be sent again kept the incarnation of the process before, so a restarted target would have kept its leave and its measurements in routing. The view now carries the incarnation that the present process began with. TestRestartIsSeen fails without that.

--- a/internal/core/member/state_test.go
+++ b/internal/core/member/state_test.go
@@ -80,6 +80,33 @@
 	is.Equal(net.disagree(), "")
 }
 
+// TestRestartIsSeen: symptom: a restarted target gets no calls, or too many while
+// it is cold. Events: it dies, and starts again with the same contents. Cause:
+// its record needn't be sent again, so others keep the old incarnation of it.
+func TestRestartIsSeen(t *testing.T) {
+	is := is.New(t)
+	net := newTestNet(DefaultConfig(), 6)
+	net.cluster(10, oneRegion)
+	net.run(20 * time.Second)
+	net.nodes[5].down = true
+	net.run(25 * time.Second)
+	id := net.nodes[5].rec.ID
+	net.restart(5, net.nodes[0])
+	net.run(10 * time.Second)
+	for _, n := range net.nodes {
+		m, ok := n.s.Lookup(id)
+		is.True(ok)
+		is.Equal(m.Record.Incarnation, uint32(110))
+		is.Equal(m.Incarnation, uint32(110))
+	}
+	n := net.nodes[9]
+	n.frozen = net.now + 30*time.Second
+	net.run(45 * time.Second)
+	m, _ := net.nodes[0].s.Lookup(n.rec.ID)
+	is.Equal(m.Incarnation, uint32(111)) // it refuted
+	is.Equal(m.Record.Incarnation, uint32(110))
+}
+
 func TestFreezeOfFiveSecondsKillsNobody(t *testing.T) {
 	is := is.New(t)
 	net := newTestNet(DefaultConfig(), 4)
--- a/internal/core/member/table.go
+++ b/internal/core/member/table.go
@@ -7,12 +7,13 @@
 	"peardrift/internal/core/request"
 )
 
-// entry is what a node holds for each member: 24 bytes, so that the whole fleet
+// entry is what a node holds for each member: 32 bytes, so that the whole fleet
 // stays small. The record is shared and immutable; nil while it is not known.
 type entry struct {
 	id     request.TargetID
 	rec    *Record
 	inc    uint32
+	pub    uint32  // the incarnation that the present process began with
 	body   [3]byte // Change.Body
 	status Status
 	stale  bool // rec doesn't have the contents that body stands for
@@ -36,6 +37,12 @@
 	} else if c.Body != e.bodySum() {
 		e.stale = true
 	}
+	if c.Incarnation > e.inc+1 { // one more is a refutation
+		e.pub = c.Incarnation
+	}
+	if rec != nil {
+		e.pub = max(e.pub, rec.Incarnation)
+	}
 	e.inc, e.status = c.Incarnation, c.Status
 	e.body = [3]byte{byte(c.Body), byte(c.Body >> 8), byte(c.Body >> 16)}
 	if e.status == Dead {
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -9,7 +9,8 @@
 // Member is one member as others see it.
 type Member struct {
 	*Record
-	// Incarnation is the present one; Record.Incarnation that of publication.
+	// Incarnation is the present one; Record.Incarnation that of publication, or
+	// of the restart since. It doesn't rise when a member refutes its death.
 	Incarnation uint32
 	Status      Status
 }
@@ -126,6 +127,11 @@
 
 func (s *State) member(e *entry) Member {
 	m := Member{Record: e.rec, Incarnation: e.inc, Status: e.status}
+	if e.pub > e.rec.Incarnation {
+		r := *e.rec // a restart without changes sends no record
+		r.Incarnation = e.pub
+		m.Record = &r
+	}
 	if l := s.links[e.id]; l != nil && l.suspect && m.Status == Alive {
 		m.Status = Suspect
 	}
