--- a/bench/scale/scenario.go
+++ b/bench/scale/scenario.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"peardrift/internal/core/member"
@@ -145,7 +146,7 @@
 	dead := f.KillZone(zone)
 	l := Loss{Dead: len(dead), Known: Spread{-1, -1, -1}, Head: Spread{-1, -1, -1}}
 	start := f.Now
-	known := f.watchAll(dead, member.Unreachable)
+	known := f.watchAll(dead, member.Unreachable, member.Dead)
 	const headAt = 15 * time.Second
 	l.Minute = f.costsWhile(time.Minute, func() {
 		if l.Head.Half < 0 && f.Now-start == headAt {
@@ -163,16 +164,16 @@
 	return l
 }
 
-// watchAll tells whether a node holds all the given members to have a status. It
-// remembers how far it got with each node, since asking for all again at every
-// step would cost more than the members do.
-func (f *Fleet) watchAll(nodes []*Node, want member.Status) func(*Node) bool {
+// watchAll tells whether a node holds all the given members to have one of some
+// statuses. It remembers how far it got with each node, since asking for all
+// again at every step would cost more than the members do.
+func (f *Fleet) watchAll(nodes []*Node, want ...member.Status) func(*Node) bool {
 	done := make([]int, len(f.Nodes)+len(nodes))
 	return func(n *Node) bool {
 		i := done[n.index]
 		for i < len(nodes) {
 			m, ok := n.State.Lookup(nodes[i].Rec.ID)
-			if !ok || m.Status != want {
+			if !ok || !slices.Contains(want, m.Status) {
 				break
 			}
 			i++
