Count each crash of a target, and call again one that was not ready

Symptom: a request that crashes targets crashed six, not three. A connection now has to last 50 ms to count. And after a crash nothing counted until a whole answer: a target whose first request killed it again went uncounted; the target's return now counts too.

Symptom: after such crashes a service was refused as "no-target" for as long as one looked (60 s), though its targets ran. Cause: "not ready" was taken for the word of a target that leaves, which holds for its incarnation. It counts as a failure now.

--- a/bench/e2e/cluster_test.go
+++ b/bench/e2e/cluster_test.go
@@ -24,6 +24,7 @@
 type host struct {
 	name   string
 	svc    request.Service
+	down   bool // its node sees that the target takes no calls
 	target *target.Server
 	engine *dataplane.Engine
 	nodes  *hertzhttp.Server
@@ -162,11 +163,13 @@
 		})
 	}
 	v := dataplane.View{
-		Gen: c.gen, Index: c.idx, Ready: true, TargetUp: true,
+		Gen: c.gen, Index: c.idx, Ready: true,
 		Peers:   func(s request.Service) []dataplane.Peer { return peers[s] },
 		Callers: func(request.Service) int { return 0 },
 	}
 	for _, h := range c.hosts {
-		h.engine.Publish(&v)
+		own := v
+		own.TargetUp = !h.down
+		h.engine.Publish(&own)
 	}
 }
--- a/bench/e2e/path_test.go
+++ b/bench/e2e/path_test.go
@@ -117,3 +117,23 @@
 		is.True(strings.Contains(string(b), tt.code))
 	}
 }
+
+// Symptom: a service is refused as "no-target" for good, though all its targets
+// run.
+// Events: its targets crash and are started again; meanwhile their nodes refuse
+// calls as not ready. Cause: "not ready" is taken for the word of a target that
+// leaves, which holds for the rest of its node's life.
+func TestNotReadyTargetIsCalledAgain(t *testing.T) {
+	is := is.New(t)
+	c := startChain(t)
+	c.hosts[2].down = true
+	c.publish()
+	resp, _ := call(t, c, "GET", "media.khaosan", "/m", "down", nil, nil)
+	is.Equal(resp.Header.Get("Peardrift-Outcome"), "refused")
+	c.hosts[2].down = false
+	c.publish()
+	await(t, "the target is called again", func() bool {
+		resp, _ := call(t, c, "GET", "media.khaosan", "/m", "up", nil, nil)
+		return resp.Header.Get("Peardrift-Outcome") == "completed"
+	})
+}
--- a/internal/adapter/hertzhttp/client.go
+++ b/internal/adapter/hertzhttp/client.go
@@ -193,14 +193,22 @@
 	return nil
 }
 
-// Reachable reports whether a new connection to addr can be made.
+// lastBreath is how long a new connection must stay open to count as made. The
+// kernel closes the connections of a process that dies one by one, its listener
+// among them: one made in between is reset at once.
+const lastBreath = 50 * time.Millisecond
+
+// Reachable reports whether a new connection to addr can be made and lasts.
 func (c *Client) Reachable(addr string) bool {
 	conn, err := net.DialTimeout("tcp", addr, c.cfg.DialTimeout)
 	if err != nil {
 		return false
 	}
-	_ = conn.Close()
-	return true
+	defer conn.Close()
+	_ = conn.SetReadDeadline(time.Now().Add(lastBreath))
+	_, err = conn.Read(make([]byte, 1))
+	nerr, ok := err.(net.Error)
+	return err == nil || ok && nerr.Timeout()
 }
 
 // Forget closes the idle connections to addr: for a peer that has left, or one
--- a/internal/adapter/hertzhttp/client_test.go
+++ b/internal/adapter/hertzhttp/client_test.go
@@ -99,6 +99,26 @@
 	is.True(!res.Sent) // the call may be refused as not run
 }
 
+// Symptom: a request crashes more targets than it may, as some crashes are not
+// counted.
+// Events: a target dies; its node looks at once whether it still takes
+// connections. Cause: a dying process's listener takes some until it is closed,
+// and resets them.
+func TestDyingPeerIsNotReachable(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() {
+		c, _ := ln.Accept()
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+		_ = ln.Close()
+	}()
+	cl := NewClient(DefaultClientConfig())
+	is.True(!cl.Reachable(ln.Addr().String()))
+	is.True(cl.Reachable(peer(t, func(int, net.Conn, *http.Request) {})))
+}
+
 // Symptom: a caller gets the end of another call's answer.
 // Events: an answer is left half read, or its call is canceled; its connection
 // carries the next call.
--- a/internal/core/route/target.go
+++ b/internal/core/route/target.go
@@ -38,7 +38,7 @@
 	Failure
 	// Shed is a refusal for load.
 	Shed
-	// Leaves is a refusal because the target is leaving or not ready.
+	// Leaves is a refusal because the target is leaving, for its incarnation.
 	Leaves
 	// Broken is a connection that could not be made, broke or went silent.
 	Broken
--- a/internal/dataplane/callee.go
+++ b/internal/dataplane/callee.go
@@ -155,15 +155,17 @@
 		return route.Ignored
 	case status.CodeOverloaded, status.CodeOverShare:
 		return route.Shed
-	case status.CodeDraining, status.CodeNotReady:
+	case status.CodeDraining:
 		return route.Leaves
 	case status.CodeConnectFailed, status.CodeConnectionLost:
 		if r.answered {
 			return route.Failure // the callee's node lost its target, not we its node
 		}
 		return route.Broken
-	case status.CodeDeadlineExceeded, status.CodeTargetFailed, status.CodeNoTarget,
-		status.CodeOutcomeUnknown, status.CodeInternal, status.CodeProtocol:
+	case status.CodeNotReady, status.CodeNoTarget:
+		// Unlike a leave it passes, without a new incarnation of the node.
+		return route.Failure
+	case status.CodeDeadlineExceeded, status.CodeTargetFailed, status.CodeOutcomeUnknown, status.CodeInternal, status.CodeProtocol:
 		return route.Failure
 	default:
 		return route.Ignored
--- a/internal/dataplane/engine.go
+++ b/internal/dataplane/engine.go
@@ -157,7 +157,10 @@
 
 // Publish puts a view in force for the calls that begin from now on.
 func (e *Engine) Publish(v *View) {
-	e.view.Store(v)
+	old := e.view.Swap(v)
+	if v.TargetUp && !old.TargetUp {
+		e.suspects.up()
+	}
 	if info, ok := v.Index.Service(e.self.Service); ok {
 		e.gate.configure(cmp.Or(e.self.Slots, info.Slots), e.tenants.weights(v.Index))
 	}
--- a/internal/dataplane/suspects.go
+++ b/internal/dataplane/suspects.go
@@ -87,6 +87,14 @@
 	return suspect.CrashID{Target: s.self, Incarnation: uint64(time.Now().UnixNano())}
 }
 
+// up takes in that the target takes calls again, so that its next death counts
+// though it may be of its first request.
+func (s *suspects) up() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.core.Up()
+}
+
 // merge takes in another node's report.
 func (s *suspects) merge(r suspect.Report) bool {
 	s.mu.Lock()
