Measure early refusal at the entry alone

In the chain eight deep that loses two of three targets at its end, callers in the middle refuse requests that were admitted above before the level rose, and the work so far is lost.

--- a/bench/replay/outbound.go
+++ b/bench/replay/outbound.go
@@ -46,7 +46,7 @@
 // early decides by learned levels whether the call is refused before it leaves.
 func (o *outbound) early(c *call) (result, bool) {
 	n := o.n
-	if !n.w.pol.Early {
+	if !n.w.pol.Early || n.w.pol.EarlyEntry && c.depth > 0 {
 		return result{}, true
 	}
 	v := n.levels.Check(n.w.now, o.key(c), n.w.priority(c.tree, o.svc))
--- a/bench/replay/policy.go
+++ b/bench/replay/policy.go
@@ -22,6 +22,7 @@
 	CoreRetry  bool // allowance per request and brake; else HopTries at each hop
 	HopTries   int  // attempts a hop makes without CoreRetry
 	Early      bool // callers refuse by the levels that they learned
+	EarlyEntry bool // only at the entry, not in calls of a request that has run
 	ChainLevel bool // a service answers with the level of the services below it too
 	Allowance  bool // the request's allowance is split and returned
 	Brake      bool // retries draw on a budget that successes fill
@@ -64,6 +65,7 @@
 	return []Policy{
 		without("chain-order", func(p *Policy) { p.ChainOrder = false }),
 		without("early", func(p *Policy) { p.Early = false }),
+		earlyAtEntry(),
 		without("chain-level", func(p *Policy) { p.ChainLevel = false }),
 		without("allowance", func(p *Policy) { p.Allowance = false }),
 		without("brake", func(p *Policy) { p.Brake = false }),
@@ -76,6 +78,13 @@
 	}
 }
 
+// earlyAtEntry is a variant: a request that has cost work goes on to the gate.
+func earlyAtEntry() Policy {
+	p := whole()
+	p.Name, p.About, p.EarlyEntry = "early-at-entry", "peardrift with early refusal at the entry only", true
+	return p
+}
+
 // Policies lists all policies, peardrift first.
 func Policies() []Policy {
 	return slices.Concat([]Policy{whole()}, Baselines(), Ablations())
