--- a/bench/cmd/latency/main.go
+++ b/bench/cmd/latency/main.go
@@ -95,7 +95,7 @@
 		return err
 	}
 	latency.Print(os.Stdout, res.Cells)
-	latency.PrintMemory(os.Stdout, res)
+	latency.PrintNodes(os.Stdout, res)
 	return nil
 }
 
--- a/bench/latency/load.go
+++ b/bench/latency/load.go
@@ -12,6 +12,8 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 
 	"peardrift/internal/adapter/hertzhttp"
+	"peardrift/internal/status"
+	"peardrift/internal/wire"
 )
 
 const (
@@ -36,6 +38,8 @@
 	Sent      int
 	Completed int
 	Overrun   int
+	// Failed counts the others by the code that they were answered with.
+	Failed map[status.Code]int
 }
 
 func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(lowest, highest, digits) }
@@ -61,7 +65,7 @@
 
 // run sends Poisson arrivals for a time and waits for all answers.
 func (g *generator) run(ctx context.Context, w way, rate float64, length time.Duration, seed uint64) *Sample {
-	s := &Sample{Latency: newHistogram(), Late: newHistogram()}
+	s := &Sample{Latency: newHistogram(), Late: newHistogram(), Failed: make(map[status.Code]int)}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	start := time.Now()
@@ -94,22 +98,27 @@
 	}
 	defer g.open.Add(-1)
 	began := time.Now()
-	ok := g.send(ctx, w.addrs[g.next.Add(1)%uint64(len(w.addrs))], w.path)
+	code := g.send(ctx, w.addrs[g.next.Add(1)%uint64(len(w.addrs))], w.path)
 	took := time.Since(began)
 	mu.Lock()
 	defer mu.Unlock()
 	s.Sent++
 	_ = s.Late.RecordValue(bounded(late))
-	if ok {
-		s.Completed++
-		_ = s.Latency.RecordValue(bounded(took))
+	if code != "" {
+		s.Failed[code]++
+		return
 	}
+	s.Completed++
+	_ = s.Latency.RecordValue(bounded(took))
 }
 
 func bounded(d time.Duration) int64 { return min(max(d.Microseconds(), lowest), highest) }
 
-// send makes one request and reports whether it was answered 200, whole.
-func (g *generator) send(ctx context.Context, addr, path string) bool {
+// noCode stands for an answer other than 200 that names no code.
+const noCode status.Code = "none"
+
+// send makes one request. It returns no code if it was answered 200, whole.
+func (g *generator) send(ctx context.Context, addr, path string) status.Code {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
@@ -121,7 +130,16 @@
 	res, err := g.client.Do(ctx, addr, req, resp)
 	if res.Stream != nil {
 		_ = res.Stream.Close()
-		return false
+		return noCode
+	}
+	if err != nil {
+		return status.CodeOf(err)
+	}
+	if resp.StatusCode() == http.StatusOK {
+		return ""
+	}
+	if code := resp.Header.Peek(wire.HeaderCode); len(code) > 0 {
+		return status.Code(code)
 	}
-	return err == nil && resp.StatusCode() == http.StatusOK
+	return noCode
 }
--- a/bench/latency/measure.go
+++ b/bench/latency/measure.go
@@ -50,6 +50,8 @@
 	Cells []Cell
 	// Idle and Loaded are the resident bytes of each node, before and after.
 	Idle, Loaded []int64
+	// IdleCPU is the share of a core that a node takes without any calls.
+	IdleCPU float64
 }
 
 const (
@@ -72,7 +74,9 @@
 		return nil, err
 	}
 	time.Sleep(settle)
-	res := &Result{Idle: resident(f)}
+	before := nodesCPU(f)
+	time.Sleep(settle)
+	res := &Result{Idle: resident(f), IdleCPU: float64(nodesCPU(f)-before) / float64(settle) / float64(len(f.Hosts))}
 	g := newGenerator()
 	defer g.client.Close()
 	for _, path := range []string{PathHop, PathChain} {
--- a/bench/latency/stack.go
+++ b/bench/latency/stack.go
@@ -197,10 +197,10 @@
 
 // Through sends a request through the nodes and reports whether it completed.
 func (s *Stack) Through(path string) bool {
-	return s.gen.send(context.Background(), s.through.addrs[0], path)
+	return s.gen.send(context.Background(), s.through.addrs[0], path) == ""
 }
 
 // Direct sends the same request to the targets without nodes.
 func (s *Stack) Direct(path string) bool {
-	return s.gen.send(context.Background(), s.direct.addrs[0], path)
+	return s.gen.send(context.Background(), s.direct.addrs[0], path) == ""
 }
--- a/bench/latency/table.go
+++ b/bench/latency/table.go
@@ -6,6 +6,8 @@
 	"slices"
 	"text/tabwriter"
 	"time"
+
+	"peardrift/internal/status"
 )
 
 // quantiles that are shown.
@@ -22,6 +24,34 @@
 		}
 	}
 	_ = w.Flush()
+	for _, c := range cells {
+		c.printFailed(out)
+	}
+}
+
+// printFailed says what the requests that did not complete were answered.
+func (c *Cell) printFailed(out io.Writer) {
+	direct, nodes := make(map[status.Code]int), make(map[status.Code]int)
+	for _, r := range c.Rounds {
+		sum(direct, r.Direct)
+		sum(nodes, r.Nodes)
+	}
+	if len(direct)+len(nodes) > 0 {
+		fmt.Fprintf(out, "%s at %.0f calls/s, not completed: direct %v, nodes %v\n", c.Kind, c.Rate, direct, nodes)
+	}
+}
+
+// notSent stands for arrivals that the generator did not send, as too many
+// requests were in flight.
+const notSent status.Code = "not-sent"
+
+func sum(into map[status.Code]int, s *Sample) {
+	for code, n := range s.Failed {
+		into[code] += n
+	}
+	if s.Overrun > 0 {
+		into[notSent] += s.Overrun
+	}
 }
 
 func (c *Cell) printLine(w io.Writer, q float64, head bool) {
@@ -87,8 +117,10 @@
 	return s[len(s)/2]
 }
 
-// PrintMemory writes the resident memory of the nodes.
-func PrintMemory(out io.Writer, r *Result) {
+// PrintNodes writes what the nodes take beside the calls: memory, and
+// processor time while there are none.
+func PrintNodes(out io.Writer, r *Result) {
+	fmt.Fprintf(out, "Processor time of an idle node: %.2f%% of a core (mean)\n", 100*r.IdleCPU)
 	for _, m := range []struct {
 		when  string
 		bytes []int64
