--- /dev/null
+++ b/bench/faults/lab.go
@@ -0,0 +1,200 @@
+package faults
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"time"
+
+	"peardrift/bench/deploy"
+	"peardrift/bench/faults/link"
+	"peardrift/bench/harness"
+	"peardrift/bench/standin/target"
+	"peardrift/internal/settings"
+	"peardrift/internal/status"
+)
+
+// Lab is a running fleet. Use it from one goroutine; call Close at the end.
+type Lab struct {
+	Fleet *harness.Fleet
+	// Links are where other nodes reach a host's node.
+	Links map[string]*link.Link
+
+	set     string // folder of the configuration set
+	version int64  // of the set that was accepted last
+	seed    uint64 // of the last load
+}
+
+// configSet declares the lab's services.
+const configSet = `tenant: lab
+share: 1
+services:
+  - name: feed
+    slots: 50
+    connections: 500
+    calls: [archive.lab]
+    classes:
+      - {name: read, method: GET, path: /feed, importance: 20, deadline: 2s, attempts: 2}
+  - name: notices
+    slots: 50
+    connections: 500
+    calls: [archive.lab]
+    classes:
+      - {name: publish, method: POST, path: /notices, importance: 90, deadline: 3s, attempts: 2, atMostOnce: true, remember: 24h}
+  - name: archive
+    slots: 50
+    connections: 500
+    classes:
+      - {name: article, method: GET, path: /articles, importance: 20, deadline: 2s, attempts: 2}
+      - {name: store, method: PUT, path: /articles, importance: 50, deadline: 2s, attempts: 2}
+      - {name: write, method: POST, path: /writes, importance: 50, deadline: 2s, attempts: 2}
+      - {name: upload, method: POST, path: /uploads, importance: 80, deadline: 1m, attempts: 0, maxBody: 64MiB}
+`
+
+// deployment is what the lab runs.
+func deployment() deploy.Deployment {
+	call := func(method string) []target.Call {
+		return []target.Call{{Service: "archive.lab", Method: method, Path: "/articles/a", Required: true}}
+	}
+	return deploy.Deployment{
+		Tenant: "lab", Region: "bangkok", Zones: []string{"bkk-a", "bkk-b"},
+		Services: []deploy.Service{
+			{Name: "feed", Targets: 2, Slots: 50, Routes: []target.Route{
+				{Method: "GET", Prefix: "/feed", Size: 300, Calls: call("GET"), CrashMark: crashMark},
+			}},
+			{Name: "notices", Targets: 2, Slots: 50, Routes: []target.Route{
+				{Method: "POST", Prefix: "/notices", Size: 100, ServiceTime: 5 * time.Millisecond, Calls: call("PUT")},
+			}},
+			{Name: "archive", Targets: 2, Slots: 50, Routes: []target.Route{
+				{Prefix: "/articles", Size: 500},
+				{Method: "POST", Prefix: "/writes", Size: 100},
+				{Method: "POST", Prefix: "/uploads", ServiceTime: 200 * time.Millisecond},
+			}},
+		},
+	}
+}
+
+// crashMark in a request's mark crashes the target that runs it.
+const crashMark = "crash"
+
+const (
+	startTime = 60 * time.Second // far more than a start takes
+	recovery  = 60 * time.Second // far more than any recovery takes
+	poll      = 20 * time.Millisecond
+)
+
+// Open starts a lab from built programs.
+func Open(ctx context.Context, bins harness.Bins) (*Lab, error) {
+	f, err := harness.New(bins)
+	if err != nil {
+		return nil, err
+	}
+	l := &Lab{Fleet: f, Links: make(map[string]*link.Link), set: filepath.Join(f.Dir, "set")}
+	if err := l.start(ctx); err != nil {
+		l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+func (l *Lab) start(ctx context.Context) error {
+	if err := l.writeSet(l.set, configSet); err != nil {
+		return err
+	}
+	var fault error
+	l.Fleet.Tune = func(h *harness.Host, s *settings.Settings) {
+		ln, err := link.Listen(h.Addr.Nodes)
+		if err != nil {
+			fault = err
+			return
+		}
+		l.Links[h.Name] = ln
+		s.Advertise.Data = ln.Addr()
+		for _, other := range l.Fleet.Hosts { // those planned before it
+			s.Peers = append(s.Peers, other.Addr.Control)
+		}
+	}
+	l.Fleet.TuneTarget = func(h *harness.Host, c *target.Config) {
+		c.Dist, c.RunsFile = target.DistFixed, filepath.Join(l.Fleet.Dir, h.Name+runsSuffix)
+		c.HealthLies = h.Name == drainee // a drain must be known without it
+	}
+	if err := l.Fleet.Add(deployment()); err != nil || fault != nil {
+		return firstOf(err, fault)
+	}
+	if err := l.Fleet.Start(); err != nil {
+		return err
+	}
+	if err := l.apply(ctx, 0); err != nil {
+		return err
+	}
+	if err := l.Fleet.Ready(startTime); err != nil {
+		return err
+	}
+	return l.Fleet.Converged(startTime)
+}
+
+func firstOf(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Lab) writeSet(dir, set string) error {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return status.Wrap(harness.CodeHarness, err, "folder of the set")
+	}
+	if err := os.WriteFile(filepath.Join(dir, "lab.yaml"), []byte(set), 0o600); err != nil {
+		return status.Wrap(harness.CodeHarness, err, "write the set")
+	}
+	return nil
+}
+
+// Close ends all processes and links.
+func (l *Lab) Close() {
+	l.Fleet.Close()
+	for _, ln := range l.Links {
+		ln.Close()
+	}
+}
+
+// drainee is the name of the host that the scenarios of a drain make leave.
+const drainee = "lab-archive-1"
+
+// host returns the n-th host of a service, from 1.
+func (l *Lab) host(service string, n int) *harness.Host {
+	for _, h := range l.Fleet.Hosts {
+		if h.Service == service+".lab" {
+			if n--; n == 0 {
+				return h
+			}
+		}
+	}
+	panic("no such host: " + service) // a scenario's own fault
+}
+
+// entries returns the callers' faces of a service's nodes.
+func (l *Lab) entries(service string) (urls []string) {
+	for _, h := range l.Fleet.Hosts {
+		if h.Service == service+".lab" {
+			urls = append(urls, "http://"+h.Addr.Callers)
+		}
+	}
+	return urls
+}
+
+// await polls until ok; what names the condition.
+func await(ctx context.Context, what string, ok func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, recovery)
+	defer cancel()
+	for !ok() {
+		select {
+		case <-ctx.Done():
+			return status.New(CodeStuck, "never: %s", what)
+		case <-time.After(poll):
+		}
+	}
+	return nil
+}
--- a/bench/faults/link/link.go
+++ b/bench/faults/link/link.go
@@ -125,6 +125,18 @@
 	}
 }
 
+// Release ends the connections that went silent: their ends are seen at last.
+func (l *Link) Release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.pairs {
+		if p.silent {
+			delete(l.pairs, p)
+			p.release()
+		}
+	}
+}
+
 // Up lets connections in again after a Kill.
 func (l *Link) Up() error {
 	l.mu.Lock()
@@ -144,12 +156,10 @@
 // Close ends the link and all its connections.
 func (l *Link) Close() {
 	l.Break(Kill)
+	l.Release()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
-	for p := range l.pairs {
-		p.release()
-	}
 }
 
 // down refuses connections. Called with mu held.
--- a/bench/standin/target/config.go
+++ b/bench/standin/target/config.go
@@ -64,6 +64,10 @@
 	LoadLag time.Duration `yaml:"load_lag"`
 	// LoadLie, if set, is the utilization that /load always tells.
 	LoadLie *float64 `yaml:"load_lie"`
+	// RunsFile, if set, is a file to which each run adds a line when it begins:
+	// service, path, key and mark, with tabs between. It outlives the process, so
+	// that runs are counted though their target is killed.
+	RunsFile string `yaml:"runs_file"`
 	// CallTimeout bounds one outgoing call; default 10s.
 	CallTimeout time.Duration `yaml:"call_timeout"`
 	// Routes is tried in order; the first whose method and prefix match runs.
--- a/bench/standin/target/handler.go
+++ b/bench/standin/target/handler.go
@@ -171,6 +171,7 @@
 		return nil, err
 	}
 	defer func() { <-s.slots }()
+	s.noteRun(j)
 	s.count.start(j.route.Method+" "+j.route.Prefix, j.origin.key)
 	defer s.count.update(func(c *Counters) { c.InFlight-- })
 
--- a/bench/standin/target/server.go
+++ b/bench/standin/target/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +27,7 @@
 	pace  *pace
 	loads loadLog
 	count counters
+	runs  *os.File // nil: not written
 	calls *caller
 	drain atomic.Pointer[time.Time] // since when it drains
 
@@ -55,6 +58,9 @@
 	if err := s.cfg.Validate(); err != nil {
 		return err
 	}
+	if err := s.openRuns(); err != nil {
+		return err
+	}
 	s.pace.restart(time.Now(), s.cfg.ColdFor)
 	h, err := httpd.Start(httpd.Config{
 		Listen:      s.cfg.Listen,
@@ -71,6 +77,25 @@
 	return nil
 }
 
+func (s *Server) openRuns() (err error) {
+	if s.cfg.RunsFile == "" {
+		return nil
+	}
+	s.runs, err = os.OpenFile(s.cfg.RunsFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return status.Wrap(status.CodeInvalidSettings, err, "runs_file")
+	}
+	return nil
+}
+
+// noteRun adds a run to the file of runs, by one write, so that lines of
+// several processes don't mix.
+func (s *Server) noteRun(j job) {
+	if s.runs != nil {
+		_, _ = fmt.Fprintf(s.runs, "%s\t%s\t%s\t%s\n", s.cfg.Service, j.path, j.origin.key, j.origin.mark)
+	}
+}
+
 // Addr returns the address in use.
 func (s *Server) Addr() string { return s.http.Addr() }
 
@@ -84,6 +109,7 @@
 	err := s.http.Close()
 	s.calls.close()
 	s.sampling.Wait()
+	_ = s.runs.Close() // of no file is an error that nobody needs
 	return err
 }
 
--- a/internal/dataplane/callee.go
+++ b/internal/dataplane/callee.go
@@ -162,10 +162,12 @@
 			return route.Failure // the callee's node lost its target, not we its node
 		}
 		return route.Broken
-	case status.CodeNotReady, status.CodeNoTarget:
-		// Unlike a leave it passes, without a new incarnation of the node.
-		return route.Failure
-	case status.CodeDeadlineExceeded, status.CodeTargetFailed, status.CodeOutcomeUnknown, status.CodeInternal, status.CodeProtocol:
+	case status.CodeNotReady:
+		// Unlike a leave it passes, without a new incarnation of the node, and
+		// often soon: a node that starts is not ready for a moment.
+		return route.Broken
+	case status.CodeDeadlineExceeded, status.CodeTargetFailed, status.CodeNoTarget,
+		status.CodeOutcomeUnknown, status.CodeInternal, status.CodeProtocol:
 		return route.Failure
 	default:
 		return route.Ignored
