--- a/bench/harness/fleet.go
+++ b/bench/harness/fleet.go
@@ -153,7 +153,7 @@
 	if err := os.WriteFile(filepath.Join(f.Dir, "key"), []byte("bench"), 0o600); err != nil {
 		return status.Wrap(CodeHarness, err, "write the key")
 	}
-	f.ports.release()
+	f.ports.release(f.addr)
 	var err error
 	if f.Platform, err = f.run("platform", f.Bins.Platform, "--listen", f.addr); err != nil {
 		return err
@@ -174,12 +174,15 @@
 
 // StartTarget starts a host's target, again if it has ended.
 func (f *Fleet) StartTarget(h *Host) (err error) {
+	f.ports.release(h.Addr.Target)
 	h.Target, err = f.run(h.Name+"-target", f.Bins.Target, "--config", h.targetFile)
 	return err
 }
 
 // StartNode starts a host's node, again if it has ended.
 func (f *Fleet) StartNode(h *Host) (err error) {
+	a := h.Addr
+	f.ports.release(a.Callers, a.Nodes, a.Egress, a.Control, a.Ops)
 	h.Node, err = f.run(h.Name+"-node", f.Bins.Node, "--settings", h.nodeFile)
 	return err
 }
@@ -241,7 +244,7 @@
 	for _, p := range procs {
 		p.Kill()
 	}
-	f.ports.release()
+	f.ports.releaseAll()
 	if !f.Keep {
 		_ = os.RemoveAll(f.Dir)
 	}
--- a/bench/harness/process.go
+++ b/bench/harness/process.go
@@ -89,11 +89,11 @@
 	}
 }
 
-// ports hands out free ports. They are held bound until all have been drawn, so
-// that none is drawn twice.
+// ports hands out free ports. Each is held bound until the process that is to
+// listen on it starts, so that neither this fleet nor another takes it before.
 type ports struct {
 	mu   sync.Mutex
-	held []net.Listener
+	held map[string]net.Listener
 }
 
 func (p *ports) take() (string, error) {
@@ -103,11 +103,26 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.held = append(p.held, ln)
+	if p.held == nil {
+		p.held = make(map[string]net.Listener)
+	}
+	p.held[ln.Addr().String()] = ln
 	return ln.Addr().String(), nil
 }
 
-func (p *ports) release() {
+// release frees ports for the process that is about to start.
+func (p *ports) release(addrs ...string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, a := range addrs {
+		if ln, ok := p.held[a]; ok {
+			_ = ln.Close()
+			delete(p.held, a)
+		}
+	}
+}
+
+func (p *ports) releaseAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, ln := range p.held {
--- a/bench/latency/lean.go
+++ b/bench/latency/lean.go
@@ -29,7 +29,9 @@
 
 // StartLean opens the target's port and serves until Close.
 func StartLean(cfg target.Config) (*LeanTarget, error) {
-	t := &LeanTarget{cfg: cfg, client: hertzhttp.NewClient(hertzhttp.DefaultClientConfig())}
+	cc := hertzhttp.DefaultClientConfig()
+	cc.WatchAfter = watchAfter
+	t := &LeanTarget{cfg: cfg, client: hertzhttp.NewClient(cc)}
 	var err error
 	t.http, err = httpd.Start(httpd.Config{Listen: cfg.Listen}, t.serve)
 	return t, err
--- a/bench/latency/load.go
+++ b/bench/latency/load.go
@@ -26,6 +26,9 @@
 	// maxOpen bounds requests in flight; arrivals beyond it are overrun.
 	maxOpen = 8192
 	timeout = 10 * time.Second
+	// watchAfter keeps the clients here from looking after idle connections
+	// between two calls, which would count as the nodes' cost or the targets'.
+	watchAfter = time.Minute
 )
 
 // Sample is what one slice of load gave.
@@ -53,7 +56,7 @@
 
 func newGenerator() *generator {
 	cfg := hertzhttp.DefaultClientConfig()
-	cfg.MaxConns, cfg.MaxIdle = maxOpen, maxOpen
+	cfg.MaxConns, cfg.MaxIdle, cfg.WatchAfter = maxOpen, maxOpen, watchAfter
 	return &generator{client: hertzhttp.NewClient(cfg)}
 }
 
