--- a/internal/dataplane/call.go
+++ b/internal/dataplane/call.go
@@ -133,6 +133,9 @@
 		cl.done(ch, &result{code: status.CodeCanceled})
 		return r, false
 	}
+	if c.parent != nil {
+		c.parent.begins()
+	}
 	r := e.attempt(ctx, c, ch, &grant, sub, resp)
 	if c.parent != nil {
 		c.parent.note(r)
--- a/internal/dataplane/inflight.go
+++ b/internal/dataplane/inflight.go
@@ -29,6 +29,7 @@
 
 	mu      sync.Mutex
 	purse   retry.Purse
+	open    int         // attempts below that have not ended
 	unknown bool        // some call below may have run with no known result
 	used    []early.Key // services called so far
 }
@@ -62,10 +63,18 @@
 	return true
 }
 
-// note takes in how a call below ended.
+// begins takes in that an attempt below begins.
+func (x *running) begins() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.open++
+}
+
+// note takes in how an attempt below ended.
 func (x *running) note(r *result) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.open--
 	x.unknown = x.unknown || r.outcome == request.Unknown
 }
 
@@ -77,11 +86,13 @@
 	return x.purse.Close(), made
 }
 
-// doubtful reports whether a call below may have run with no known result.
+// doubtful reports whether a call below may have run with no known result, or
+// is still under way: a target may give up a call and answer before its node
+// has noticed that.
 func (x *running) doubtful() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.unknown
+	return x.unknown || x.open > 0
 }
 
 // registry holds the requests that run on the own target, by identity. Safe
