Play an outage with deaths, and a planned stop in overload

Two more scenarios of real processes: the platform down while a node and another host's target die and return; the node of a slow service's target stopped while requests are refused for overload.

--- a/bench/faults/outage.go
+++ b/bench/faults/outage.go
@@ -79,3 +79,21 @@
 		return err
 	}, func() error { return l.faults(platform.Faults{}) })
 }
+
+// Symptom: what each failure alone leaves whole is lost by both.
+// Events: the platform goes down, then a node and a target of another host die,
+// and come back while it is still down.
+// Cause: recovery from the one needs what the other has taken.
+func outageAndDeaths(ctx context.Context, l *Lab) (Row, error) {
+	a, n := l.host("archive", 2), l.host("notices", 2)
+	return l.play(ctx, l.entries("feed"), func() error {
+		if err := l.faults(platform.Faults{Down: true}); err != nil {
+			return err
+		}
+		l.killNode(n)
+		a.Target.Kill()
+		return nil
+	}, func() error {
+		return firstOf(l.Fleet.StartTarget(a), l.startNode(ctx, n), l.whole(ctx))
+	}, func() error { return l.faults(platform.Faults{}) })
+}
--- a/bench/faults/scenario.go
+++ b/bench/faults/scenario.go
@@ -52,10 +52,12 @@
 		{"request that crashes targets", crashes},
 		{"two operators at once", twoOperators},
 		{"node starts in an outage", startInOutage},
+		{"outage, node and target killed", outageAndDeaths},
 		{"drain", drained},
 		{"drain, then node killed", drainedThenKilled},
 		{"node stopped before target", nodeStopsFirst},
 		{"target stopped before node", targetStopsFirst},
+		{"node stopped in overload", stopInOverload},
 	}
 }
 
--- a/bench/faults/stop.go
+++ b/bench/faults/stop.go
@@ -161,3 +161,46 @@
 	}
 	return n
 }
+
+// slowdown makes archive's targets take 0.6 s a request, which is some twice
+// what the load leaves time for.
+const slowdown = 300
+
+// Symptom: a planned stop in overload breaks requests off, or never ends.
+// Events: the last service of the chains slows down until it is overloaded; the
+// node of one of its targets is told to stop.
+// Cause: the queue is worked off before the stop, or dropped without a word.
+func stopInOverload(ctx context.Context, l *Lab) (Row, error) {
+	h := l.host("archive", 2)
+	ld := l.begin(ctx, l.entries("feed"), classes(rate))
+	row, err := ld.play(ctx, func() error {
+		err := l.slow(slowdown)
+		return firstOf(err, ld.await(ctx, "requests are refused for overload", overloaded), endInOrder([]*harness.Process{h.Node}))
+	}, nil, func() error {
+		return firstOf(l.slow(1), l.startNode(ctx, h), l.whole(ctx))
+	})
+	if end := ld.end(ctx); err == nil {
+		err = end
+	}
+	return row, err
+}
+
+func overloaded(as map[string][]client.Attempt) bool {
+	for _, tries := range as {
+		if tries[len(tries)-1].Code == string(status.CodeOverloaded) {
+			return true
+		}
+	}
+	return false
+}
+
+// slow sets how slow archive's targets are.
+func (l *Lab) slow(factor float64) error {
+	for n := range 2 {
+		url := "http://" + l.host("archive", n+1).Addr.Target + "/control/slow"
+		if err := post(url, map[string]float64{"factor": factor}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
