Begin alone when no seed answers; don't lose a fetch that is under way

A first node whose seeds were all gone waited for them for good and was never ready. After 20 s without any answer it now begins alone and goes on looking for its seeds.

--- a/internal/core/member/config.go
+++ b/internal/core/member/config.go
@@ -97,6 +97,11 @@
 	// state, beyond its Budget. Default 24000. Raising it makes a member complete
 	// sooner; those that it fetches from keep to their own budgets.
 	JoinRate int
+	// AloneAfter is how long a member with seeds waits for the first answer of
+	// any before it takes itself for the first one. Default 20 s. Without it a
+	// fleet whose seeds are all gone would never start; lowering it lets members
+	// start apart that only reach each other late.
+	AloneAfter time.Duration
 	// JoinRetry is the time between attempts to join. Default 1 s.
 	JoinRetry time.Duration
 }
@@ -132,6 +137,7 @@
 		ExchangeCost:    300,
 		MaxItems:        1100,
 		JoinRate:        24000,
+		AloneAfter:      20 * time.Second,
 		JoinRetry:       time.Second,
 	}
 }
--- a/internal/core/member/fault_test.go
+++ b/internal/core/member/fault_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"peardrift/internal/core/request"
 )
 
 // deaths returns how many deaths the nodes declared.
@@ -139,3 +141,47 @@
 		is.Equal(len(r.Facts), tt.facts)
 	}
 }
+
+// TestSeedsAreGone: symptom: after all instances were replaced, no node gets
+// ready. Events: the seeds that the first node finds belong to instances that
+// are gone. Cause: it waits for one of them for good. And when such a node has
+// begun alone, those that it could not reach then must still be found.
+func TestSeedsAreGone(t *testing.T) {
+	is := is.New(t)
+	net := newTestNet(DefaultConfig(), 3)
+	gone := &testNode{rec: testRecord(99, "bkk", "z0")}
+	a := net.start(testRecord(0, "bkk", "z0"), gone)
+	net.run(15 * time.Second)
+	is.True(!a.s.Joined())
+	net.run(10 * time.Second)
+	is.True(a.s.Joined() && a.s.Complete())
+
+	b := net.start(testRecord(1, "bkk", "z1"), gone, a)
+	net.cut = func(x, y *testNode) bool { return true }
+	net.run(30 * time.Second)
+	is.True(b.s.Joined())
+	net.cut = nil
+	net.run(4 * time.Minute) // one of b's two seeds is looked for each half minute
+	is.Equal(net.disagree(), "")
+	is.Equal(net.status(a, b), "alive")
+	is.Equal(net.status(b, a), "alive")
+}
+
+// TestJoinAgainWhileFetching: symptom: a node believes that it knows all, and
+// doesn't. Events: it is told of further seeds while it fetches the state. Cause:
+// the fetching begins anew in the middle and ends early.
+func TestJoinAgainWhileFetching(t *testing.T) {
+	is := is.New(t)
+	net := restingNet(150, oneRegion)
+	n := net.start(testRecord(500, "bkk", "z0"), net.nodes[0])
+	for !n.s.join.wrapped {
+		net.run(200 * time.Millisecond)
+	}
+	is.True(!n.s.Complete())
+	n.s.Join([]Peer{{Control: net.nodes[1].rec.Control}}, []request.Service{"svc1.tenant"})
+	for !n.s.Complete() {
+		net.run(200 * time.Millisecond)
+	}
+	is.Equal(len(n.s.tab.members), 151)
+	is.Equal(len(n.s.lacks.list), 0)
+}
--- a/internal/core/member/join.go
+++ b/internal/core/member/join.go
@@ -14,7 +14,10 @@
 	seeds    []Peer
 	services []request.Service // wanted first
 	wanted   bool
-	in       bool // some peer has let the member in
+	in       bool // some peer has let the member in, or there is none
+	answered bool // some peer has answered
+	tried    bool
+	since    time.Duration // the first attempt
 	fetching bool
 	busy     bool
 	source   Peer
@@ -33,14 +36,20 @@
 
 // Join makes the member join through any of the seeds; it goes on trying. The
 // records of the given services are fetched before others. Without seeds the
-// member is the first one. Calling it again adds seeds.
+// member is the first one, as it is if none of them answers for
+// Config.AloneAfter; it then goes on looking for them now and then. Calling it
+// again adds seeds.
 func (s *State) Join(seeds []Peer, services []request.Service) {
 	j := &s.join
 	for _, p := range seeds {
 		s.addSeed(p)
 	}
-	j.services = services
 	j.wanted = len(j.seeds) > 0
+	if j.in {
+		s.Prefer(services)
+		return
+	}
+	j.services = services
 }
 
 const maxSeeds = 64
@@ -99,6 +108,13 @@
 	if !j.partial() || j.busy || now < j.next || s.stat == Dead {
 		return
 	}
+	if !j.tried {
+		j.tried, j.since = true, now
+	}
+	if !j.in && !j.answered && now-j.since >= s.cfg.AloneAfter {
+		j.in = true
+		return
+	}
 	if !j.in {
 		j.busy, j.begun = true, now
 		j.source = s.seed()
@@ -233,7 +249,7 @@
 	if !j.busy || j.in {
 		return
 	}
-	j.busy = false
+	j.busy, j.answered = false, true
 	if m.Full {
 		j.next = now + s.cfg.JoinRetry/2 + s.jitter(s.cfg.JoinRetry)
 		for _, r := range m.Records {
