Let a request above the level's importance go past one target's refusal

Symptom: in the replay of Kalahari's surge some payouts were refused while the service completed claim status beside them. Cause: a target whose level stood in payouts for a moment refused them, and because the service as a whole had a level above 0 (within claim status), the refusal was final.

--- a/internal/core/retry/decide.go
+++ b/internal/core/retry/decide.go
@@ -184,7 +184,9 @@
 // overloaded reports whether the service as a whole takes no retries. Sending a
 // refused call elsewhere costs a target next to nothing and is the only way for
 // an important request past a target that leaves; so that stays allowed as long
-// as the request's priority is above the level.
+// as the request's priority is above the level. Refused for load by one target,
+// a request is tried elsewhere only if its importance is above the level's: one
+// of the same importance is near the margin everywhere.
 func overloaded(now time.Duration, r *Result, b *Brake) bool {
 	if r.Outcome != request.Refused || r.MayHaveRun {
 		return r.Level > 0 || b.Overloaded(now)
@@ -192,6 +194,9 @@
 	if r.Priority < r.Level {
 		return true
 	}
+	if r.Level > 0 && r.Priority.Importance() > r.Level.Importance() {
+		return false
+	}
 	return forLoad(r.Code) && (r.Level > 0 || b.Overloaded(now))
 }
 
--- a/internal/core/retry/decide_test.go
+++ b/internal/core/retry/decide_test.go
@@ -40,6 +40,8 @@
 		{"deadline too near", base, func(r *Result) { r.Deadline, r.Usual = 100*time.Millisecond, time.Second }, Deadline},
 		{"service overloaded, repeat", base, func(r *Result) { r.Level = 1 }, Overload},
 		{"service overloaded, refusal is final", refused, func(r *Result) { r.Level = high }, Overload},
+		{"service overloaded for the same importance", refused, func(r *Result) { r.Level, r.Priority = low, low+9 }, Overload},
+		{"service overloaded for lesser importances", refused, func(r *Result) { r.Level, r.Priority = low, high }, Again},
 		{"target leaves, service overloaded for others", refused, func(r *Result) {
 			r.Code, r.Level, r.Priority = status.CodeDraining, low, high
 		}, Again},
