Read the answer of a peer that takes no more of a body

Events: the target, draining, answered 503 to a request of 4 MiB and closed the connection while the body was being sent. Cause: the failure to send the rest hid the answer that had come. It is read now, and its connection not kept. The new test fails without ("connection reset by peer").

--- a/internal/adapter/hertzhttp/body_test.go
+++ b/internal/adapter/hertzhttp/body_test.go
@@ -1,8 +1,10 @@
 package hertzhttp
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -43,3 +45,38 @@
 	is.NoErr(res.Stream.Close())
 	is.NoErr(<-stopped)
 }
+
+// Symptom: an upload that a target turned away at once is in doubt.
+// Events: a target answers 503 and closes the connection while the body is
+// still being sent. Cause: the failed write hides the answer that is there.
+func TestAnswerBeforeTheBodyIsSent(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 100))
+			write(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nbusy")
+			_ = c.Close() // with much unread: a reset
+		}
+	}()
+	cl := NewClient(DefaultClientConfig())
+	defer cl.Close()
+	for range 20 {
+		req := get("/")
+		req.Header.SetMethod("POST")
+		req.SetBodyStream(bytes.NewReader(make([]byte, 8<<20)), 8<<20)
+		var resp protocol.Response
+		res, err := cl.Do(context.Background(), ln.Addr().String(), req, &resp)
+		is.NoErr(err)
+		is.True(res.Stream == nil)
+		is.Equal(resp.StatusCode(), 503)
+		is.Equal(string(resp.Body()), "busy")
+		is.Equal(cl.pool(ln.Addr().String()).open(), 0)
+	}
+}
--- a/internal/adapter/hertzhttp/client.go
+++ b/internal/adapter/hertzhttp/client.go
@@ -1,6 +1,7 @@
 package hertzhttp
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -159,19 +160,25 @@
 // it is short. On success the connection is back in the pool or owned by
 // res.Stream.
 func (c *Client) exchange(cc *clientConn, req *protocol.Request, resp *protocol.Response, res *Result, stop func() bool) error {
-	if err := cc.send(req); err != nil {
-		return err
+	sent := cc.send(req)
+	if sent != nil {
+		// A peer that refuses a long body may answer and close before it is
+		// sent. Its answer is worth more than the failure to send the rest.
+		_ = cc.SetReadDeadline(time.Now().Add(earlyAnswer))
 	}
 	resp.SkipBody = req.Header.IsHead()
 	if err := http1resp.ReadHeaders(resp, cc); err != nil {
-		return err
+		return cmp.Or(sent, err)
 	}
 	n := resp.Header.ContentLength()
 	if n < -1 && !resp.MustSkipBody() {
 		return status.New(status.CodeProtocol, "an answer of no stated length can't be told from a broken one")
 	}
 	if resp.MustSkipBody() || (n >= 0 && n <= c.cfg.BufferBytes) {
-		return c.readWhole(cc, resp, stop)
+		return c.readWhole(cc, resp, stop, sent == nil)
+	}
+	if sent != nil {
+		return sent // not worth a stream
 	}
 	if err := http1resp.ReadRespBodyStream(resp, cc, 0, nil); err != nil {
 		return err
@@ -182,14 +189,18 @@
 	return nil
 }
 
-func (c *Client) readWhole(cc *clientConn, resp *protocol.Response, stop func() bool) error {
+// earlyAnswer is how long the answer of a peer that took no more of a request
+// is waited for; it is here already, or never comes.
+const earlyAnswer = 10 * time.Millisecond
+
+func (c *Client) readWhole(cc *clientConn, resp *protocol.Response, stop func() bool, keep bool) error {
 	if err := http1resp.ReadRespBody(resp, cc, 0); err != nil {
 		return err
 	}
 	if err := cc.Release(); err != nil {
 		return err
 	}
-	cc.giveBack(stop, !resp.ConnectionClose())
+	cc.giveBack(stop, keep && !resp.ConnectionClose())
 	return nil
 }
 
