Count control bytes before they are written

Cause: TestMessageSurvivesTheWire went red once on a busy machine: the caller had its reply before the server's goroutine had counted it. The count is an upper estimate as it was.

--- a/internal/adapter/rpc/meter.go
+++ b/internal/adapter/rpc/meter.go
@@ -61,9 +61,10 @@
 }
 
 func (c *meteredConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.meter.add(n + packets(n)*packetHeader)
-	return n, err
+	// Counted before it is written: the peer may have its reply, and look at the
+	// meter, before this goroutine runs on.
+	c.meter.add(len(b) + packets(len(b))*packetHeader)
+	return c.Conn.Write(b)
 }
 
 func (c *meteredConn) Close() error {
