--- a/bench/replay/client.go
+++ b/bench/replay/client.go
@@ -114,7 +114,6 @@
 		}
 	}
 	if u.tries >= tries || u.w.now+wait-u.born >= u.w.dep.Patience {
-		u.w.m.gaveUp(u)
 		return
 	}
 	u.w.after(wait, u.try)
--- a/bench/replay/measure.go
+++ b/bench/replay/measure.go
@@ -78,8 +78,6 @@
 
 func (m *measures) arrived(u *user) { m.classes[u.class.Name].arrived[m.window()]++ }
 
-func (m *measures) gaveUp(*user) {}
-
 func (m *measures) completed(u *user, t *tree, work time.Duration) {
 	s, born := m.classes[u.class.Name], int(u.born/bin)
 	m.useful += work
--- a/bench/replay/workload/doc.go
+++ b/bench/replay/workload/doc.go
@@ -7,7 +7,7 @@
 // Times are nanoseconds since the start of the trace, in rising order. A trace
 // holds demand only, no decisions, so the same trace serves every policy.
 //
-//	{"Format":"peardrift-trace/1","Deployment":"khaosan","Scenario":"worst","Seed":1,...}
+//	{"format":"peardrift-trace/1","deployment":"khaosan","scenario":"worst","seed":1,...}
 //	{"t":412000,"tenant":"khaosan","class":"morning-feed","client":8123,"zone":2}
 //	{"t":8000000000,"fault":"slow","service":"archive","factor":4}
 //
--- a/bench/replay/workload/trace.go
+++ b/bench/replay/workload/trace.go
@@ -14,15 +14,16 @@
 
 // Header is the first line of a trace.
 type Header struct {
-	Format     string
-	Deployment string
-	Scenario   string
-	Seed       uint64
-	Scale      int           // slots and connections of the deployment are divided by it
-	Hard       float64       // part of the clients that ignore Retry-After
-	Hasty      float64       // clients wait 1/Hasty of their usual time for a try; 0 counts as 1
-	From, To   time.Duration // the trigger
-	Lasts      time.Duration
+	Format     string        `json:"format"`
+	Deployment string        `json:"deployment"`
+	Scenario   string        `json:"scenario"`
+	Seed       uint64        `json:"seed"`
+	Scale      int           `json:"scale"`           // slots and connections of the deployment are divided by it
+	Hard       float64       `json:"hard"`            // part of the clients that ignore Retry-After
+	Hasty      float64       `json:"hasty,omitempty"` // clients wait 1/Hasty of their usual time for a try; 0 counts as 1
+	From       time.Duration `json:"from"`            // the trigger begins
+	To         time.Duration `json:"to"`              // and ends
+	Lasts      time.Duration `json:"lasts"`
 }
 
 // Event is one line of a trace: a client's request, or a fault.
@@ -78,6 +79,10 @@
 	if d == nil {
 		return nil, status.New(status.CodeMalformed, "trace of unknown deployment %q", t.Header.Deployment)
 	}
+	if !t.Header.valid() {
+		return nil, status.New(status.CodeMalformed, "the trigger doesn't lie within a trace of at most %v", longest)
+	}
+	targets := d.targets()
 	for last := time.Duration(0); ; {
 		var e Event
 		err := dec.Decode(&e)
@@ -87,22 +92,39 @@
 		if err != nil {
 			return nil, status.Wrap(status.CodeMalformed, err, "trace event %d", len(t.Events))
 		}
-		if e.T < last || !d.knows(&e) {
-			return nil, status.New(status.CodeMalformed, "trace event %d at %v is out of order or names what %s has not", len(t.Events), e.T, d.Name)
+		if e.T < last || e.T > t.Header.Lasts || !d.knows(&e, targets) {
+			return nil, status.New(status.CodeMalformed, "trace event %d at %v is out of order or names what %s doesn't have", len(t.Events), e.T, d.Name)
 		}
 		last = e.T
 		t.Events = append(t.Events, e)
 	}
 }
 
-func (d *Deployment) knows(e *Event) bool {
+// longest bounds a trace, so that a wrong time can't ask for endless memory.
+const longest = time.Hour
+
+func (h *Header) valid() bool {
+	return 0 < h.From && h.From < h.To && h.To <= h.Lasts && h.Lasts <= longest
+}
+
+// targets returns the number of targets by service.
+func (d *Deployment) targets() map[string]int {
+	out := map[string]int{}
+	for _, s := range d.Services {
+		out[s.Name] = s.Targets
+	}
+	return out
+}
+
+// knows reports whether an event fits the deployment; targets counts those that
+// a service has had so far.
+func (d *Deployment) knows(e *Event, targets map[string]int) bool {
 	if e.Fault == "" {
-		return d.Class(e.Class) != nil && e.Zone >= 0 && e.Zone < d.Zones
+		return d.Class(e.Class) != nil && e.Client >= 0 && e.Zone >= 0 && e.Zone < d.Zones
 	}
-	for i := range d.Services {
-		if d.Services[i].Name == e.Service {
-			return true
-		}
+	if e.Fault == Start && targets[e.Service] > 0 {
+		targets[e.Service]++
+		return true
 	}
-	return false
+	return e.Target >= 0 && e.Target < targets[e.Service] && e.Factor >= 0
 }
--- a/bench/replay/workload/workload_test.go
+++ b/bench/replay/workload/workload_test.go
@@ -27,16 +27,19 @@
 }
 
 func TestReadRefuses(t *testing.T) {
-	head := `{"Format":"peardrift-trace/1","Deployment":"khaosan"}` + "\n"
+	head := `{"format":"peardrift-trace/1","deployment":"khaosan","from":1,"to":2,"lasts":3}` + "\n"
 	for name, text := range map[string]string{
 		"empty":              "",
-		"another format":     `{"Format":"x/1"}`,
-		"unknown deployment": `{"Format":"peardrift-trace/1","Deployment":"x"}`,
+		"another format":     `{"format":"x/1"}`,
+		"unknown deployment": `{"format":"peardrift-trace/1","deployment":"x"}`,
 		"unknown key":        head + `{"t":1,"class":"upload","colour":1}`,
 		"unknown class":      head + `{"t":1,"class":"x"}`,
 		"unknown service":    head + `{"t":1,"fault":"slow","service":"x"}`,
 		"no such zone":       head + `{"t":1,"class":"upload","zone":9}`,
 		"time goes back":     head + `{"t":2,"class":"upload"}` + "\n" + `{"t":1,"class":"upload"}`,
+		"no trigger":         `{"format":"peardrift-trace/1","deployment":"khaosan","lasts":3}`,
+		"after its end":      head + `{"t":4,"class":"upload"}`,
+		"no such target":     head + `{"t":1,"fault":"drain","service":"feed","target":4}`,
 		"cut short":          head + `{"t":1,"cla`,
 	} {
 		t.Run(name, func(t *testing.T) {
