Count a target as known for five seconds only

Symptom: a service that lost all targets but one isn't refused early, since the lost ones count among those to be heard of and one alone shuts nothing. The node doesn't call Forget when a member leaves; now the table forgets by itself, later.

--- a/internal/core/early/early_test.go
+++ b/internal/core/early/early_test.go
@@ -120,6 +120,8 @@
 	learn(tab, 0, 0, 0, 0, 0)
 	learn(tab, 2*time.Second, feed)
 	is.Equal(tab.Level(2*time.Second, archive), request.Level(0))
+	learn(tab, 6*time.Second, feed) // the others are gone by now
+	is.Equal(tab.Level(6*time.Second, archive), feed)
 }
 
 func TestChainLevel(t *testing.T) {
--- a/internal/core/early/table.go
+++ b/internal/core/early/table.go
@@ -229,21 +229,30 @@
 	l.at, l.fresh = now, true
 }
 
+// knownFor is for how many times Age without news a target still counts as one
+// that could be heard of. Symptom otherwise: a service that has lost all targets
+// but one is called with what that one refuses, since the lost ones are waited
+// for; Forget does the same at once.
+const knownFor = 5
+
 // quantile returns the lowest level such that targets with more than Quantile
 // of the capacity heard of are at or below it.
 func (t *Table) quantile(now time.Duration, l *levels, of func(*heard) request.Level) request.Level {
 	t.sort = t.sort[:0]
-	total := 0
+	total, known := 0, 0
 	for i := range l.heard {
 		h := &l.heard[i]
 		age := now - h.at
+		if age < knownFor*t.cfg.Age {
+			known++
+		}
 		if age >= t.cfg.Age {
 			continue
 		}
 		total += h.weight
 		t.insert(heard{level: t.aged(of(h), age), weight: h.weight})
 	}
-	if len(t.sort) < min(t.cfg.MinTargets, len(l.heard)) {
+	if len(t.sort) < min(t.cfg.MinTargets, known) {
 		return 0
 	}
 	limit := t.cfg.Quantile * float64(total)
