--- a/bench/replay/outcomes_test.go
+++ b/bench/replay/outcomes_test.go
@@ -89,7 +89,7 @@
 // control that takes some seconds: queues fill first.
 func TestBaselinesAreBeaten(t *testing.T) {
 	for _, deployment := range []string{"khaosan", "kalahari"} {
-		l := workload.Lengths{Before: 2 * time.Second, During: 7 * time.Second, After: time.Second}
+		l := workload.Lengths{Before: 2 * time.Second, During: 9 * time.Second, After: 3 * time.Second}
 		whole := playFor(t, l, deployment, "worst", "peardrift", 1)
 		for _, b := range Baselines() {
 			t.Run(deployment+"-"+b.Name, func(t *testing.T) {
