Stay ready while joining nodes that were found later

Readiness now asks whether the members were all known once. The new test fails without that. Ruled out: the target's health, which takes three seconds to turn. Run: node tests under -race; that test nine times under -race.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -34,6 +34,7 @@
 	gen      uint64
 	shown    shown
 	seen     map[request.TargetID]sighting
+	whole    bool // the members were all known once
 	targetUp bool
 	leaving  bool
 }
@@ -148,7 +149,15 @@
 // the other members, for lack of targets.
 func (c *control) ready() bool {
 	_, known := c.conf.index().Service(c.self.Service)
-	return known && c.state.Complete() && c.conf.state.Ready()
+	return c.membersKnown() && known && c.conf.state.Ready()
+}
+
+// membersKnown reports whether the members have been known at some time. A node
+// that serves and then joins through nodes that it finds later knows no less
+// than before: taking it for new would refuse calls for nothing.
+func (c *control) membersKnown() bool {
+	c.whole = c.whole || c.state.Complete()
+	return c.whole
 }
 
 func (c *control) view(s shown) *dataplane.View {
