--- a/bench/standin/target/server.go
+++ b/bench/standin/target/server.go
@@ -141,11 +141,14 @@
 		s.cfg.OnCrash()
 		return
 	}
-	s.http.Conns.Reset()
-	s.lifetime().end(errStopped)
+	// The next life begins first: who sees its connection break may send again
+	// before this goroutine runs on, and would meet the life that has ended.
+	old := s.lifetime()
 	s.mu.Lock()
 	s.life, s.kill = context.WithCancelCause(context.Background())
 	s.mu.Unlock()
+	s.http.Conns.Reset()
+	old.end(errStopped)
 	s.pace.restart(time.Now(), s.cfg.ColdFor)
 }
 
