Bring groups of nodes that started apart together within seconds

Cause: 16 nodes that started at one moment formed two groups, of 6 and 10, each of which took itself for the whole fleet ("complete": true) and was ready; they found each other 16 to 18 s later. A node that had read four rows of the platform's table stopped reading, though all four could name its own group, and a node that had joined looked for seeds that aren't members each 30 s only. A call to a service whose targets are all in the other group is then refused.

Ruled out: lost messages and budgets; the groups' members lay still meanwhile.

Each node now looks at the rows a second time, 1 to 2 s after the first, and asks seeds that aren't members after 1 s, then at pauses that double up to the 30 s. The test fails without ("node-0 and node-1 differ").

--- a/internal/core/member/fault_test.go
+++ b/internal/core/member/fault_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -167,6 +168,32 @@
 	is.Equal(net.status(b, a), "alive")
 }
 
+// TestGroupsThatStartedApart: symptom: for half a minute after a fleet has
+// started, some nodes refuse calls for want of targets that are up. Events: the
+// nodes start together, find the platform's rows empty or find one row, and
+// join in two groups; later they read the rows of the other group too. Cause:
+// a node that has joined looks for its seeds only each half minute.
+func TestGroupsThatStartedApart(t *testing.T) {
+	is := is.New(t)
+	net := newTestNet(DefaultConfig(), 7)
+	for i := range 16 {
+		rec := testRecord(i, "bkk", fmt.Sprintf("z%d", i%3))
+		if i < 2 {
+			net.start(rec)
+		} else {
+			net.start(rec, net.nodes[i%2])
+		}
+	}
+	net.run(2 * time.Second)
+	is.Equal(net.status(net.nodes[2], net.nodes[3]), "unknown") // two groups
+	for i, n := range net.nodes[2:] {
+		n.s.Join([]Peer{{Control: net.nodes[(i+1)%2].rec.Control}}, nil)
+	}
+	net.run(4 * time.Second)
+	is.Equal(net.disagree(), "")
+	is.Equal(net.status(net.nodes[2], net.nodes[3]), "alive")
+}
+
 // TestJoinAgainWhileFetching: symptom: a node believes that it knows all, and
 // doesn't. Events: it is told of further seeds while it fetches the state. Cause:
 // the fetching begins anew in the middle and ends early.
--- a/internal/core/member/join.go
+++ b/internal/core/member/join.go
@@ -27,6 +27,10 @@
 	next     time.Duration    // no attempt before
 	begun    time.Duration    // the last attempt
 	misses   int              // attempts in a row that brought nothing
+
+	untried   bool          // seeds were added since the last look for strangers
+	nextCheck time.Duration // no look for strangers before
+	checkWait time.Duration // and this long after the next one
 }
 
 func (j *joinState) partial() bool { return j.wanted && (!j.in || j.fetching) }
@@ -59,26 +63,61 @@
 	known := slices.ContainsFunc(j.seeds, func(q Peer) bool { return q.Control == p.Control })
 	if !known && p.Control != "" && p.Control != s.self.Control && len(j.seeds) < maxSeeds {
 		j.seeds = append(j.seeds, p)
+		j.untried = true
 	}
 }
 
-// checkSeeds talks to a seed that isn't a known member. Members that started
-// while they couldn't reach each other would otherwise stay apart as separate
-// fleets for good: nobody has a link to the other side.
-func (s *State) checkSeeds() {
+// tickSeeds looks for seeds that aren't known members: soon after they were
+// named, then at pauses that double up to Config.ReprobeEvery.
+//
+// Members that start together, or while they can't reach each other, become
+// groups that have joined but don't know of each other, and take themselves for
+// the whole fleet. One notices it by calls that are refused for want of targets
+// which are up. Nothing else would bring them together, as nobody has a link to
+// the other side; seeds are the one thing that both sides share.
+func (s *State) tickSeeds(now time.Duration) {
 	j := &s.join
-	if len(j.seeds) == 0 || j.partial() {
+	if len(j.seeds) == 0 || j.partial() || s.stat == Dead {
+		return
+	}
+	if j.untried {
+		j.untried, j.checkWait = false, s.cfg.JoinRetry
+		j.nextCheck = now + s.jitter(j.checkWait)
+	}
+	if now < j.nextCheck {
 		return
 	}
-	seed := j.seeds[s.rng.IntN(len(j.seeds))]
+	j.nextCheck = now + j.checkWait/2 + s.jitter(j.checkWait)
+	j.checkWait = min(2*j.checkWait, s.cfg.ReprobeEvery)
+	if strangers := s.strangers(); len(strangers) > 0 {
+		m := s.message(Probe)
+		m.Records = []*Record{s.selfRecord()}
+		s.exchange(strangers[s.rng.IntN(len(strangers))], m, true)
+	}
+}
+
+// strangers returns the seeds that are not known members.
+func (s *State) strangers() []Peer {
+	present := make(map[string]bool, len(s.join.seeds))
+	for _, p := range s.join.seeds {
+		present[p.Control] = false
+	}
 	for i := range s.tab.members {
-		if e := &s.tab.members[i]; e.present() && e.rec.Control == seed.Control {
-			return
+		e := &s.tab.members[i]
+		if !e.present() {
+			continue
+		}
+		if _, ok := present[e.rec.Control]; ok {
+			present[e.rec.Control] = true
+		}
+	}
+	var out []Peer
+	for _, p := range s.join.seeds {
+		if !present[p.Control] {
+			out = append(out, p)
 		}
 	}
-	m := s.message(Probe)
-	m.Records = []*Record{s.selfRecord()}
-	s.exchange(seed, m, true)
+	return out
 }
 
 // Joined reports whether some peer has let the member in, or none was needed.
--- a/internal/core/member/state.go
+++ b/internal/core/member/state.go
@@ -180,6 +180,7 @@
 	s.tickOverlay(now)
 	s.tickLinks(now)
 	s.watch(now)
+	s.tickSeeds(now)
 	s.reprobe(now)
 	s.expire(now)
 	out := s.actions
--- a/internal/core/member/watch.go
+++ b/internal/core/member/watch.go
@@ -208,7 +208,6 @@
 	if first || s.stat == Dead {
 		return
 	}
-	s.checkSeeds()
 	lost := s.unreachable()
 	if len(lost) == 0 {
 		return
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -76,20 +77,28 @@
 		if err != nil {
 			n.log.Warn("no nodes from the platform", zaplog.Failure(err))
 			round = 0
-		} else if len(found) >= enoughSeeds || round >= joinRounds {
+		} else if round > 0 && len(found) >= enoughSeeds || round >= joinRounds {
 			return
 		}
-		if !wait(ctx, joinEvery<<min(round, joinRounds)) {
+		if !wait(ctx, joinPause(round)) {
 			return
 		}
 	}
 }
 
-// joinRounds is how often a node looks again when it found few others. Nodes
-// that start together find the rows empty; without another look each would
-// think that it is the first, and their groups would meet only by chance.
+// joinRounds is how often a node looks again when it found few others; it looks
+// again once in any case. Nodes that start together find the rows empty, or only
+// those of the first few: without another look each would think that it is the
+// first, or that these few are all, and their groups would meet only by chance.
 const joinRounds = 3
 
+// joinPause is the time before the next look, drawn so that instances that come
+// back together don't ask the platform all at once.
+func joinPause(round int) time.Duration {
+	pause := joinEvery << min(round, joinRounds)
+	return pause + rand.N(pause)
+}
+
 func (n *Node) joinThrough(ps []member.Peer) {
 	n.control.post(func() {
 		info, ok := n.control.conf.index().Service(n.self.Service)
