Use ejected targets where no others are left

Symptom: a service is refused as no-target for up to 30 s though a target of it stands there. Cause: the bound on ejections is looked at when a target is ejected, not when the others leave or die after that. Ruled out: a panic threshold, which undoes an ejection beside targets that could take the calls, and the one ejected longest ago, which would get all calls alone.

--- a/internal/core/route/doc.go
+++ b/internal/core/route/doc.go
@@ -13,7 +13,8 @@
 //     (NextProbe), at a time. A target that leaves gets nothing.
 //   - Results. Failures make a target dear however fast they come, and eject it
 //     for a while; at most MaxEjected of the subset, for if more fail it is the
-//     service that fails and avoiding targets would overload the rest.
+//     service that fails and avoiding targets would overload the rest. Where
+//     all that are left are ejected they are used, until another one comes.
 //   - Measurements: time to answer of whole answers, calls in flight from here,
 //     refusals.
 //   - Reported load, as far as it agrees with the measurements. A report that
--- a/internal/core/route/pick.go
+++ b/internal/core/route/pick.go
@@ -56,6 +56,9 @@
 	if c.rank > hot {
 		c = t.scan(now, c, p, tried)
 	}
+	if c.rank == never && t.allEjected() {
+		c = t.lastResort(tried)
+	}
 	return int(c.idx), c.rank < never
 }
 
