Tell a suspect that has to wait to come back

Cause: the refusal of a request that waits for another suspect's end had the code of the final refusal, so callers that go by codes drop an innocent request. It has a code of its own now, isolation-busy, with Retry-After. Sending it on to another target was ruled out: of many copies at once each would run somewhere.

--- a/internal/core/retry/decide.go
+++ b/internal/core/retry/decide.go
@@ -157,13 +157,14 @@
 }
 
 // final reports codes that another target would answer in the same way, or
-// that must not be tried elsewhere (a suspect would crash that target too).
+// that must not be tried elsewhere: a suspect would crash that target too, also
+// one that was only to wait for another one's end.
 func final(c status.Code) bool {
 	switch c {
 	case status.CodeMalformed, status.CodeTooLarge, status.CodeUnknownService,
 		status.CodeUnknownClass, status.CodeKeyMissing, status.CodeKeyReused,
 		status.CodeForbidden, status.CodeOverShare, status.CodeDeadline,
-		status.CodeRetriesExhausted, status.CodeSuspect, status.CodePlatformDown,
+		status.CodeRetriesExhausted, status.CodeSuspect, status.CodeIsolationBusy, status.CodePlatformDown,
 		status.CodeInProgress, status.CodeAnswerNotKept, status.CodeDeadlineExceeded,
 		status.CodeCanceled:
 		return true
--- a/internal/core/retry/decide_test.go
+++ b/internal/core/retry/decide_test.go
@@ -33,6 +33,7 @@
 		{"refused after one that may have run", refused, func(r *Result) { r.AtMostOnce, r.MayHaveRun = true, true }, AtMostOnce},
 		{"completed", base, func(r *Result) { r.Outcome = request.Completed }, Whole},
 		{"suspect", refused, func(r *Result) { r.Code = status.CodeSuspect }, Final},
+		{"suspect that is to wait", refused, func(r *Result) { r.Code = status.CodeIsolationBusy }, Final},
 		{"attempts of the call used up", base, func(r *Result) { r.Attempts = 3 }, PerCall},
 		{"no allowance", base, func(r *Result) { r.Left = 0 }, Allowance},
 		{"allowance short of the calls below", base, func(r *Result) { r.Below = 3 }, Allowance},
--- a/internal/core/suspect/tracker.go
+++ b/internal/core/suspect/tracker.go
@@ -13,8 +13,9 @@
 	Run Verdict = iota
 	// Isolate: run it, but it is suspected; no other suspect is in flight here.
 	Isolate
-	// Busy: another suspect is in flight here. Send it to another target, or
-	// refuse it as not run with Config.RetryAfter.
+	// Busy: another suspect is in flight here. Refuse it as not run for now, with
+	// status.CodeIsolationBusy and Config.RetryAfter. Sent on to another target,
+	// each of many copies that come at once would be run somewhere.
 	Busy
 	// Refuse it with status.CodeSuspect.
 	Refuse
--- a/internal/dataplane/explain.go
+++ b/internal/dataplane/explain.go
@@ -53,7 +53,7 @@
 	switch code {
 	case status.CodeOverloaded, status.CodeOverShare, status.CodeDeadline, status.CodeNoTarget,
 		status.CodeDraining, status.CodeNotReady, status.CodeConnectFailed,
-		status.CodeRetriesExhausted, status.CodeSuspect, status.CodeCanceled:
+		status.CodeRetriesExhausted, status.CodeSuspect, status.CodeIsolationBusy, status.CodeCanceled:
 		return true
 	}
 	return false
--- a/internal/dataplane/suspects.go
+++ b/internal/dataplane/suspects.go
@@ -37,7 +37,7 @@
 	case suspect.Refuse:
 		return suspect.Ticket{}, status.Refuse(status.CodeSuspect, 0, "the same request has crashed %d targets", s.cfg.MaxCrashes)
 	case suspect.Busy:
-		return suspect.Ticket{}, status.Refuse(status.CodeSuspect, s.cfg.RetryAfter, "requests suspected of crashing targets run one at a time")
+		return suspect.Ticket{}, status.Refuse(status.CodeIsolationBusy, s.cfg.RetryAfter, "requests suspected of crashing targets run one at a time")
 	}
 	return s.core.Started(fp), nil
 }
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -29,6 +29,7 @@
 	CodeKeyMissing     Code = "idempotency-key-missing"
 	CodeKeyReused      Code = "idempotency-key-reused"
 	CodeForbidden      Code = "tenant-not-allowed"
+	CodeSuspect        Code = "suspected-of-crashing-targets"
 
 	// Refused for now, run nowhere; come back after RetryAfter.
 	CodeOverloaded       Code = "overloaded"
@@ -39,7 +40,7 @@
 	CodeNotReady         Code = "not-ready"
 	CodeConnectFailed    Code = "connect-failed"
 	CodeRetriesExhausted Code = "retries-exhausted"
-	CodeSuspect          Code = "suspected-of-crashing-targets"
+	CodeIsolationBusy    Code = "isolation-busy"
 	CodePlatformDown     Code = "platform-unavailable"
 	CodeInProgress       Code = "in-progress"
 
