Free the slot of a call that its caller gave up on a dead connection

Symptom: a target's slot stays taken, after the connection between two nodes went silent in the middle of an upload or a large answer, until the deadline. Cause: the calling node closes its end, which the callee's node never hears of; and a node that waits for its caller's bytes can't tell a slow caller from one that has given up. A calling node that still waits asks for the call every 2 s at the latest; one that isn't asked for during 5 s while it waits for its own connection is ended. Ruled out: a limit on the gap between bytes, which ends uploads that pause, and a message that may be lost as well.

The link of the fault tests learns to stall, as a silent connection whose buffers fill does. go test -race ./bench/faults/link ./internal/dataplane; go test ./bench/e2e

--- a/bench/e2e/silent_test.go
+++ b/bench/e2e/silent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"sync"
 	"testing"
 	"time"
@@ -9,7 +10,9 @@
 	"github.com/matryer/is"
 
 	"peardrift/bench/faults/link"
+	"peardrift/bench/standin/target"
 	"peardrift/internal/adapter/hertzhttp"
+	"peardrift/internal/dataplane"
 )
 
 // never is a deadline that no test reaches: what ends a call is not it.
@@ -160,3 +163,66 @@
 	wg.Wait()
 	is.Equal(c.hosts[1].target.Counters().Started, int64(5))
 }
+
+// Symptom: a target's slots fill up with calls whose callers were told long ago
+// that they are lost, until the calls' deadlines.
+// Events: a connection between two nodes loses track in the middle of an upload,
+// or of an answer that is longer than what the network holds. The calling node
+// finds out and closes its end; the callee's node never sees that.
+// Cause: a node that waits for its caller's bytes can't tell a slow caller from
+// one that has given up.
+func TestLostCallerFreesTheSlot(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		q    query
+		cut  link.Cut
+	}{
+		{"half the upload", query{method: "POST", host: "media.khaosan", path: "/m", body: 300_000},
+			link.Cut{Way: link.Request, After: 150_000, How: link.Silence}},
+		{"half a large answer", query{method: "GET", host: "media.khaosan", path: "/m"},
+			link.Cut{Way: link.Answer, After: 500_000, How: link.Stall}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := newCluster(t, threeServicesWithin(never))
+			c.tune = func(dc *dataplane.Config) { dc.UploadTimeout, dc.AbandonAfter = never, abandonAfter }
+			c.startChain(32 << 20)
+			strike := c.hosts[2].links.node.Arm(tt.cut)
+			to, err := c.ask(c.hosts[0], tt.q, "lost")
+			is.NoErr(err)
+			is.True(to.outcome != "completed" && to.outcome != "refused")
+			<-strike
+			await(t, "the slot is free", func() bool { return c.hosts[2].engine.GateStats().Running == 0 })
+		})
+	}
+}
+
+// abandonAfter is how soon nodes in these tests give up a call that its caller
+// doesn't ask for any more; callers ask every 2 s at the latest.
+const abandonAfter = 3 * time.Second
+
+// Symptom: uploads of slow phones break.
+// Events: a caller pauses in the middle of an upload for longer than nodes wait
+// for the word of a caller. Cause: the callee's node takes the pause for the loss
+// of the call, though the calling node has asked for it all the time.
+func TestPausedUploadIsNotAbandoned(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, threeServicesWithin(never))
+	c.tune = func(dc *dataplane.Config) { dc.AbandonAfter = abandonAfter }
+	c.startChain(300)
+	const half = 150_000
+	body, feed := io.Pipe()
+	go func() {
+		_, _ = feed.Write(make([]byte, half))
+		time.Sleep(2 * abandonAfter)
+		_, _ = feed.Write(make([]byte, half))
+		_ = feed.Close()
+	}()
+	resp, b := call(t, c, "POST", "media.khaosan", "/m", "paused", nil, body)
+	is.Equal(resp.Header.Get("Peardrift-Outcome"), "completed")
+	a, err := target.Verify(b, "paused")
+	is.NoErr(err)
+	is.Equal(a.Received, int64(2*half))
+}
--- a/bench/faults/link/link.go
+++ b/bench/faults/link/link.go
@@ -36,12 +36,15 @@
 	Finish
 	// Silence drops all further bytes and ends of stream, on both sides.
 	Silence
+	// Stall is silence that takes no further bytes either, so that writers block
+	// when the buffers on their side are full.
+	Stall
 	// Kill resets all connections and refuses new ones until Up.
 	Kill
 )
 
 // String returns the manner's name in test names.
-func (h How) String() string { return [...]string{"reset", "finish", "silence", "kill"}[h] }
+func (h How) String() string { return [...]string{"reset", "finish", "silence", "stall", "kill"}[h] }
 
 // Cut breaks the connection that carries a certain byte.
 type Cut struct {
@@ -186,7 +189,7 @@
 		reset(c)
 		return
 	}
-	p := &pair{near: c, far: out}
+	p := newPair(c, out)
 	l.mu.Lock()
 	if l.ln == nil {
 		l.mu.Unlock()
@@ -216,6 +219,7 @@
 			}
 		}
 		l.strike(p, w)
+		p.hold()
 		if err != nil {
 			l.ended(p, w)
 			return
@@ -274,16 +278,34 @@
 type pair struct {
 	near, far net.Conn
 	silent    bool
-	doomed    [2]bool // its cut's byte has come, by way
+	stalled   chan struct{} // closed by Stall
+	released  chan struct{} // closed by release
+	doomed    [2]bool       // its cut's byte has come, by way
 	over      bool
 	left      bool // by the side that connected
 }
 
+func newPair(near, far net.Conn) *pair {
+	return &pair{near: near, far: far, stalled: make(chan struct{}), released: make(chan struct{})}
+}
+
+// hold returns at once, but for a stalled pair only when that is released.
+func (p *pair) hold() {
+	select {
+	case <-p.stalled:
+		<-p.released
+	default:
+	}
+}
+
 func (p *pair) end(h How) {
 	switch {
 	case p.over || p.silent:
 	case h == Silence:
 		p.silent = true
+	case h == Stall:
+		p.silent = true
+		close(p.stalled)
 	case h == Finish:
 		p.over = true
 		_ = p.near.Close()
@@ -297,6 +319,7 @@
 
 // release closes what Silence kept open.
 func (p *pair) release() {
+	close(p.released)
 	_ = p.near.Close()
 	_ = p.far.Close()
 }
--- a/bench/faults/link/link_test.go
+++ b/bench/faults/link/link_test.go
@@ -102,6 +102,22 @@
 	is.True(err != nil && asNet(err, &nerr) && nerr.Timeout()) // not even an end
 }
 
+func TestStallTakesNothing(t *testing.T) {
+	is := is.New(t)
+	l := echo(t)
+	old := dial(t, l)
+	_, err := say(old, "x")
+	is.NoErr(err)
+	l.Break(Stall)
+	is.NoErr(old.SetWriteDeadline(time.Now().Add(time.Second)))
+	_, err = old.Write(make([]byte, 64<<20)) // more than the buffers on the way
+	var nerr net.Error
+	is.True(err != nil && asNet(err, &nerr) && nerr.Timeout())
+	s, err := say(dial(t, l), "new")
+	is.NoErr(err)
+	is.Equal(s, "new")
+}
+
 func asNet(err error, to *net.Error) bool {
 	n, ok := err.(net.Error)
 	*to = n
--- a/internal/dataplane/engine.go
+++ b/internal/dataplane/engine.go
@@ -82,6 +82,12 @@
 	// UploadTimeout bounds the time in which a streamed body must arrive, beside
 	// the request's deadline (default 5 min).
 	UploadTimeout time.Duration
+	// AbandonAfter is how long a call of another node that waits for its own
+	// connection goes on though that node doesn't ask for it any more (default
+	// 5 s). It must exceed the time between two questions: conn.Config's Recheck
+	// and two ProbeTimeouts. Lower frees slots sooner; too low breaks uploads that
+	// pause.
+	AbandonAfter time.Duration
 	// MaxCalls bounds the calls in flight at all faces together (default 4096).
 	MaxCalls int
 	// Sampled says whether a request's spans are recorded, for the flag that
@@ -100,6 +106,7 @@
 		BufferBytes:   64 << 10,
 		MaxBody:       1 << 30,
 		UploadTimeout: 5 * time.Minute,
+		AbandonAfter:  5 * time.Second,
 		MaxCalls:      4096,
 		Sampled:       func(request.ID) bool { return false },
 		Retry:         retry.DefaultConfig(),
--- a/internal/dataplane/inhand.go
+++ b/internal/dataplane/inhand.go
@@ -27,11 +27,24 @@
 type handled struct {
 	now   func() time.Duration
 	since atomic.Int64 // when it began to wait for its connection, 0 if it doesn't
+
+	abandon abandonment
 }
 
 // waits and goes bracket what waits for the call's connection.
-func (h *handled) waits() { h.since.Store(int64(h.now())) }
-func (h *handled) goes()  { h.since.Store(0) }
+func (h *handled) waits() {
+	h.since.Store(int64(h.now()))
+	if h.abandon.timer != nil {
+		h.abandon.timer.Reset(h.abandon.after)
+	}
+}
+
+func (h *handled) goes() {
+	h.since.Store(0)
+	if h.abandon.timer != nil {
+		h.abandon.timer.Stop()
+	}
+}
 
 func (h *handled) stalled() bool {
 	since := h.since.Load()
@@ -70,14 +83,15 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	h := i.calls[span]
-	return h != nil && !h.stalled()
+	if h == nil {
+		return false
+	}
+	h.abandon.asked.Store(int64(h.now()))
+	return !h.stalled()
 }
 
 // requestOf watches a request's body that is read from the call's connection.
 func (h *handled) requestOf(r io.Reader) io.Reader {
-	if r == nil {
-		return nil
-	}
 	return &incoming{r: r, h: h}
 }
 
@@ -111,6 +125,7 @@
 // Close implements io.Closer.
 func (r *departing) Close() error {
 	defer r.end()
+	r.h.goes() // the connection may soon be another call's
 	if c, ok := r.Reader.(io.Closer); ok {
 		return c.Close()
 	}
@@ -128,6 +143,7 @@
 		end()
 		return
 	}
+	s.hand.abandonable(s.c.GetConn(), e.cfg.AbandonAfter)
 	resp.SetBodyStreamNoReset(&departing{resp.BodyStream(), s.hand, end}, resp.Header.ContentLength())
 }
 
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -114,7 +114,10 @@
 	if fault != nil {
 		return fault
 	}
-	s.body.stream = s.hand.requestOf(s.body.stream)
+	if s.body.stream != nil {
+		s.hand.abandonable(s.c.GetConn(), e.cfg.AbandonAfter)
+		s.body.stream = s.hand.requestOf(s.body.stream)
+	}
 	// A body that is not at hand whole can't be compared with that of an earlier
 	// call under the same key.
 	if s.class.AtMostOnce && s.body.stream != nil {
