Bound a request that its caller sends again through other nodes

Cause: each entry node takes a sending for a new request, with an allowance and a budget of its own; only the number of nodes bounded the runs. The sendings meet again at the nodes of the service that is called: there the first runs, later ones draw on a budget that fills by successes. Ruled out: fingerprints of content, accounts or cookies, since many read the same page under one account; counting at the calling nodes; telling the service's other nodes (14 KB/s at 100 failures/s).

--- a/internal/core/retry/config.go
+++ b/internal/core/retry/config.go
@@ -38,6 +38,14 @@
 	// may have run; it doubles with each further one and is spread between half
 	// and one and a half. A refused call goes elsewhere at once. Default 5ms.
 	Backoff time.Duration
+	// RepeatWindow is how long a node remembers a request that ran on its target,
+	// by the name that its caller gave it, since it was last seen: at least this,
+	// at most twice as long. Default 30s. Longer bounds callers that send again
+	// more slowly.
+	RepeatWindow time.Duration
+	// MaxRepeats bounds the requests remembered in one window. Default 4096, about
+	// 0.4 MB. Past it the oldest half is forgotten early.
+	MaxRepeats int
 	// CostWeight is the weight of a new observation in the mean number of calls
 	// below an attempt, 0 to 1. Default 0.1. Higher follows changes faster.
 	CostWeight float64
@@ -56,6 +64,8 @@
 		Window:       time.Second,
 		MinSample:    5,
 		Backoff:      5 * time.Millisecond,
+		RepeatWindow: 30 * time.Second,
+		MaxRepeats:   4096,
 		CostWeight:   0.1,
 	}
 }
--- a/internal/core/retry/doc.go
+++ b/internal/core/retry/doc.go
@@ -1,7 +1,7 @@
 // Package retry decides which failed attempts are made again, and bounds how
 // many a whole request may cost over its chain of calls.
 //
-// Three mechanisms, each with one type:
+// Four mechanisms, each with one type:
 //
 //   - Purse: the allowance of one request at one node. The entry node starts
 //     with A extra attempts (the class's Attempts). Each call carries a part of
@@ -18,9 +18,11 @@
 //
 //   - Brake: the budget of retries of one callee service at one node, filled by
 //     successes. Summed over all nodes, retries of a service stay under Ratio
-//     times its successes plus MinRate for each calling node; this also bounds
-//     callers that send the same request again through other nodes, which each
-//     time brings a new purse.
+//     times its successes plus MinRate for each calling node.
+//
+//   - Repeats: the bound on callers that send the same request again through other
+//     nodes, which each time brings a new purse; kept by the nodes of the service
+//     that is called, where the sendings meet.
 //
 //   - Decider: whether a result may be retried at all.
 //
--- /dev/null
+++ b/internal/core/retry/repeats_test.go
@@ -0,0 +1,118 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"peardrift/internal/core/request"
+)
+
+func idOf(n uint64) request.ID {
+	var id request.ID
+	id[0], id[1], id[2] = byte(n), byte(n>>8), byte(n>>16)
+	return id
+}
+
+// Symptom: one failing request costs the fleet a run of its whole chain for each
+// time that its caller sends it, as often as it likes.
+// Events: callers send requests that never complete again and again, each time
+// through another of many entry nodes, beside others that complete; each sending
+// is tried at several targets. Cause: each entry node takes a sending for a new
+// request and gives it a new allowance.
+func TestRepeatsAreBoundedOverAllEntryNodes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := DefaultConfig()
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		targets := make([]Repeats, rapid.IntRange(1, 6).Draw(t, "targets"))
+		for i := range targets {
+			targets[i] = NewRepeats(&cfg, 0)
+		}
+		entries := rapid.IntRange(1, 40).Draw(t, "entry nodes")
+		health := rapid.Float64Range(0, 0.9).Draw(t, "share of others")
+		sent := uint64(0)
+		sendings, completed := 0, 0
+		var now time.Duration
+		for range 2000 {
+			now += time.Duration(rng.Int64N(int64(10 * time.Millisecond)))
+			to := &targets[rng.IntN(len(targets))]
+			if rng.Float64() < health {
+				to.Observe(now, request.Completed)
+				completed++
+				continue
+			}
+			sent++
+			id := idOf(sent*uint64(entries) + uint64(rng.IntN(entries))) // drawn by its entry node
+			if to.Begin(now, 1, id) {
+				sendings++
+				to.End(now, 1, request.Failed)
+			}
+		}
+		paid := float64(len(targets)) * (2 + cfg.MinRate*now.Seconds())
+		if bound := paid + cfg.Ratio*float64(completed); float64(sendings) > bound {
+			t.Fatalf("%d of %d sendings ran, bound %.1f", sendings, sent, bound)
+		}
+	})
+}
+
+func TestRepeats(t *testing.T) {
+	cfg := DefaultConfig()
+	fill := func(r *Repeats) {
+		for range 100 {
+			r.Observe(0, request.Completed)
+		}
+	}
+	drain := func(r *Repeats) {
+		for r.budget.Take(0, 1) {
+		}
+	}
+	for _, tt := range []struct {
+		name string
+		do   func(r *Repeats)
+		at   time.Duration
+		who  Identity
+		id   request.ID
+		want bool
+	}{
+		{"another request", drain, 0, 2, idOf(2), true},
+		{"another attempt of the same sending", drain, 0, 1, idOf(1), true},
+		{"another sending while the first runs", drain, 0, 1, idOf(2), false},
+		{"another sending, with a budget", fill, 0, 1, idOf(2), true},
+		{"another sending after a refusal", func(r *Repeats) {
+			drain(r)
+			r.End(0, 1, request.Refused)
+		}, 0, 1, idOf(2), true},
+		{"another sending after an answer that was lost", func(r *Repeats) {
+			drain(r)
+			r.End(0, 1, request.Completed)
+		}, 0, 1, idOf(2), false},
+		{"long after", func(r *Repeats) {
+			r.End(0, 1, request.Failed)
+			for at := time.Duration(0); at < 3*cfg.RepeatWindow; at += cfg.RepeatWindow {
+				r.turn(at)
+			}
+			drain(r)
+		}, 3 * cfg.RepeatWindow, 1, idOf(2), true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := NewRepeats(&cfg, 0)
+			is.True(r.Begin(0, 1, idOf(1)))
+			tt.do(&r)
+			is.Equal(r.Begin(tt.at, tt.who, tt.id), tt.want)
+		})
+	}
+}
+
+func TestRepeatsMemoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig()
+	r := NewRepeats(&cfg, 0)
+	for n := range 5 * cfg.MaxRepeats {
+		is.True(r.Begin(0, Identity(n+1), idOf(1)))
+		is.True(len(r.seen)+len(r.old) <= 2*cfg.MaxRepeats)
+	}
+}
--- a/internal/dataplane/engine.go
+++ b/internal/dataplane/engine.go
@@ -134,6 +134,7 @@
 	tenants  tenants
 	reqs     *registry
 	inHand   *inHand
+	repeats  *repeats
 	calls    atomic.Int64
 	closing  atomic.Bool // callers are to go elsewhere
 
@@ -158,6 +159,7 @@
 	e.inHand = &inHand{now: e.now, calls: make(map[SpanID]*handled)}
 	e.suspects = newSuspects(cfg.Suspect, self.ID, e.now, func() bool { return local.Reachable(self.Target) })
 	e.levels = newLevels(&e.cfg.Early, e.now)
+	e.repeats = newRepeats(cfg.Retry, e.now)
 	e.gate = newGate(cfg.Gate, newRand(), e.now)
 	return e
 }
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -37,6 +37,7 @@
 	ticket  admission.Ticket
 	hop     *Hop
 	hand    *handled
+	who     retry.Identity // 0: the caller names none
 }
 
 // ServeNode is the face for other nodes: a call passes the gate and runs on the
@@ -53,10 +54,15 @@
 		e.refuse(s, fault)
 		return
 	}
+	if fault := e.repeats.begin(s); fault != nil {
+		e.refuse(s, fault)
+		return
+	}
 	ctx, cancel := context.WithDeadline(ctx, e.epoch.Add(s.running.deadline))
 	s.running.ctx = ctx
 	if fault := e.enter(ctx, s); fault != nil {
 		cancel()
+		e.repeats.end(s, fault.Outcome)
 		e.refuse(s, fault)
 		return
 	}
@@ -281,6 +287,7 @@
 		}
 		e.reqs.remove(s.running)
 		e.gate.leave(s.ticket, gateResult(r))
+		e.repeats.end(s, r.outcome)
 		cancel()
 		e.seal(s, r.outcome, r.code)
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -68,6 +68,8 @@
 	HeaderBaggage        = "Baggage"
 	HeaderIdempotencyKey = "Idempotency-Key"
 	HeaderRetryAfter     = "Retry-After"
+	// HeaderRequestID names a request in the caller's own terms.
+	HeaderRequestID = "X-Request-Id"
 	// HeaderTargetDeadline tells a target how long the caller still waits.
 	HeaderTargetDeadline = "X-Request-Deadline-Ms"
 )
