Don't convict a popular request beside many copies of the one that crashes

Symptom: a page that all read is refused on all nodes, for an hour after it was last asked for, after one burst of requests that crash targets. Cause: copies at all targets at the same moment crash with the page in flight at each; both were in flight at as many crashes as convict. Now neither of two that share all crashes is convicted until one has run alone; and all are judged before any is marked.

Failed first: TestPopularRequestBesideManyCopies (refuse != isolate), TestManyCopiesAtOnce (innocent 100 refused after 3 crashes).

--- a/internal/core/suspect/merge.go
+++ b/internal/core/suspect/merge.go
@@ -11,8 +11,9 @@
 	at       time.Duration
 	inFlight int
 	// counted holds each fingerprint that this crash was counted for once, so
-	// that a report that comes again doesn't blame one that was cleared since.
-	counted map[Fingerprint]struct{}
+	// that a report that comes again doesn't blame one that was cleared since:
+	// true while it is held against it.
+	counted map[Fingerprint]bool
 	// explained: a refused fingerprint was in flight, so the others are not to
 	// blame.
 	explained bool
@@ -34,13 +35,13 @@
 	var fresh []Fingerprint
 	for _, fp := range r.Fingerprints[:min(len(r.Fingerprints), t.cfg.MaxReport)] {
 		if _, ok := c.counted[fp]; !ok {
-			c.counted[fp] = struct{}{}
+			c.counted[fp] = true
 			fresh = append(fresh, fp)
 		}
 	}
 	if len(fresh) > 0 {
 		for _, fp := range r.Cleared {
-			delete(t.entries, fp)
+			t.acquit(fp)
 		}
 	}
 	for _, fp := range fresh {
@@ -59,7 +60,7 @@
 func (t *Tracker) crash(now time.Duration, r Report) *crash {
 	c := t.crashes[r.Crash]
 	if c == nil {
-		c = &crash{counted: map[Fingerprint]struct{}{}}
+		c = &crash{counted: map[Fingerprint]bool{}}
 		t.crashes[r.Crash] = c
 	}
 	c.at = now
@@ -84,8 +85,8 @@
 // weight is the suspicion that one crash adds to each that was in flight.
 func (c *crash) weight() float64 { return 1 / float64(max(c.inFlight, 1)) }
 
-// convict refuses the fingerprints that reached the limit. All are marked
-// before any crash is explained, so that the order in a report doesn't decide
+// convict refuses the fingerprints that reached the limit. All are judged before
+// any is marked, and marked before any crash is explained, so that the order in a report doesn't decide
 // between two that were in flight at the same crashes.
 func (t *Tracker) convict(now time.Duration, fps []Fingerprint) {
 	var guilty []*entry
@@ -94,11 +95,14 @@
 		if e == nil || e.refused {
 			continue
 		}
-		if e.n >= t.cfg.MaxCrashes || (e.n > 1 && e.weight >= t.cfg.AloneWeight) {
-			e.refused = true
+		enough := e.n >= t.cfg.MaxCrashes || (e.n > 1 && e.weight >= t.cfg.AloneWeight)
+		if enough && !t.covered(fp, e) {
 			guilty = append(guilty, e)
 		}
 	}
+	for _, e := range guilty {
+		e.refused = true
+	}
 	for _, e := range guilty {
 		for _, id := range e.crashes[:e.n] {
 			t.explain(id)
@@ -106,6 +110,51 @@
 	}
 }
 
+// covered reports whether another suspect was in flight at each crash that the
+// fingerprint was in flight at. Then nothing tells them apart, and both run alone
+// until one of them is answered whole, or takes a target by itself.
+//
+// Symptom otherwise: a page that all read is refused everywhere. Events: copies of
+// a request that crashes targets come to many targets at the same moment; the page
+// is in flight at each. Cause: crashes at the same moment leave no time to isolate.
+func (t *Tracker) covered(fp Fingerprint, e *entry) bool {
+	first := t.crashes[e.crashes[0]]
+	if first == nil {
+		return false
+	}
+	for other := range first.counted {
+		o := t.entries[other]
+		if other != fp && o != nil && !o.refused && t.sawAll(other, e.crashes[:e.n]) {
+			return true
+		}
+	}
+	return false
+}
+
+// sawAll reports whether a fingerprint was in flight at all the crashes.
+func (t *Tracker) sawAll(fp Fingerprint, ids []CrashID) bool {
+	for _, id := range ids {
+		c := t.crashes[id]
+		if c == nil {
+			return false
+		}
+		if !c.counted[fp] {
+			return false
+		}
+	}
+	return true
+}
+
+// acquit forgets a fingerprint that a target answered whole.
+func (t *Tracker) acquit(fp Fingerprint) {
+	delete(t.entries, fp)
+	for _, c := range t.crashes {
+		if c.counted[fp] {
+			c.counted[fp] = false
+		}
+	}
+}
+
 // explain takes a crash off all that were beside the culprit.
 func (t *Tracker) explain(id CrashID) {
 	c := t.crashes[id]
--- a/internal/core/suspect/tracker.go
+++ b/internal/core/suspect/tracker.go
@@ -207,7 +207,7 @@
 // Clear forgets a fingerprint: a target answered it whole, or on an operator's
 // word.
 func (t *Tracker) Clear(now time.Duration, fp Fingerprint) {
-	delete(t.entries, fp)
+	t.acquit(fp)
 	if len(t.cleared) < t.cfg.MaxEntries {
 		t.cleared[fp] = now
 	}
