Halve what nodes allocate for a call

Cause: the answer of the own target was never given back to the codec's pool, so each call made its headers and its body anew; the probe's tag went through a parse of the trace; a call's parts were objects of their own (hop, running request, purse, list in the register), and header values strings.

--- a/internal/dataplane/call.go
+++ b/internal/dataplane/call.go
@@ -30,6 +30,12 @@
 	parent   *running          // the request on whose behalf the own target calls; nil at an entry
 	req      *protocol.Request // complete but for meta and trace; reused by attempts
 	once     bool              // the body is a stream and can be sent once
+
+	// sub and grant are call's own. They stand here because what takes a pointer
+	// through an interface would have each attempt allocate them.
+	sub   retry.Call
+	grant retry.Grant
+	entry entryPurse // the purse of a whole request
 }
 
 // purse pays for attempts. The entry's own and a running request's differ in
@@ -72,23 +78,24 @@
 // the answer's head, and its body unless result.stream does.
 func (e *Engine) call(ctx context.Context, c *outgoing, resp *protocol.Response) *result {
 	cl := e.callee(c.info.Name)
-	var sub retry.Call
+	sub := &c.sub
 	var tried route.Tried
 	var last *result
 	for {
-		r, ok := e.next(ctx, cl, c, &sub, &tried, resp)
+		r, ok := e.next(ctx, cl, c, sub, &tried, resp)
 		if !ok && last != nil {
 			// No further attempt could be made: the last one's result stands.
-			return conclude(last, &sub)
+			return conclude(last, sub)
 		}
 		if !ok {
-			return conclude(r, &sub)
+			return conclude(r, sub)
 		}
 		r.attempts = sub.Attempts()
-		d := cl.decide(e.question(c, r, &sub, cl))
+		q := e.question(c, r, sub, cl)
+		d := cl.decide(&q)
 		r.retry = d.Reason
 		if !d.Retry() || c.once && r.code != status.CodeConnectFailed || !pause(ctx, d.Wait) {
-			return conclude(r, &sub)
+			return conclude(r, sub)
 		}
 		r.discard()
 		last = r
@@ -127,7 +134,7 @@
 	if !ok {
 		return fail(now, status.Refuse(status.CodeNoTarget, later(), "no target of %s can take the call", c.info.Name)), false
 	}
-	grant, ok := c.purse.start(sub, cl.below(c.class.Name))
+	c.grant, ok = c.purse.start(sub, cl.below(c.class.Name))
 	if !ok {
 		r := fail(now, status.Refuse(status.CodeRetriesExhausted, later(), "the request's retries are used up"))
 		cl.done(ch, &result{code: status.CodeCanceled})
@@ -136,11 +143,11 @@
 	if c.parent != nil {
 		c.parent.begins()
 	}
-	r := e.attempt(ctx, c, ch, &grant, sub, resp)
+	r := e.attempt(ctx, c, ch, &c.grant, sub, resp)
 	if c.parent != nil {
 		c.parent.note(r)
 	}
-	c.purse.settle(sub, &grant, retry.Answer{Outcome: r.outcome, Unspent: r.answer.Unspent, Made: r.answer.Made})
+	c.purse.settle(sub, &c.grant, retry.Answer{Outcome: r.outcome, Unspent: r.answer.Unspent, Made: r.answer.Made})
 	cl.settle(ch, c, r)
 	e.levels.learn(c, r)
 	if r.stream != nil {
@@ -158,7 +165,7 @@
 	m.Allowance, m.Repeat = g.Allowance, g.Repeat
 	m.Remaining = c.deadline - e.now()
 	wire.SetMeta(&c.req.Header, &m)
-	c.req.Header.Set(wire.HeaderTraceparent, traceContext{c.id, span, c.sampled}.String())
+	traceContext{c.id, span, c.sampled}.set(&c.req.Header)
 	began := time.Now()
 	resp.Reset()
 	res, err := e.peers.Do(ctx, ch.addr, c.req, resp)
@@ -183,7 +190,7 @@
 		}
 		return fail(now, f)
 	}
-	if echo := resp.Header.Peek(wire.HeaderAttempt); string(echo) != span.String() {
+	if !span.is(resp.Header.Peek(wire.HeaderAttempt)) {
 		// Another call's answer, or no node's: a connection out of step would
 		// hand one request's answer to another. Nothing of it may be used.
 		if res.Stream != nil {
@@ -207,16 +214,19 @@
 
 // detailOf returns what the answering node says of its failure.
 func detailOf(code status.Code, resp *protocol.Response) string {
+	if code == "" {
+		return ""
+	}
 	var p problem
-	if code == "" || json.Unmarshal(resp.Body(), &p) != nil {
+	if json.Unmarshal(resp.Body(), &p) != nil {
 		return ""
 	}
 	return p.Detail
 }
 
 // question puts an ended attempt to the decider.
-func (e *Engine) question(c *outgoing, r *result, sub *retry.Call, cl *callee) *retry.Result {
-	return &retry.Result{
+func (e *Engine) question(c *outgoing, r *result, sub *retry.Call, cl *callee) retry.Result {
+	return retry.Result{
 		Outcome:    r.outcome,
 		Code:       r.code,
 		Deadline:   c.deadline,
--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -153,7 +153,7 @@
 		sampled:  e.cfg.Sampled(id),
 		priority: request.PriorityOf(class.Importance, id),
 		deadline: e.now() + patience(c, class.Deadline),
-		purse:    &entryPurse{purse: retry.NewPurse(class.Attempts, false)},
+		entry:    entryPurse{purse: retry.NewPurse(class.Attempts, false)},
 		meta: wire.Meta{
 			Tenant:     info.Tenant,
 			Class:      class.Name,
@@ -162,6 +162,7 @@
 			Origin:     info.Name,
 		},
 	}
+	out.purse = &out.entry
 	if fault := e.fillRequest(out, c); fault != nil {
 		return nil, fault
 	}
@@ -271,7 +272,11 @@
 // patience is how long the caller waits: what the class allows, or less if the
 // caller says so.
 func patience(c *app.RequestContext, most time.Duration) time.Duration {
-	ms, err := strconv.ParseInt(string(c.Request.Header.Peek(wire.HeaderTargetDeadline)), 10, 64)
+	stated := c.Request.Header.Peek(wire.HeaderTargetDeadline)
+	if len(stated) == 0 {
+		return most // few state one, and a failure to parse costs
+	}
+	ms, err := strconv.ParseInt(string(stated), 10, 64)
 	if err != nil || ms <= 0 || ms > most.Milliseconds() {
 		return most
 	}
--- a/internal/dataplane/hop.go
+++ b/internal/dataplane/hop.go
@@ -60,6 +60,13 @@
 // String returns the span as in traceparent.
 func (s SpanID) String() string { return hex.EncodeToString(s[:]) }
 
+// is reports whether tag is the span as String has it.
+func (s SpanID) is(tag []byte) bool {
+	var own [spanHex]byte
+	hex.Encode(own[:], s[:])
+	return string(own[:]) == string(tag)
+}
+
 // parseSpan is the inverse of String.
 func parseSpan(v string) (s SpanID, ok bool) {
 	b, err := hex.DecodeString(v)
--- a/internal/dataplane/inflight.go
+++ b/internal/dataplane/inflight.go
@@ -32,6 +32,8 @@
 	open    int         // attempts below that have not ended
 	unknown bool        // some call below may have run with no known result
 	used    []early.Key // services called so far
+
+	next *running // begun before it, of the same identity; guarded by registry.mu
 }
 
 func (x *running) start(c *retry.Call, below int) (retry.Grant, bool) {
@@ -99,34 +101,37 @@
 // for concurrent use.
 type registry struct {
 	mu   sync.Mutex
-	byID map[request.ID][]*running
+	byID map[request.ID]*running // the one begun last; the others follow by next
 }
 
 func newRegistry() *registry {
-	return &registry{byID: make(map[request.ID][]*running)}
+	return &registry{byID: make(map[request.ID]*running)}
 }
 
 func (r *registry) add(x *running) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.byID[x.id] = append(r.byID[x.id], x)
+	x.next = r.byID[x.id]
+	r.byID[x.id] = x
 }
 
 func (r *registry) remove(x *running) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	xs := r.byID[x.id]
-	for i, y := range xs {
-		if y == x {
-			xs = append(xs[:i], xs[i+1:]...)
-			break
-		}
-	}
-	if len(xs) == 0 {
+	at := r.byID[x.id]
+	switch {
+	case at == x && x.next == nil:
 		delete(r.byID, x.id)
-		return
+	case at == x:
+		r.byID[x.id] = x.next
+	default:
+		for at != nil && at.next != x {
+			at = at.next
+		}
+		if at != nil {
+			at.next = x.next
+		}
 	}
-	r.byID[x.id] = xs
 }
 
 // parent finds the request that an outgoing call belongs to: by the span where
@@ -138,14 +143,11 @@
 func (r *registry) parent(id request.ID, span SpanID) *running {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	xs := r.byID[id]
-	for _, x := range xs {
+	last := r.byID[id]
+	for x := last; x != nil; x = x.next {
 		if x.span == span {
 			return x
 		}
 	}
-	if len(xs) == 0 {
-		return nil
-	}
-	return xs[len(xs)-1]
+	return last
 }
--- a/internal/dataplane/inhand.go
+++ b/internal/dataplane/inhand.go
@@ -59,12 +59,11 @@
 	calls map[SpanID]*handled
 }
 
-func (i *inHand) add(span SpanID) *handled {
+func (i *inHand) add(span SpanID, h *handled) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	h := &handled{now: i.now}
+	h.now = i.now
 	i.calls[span] = h
-	return h
 }
 
 func (i *inHand) remove(span SpanID) {
@@ -134,17 +133,17 @@
 
 // letGo ends what may be told of a call, when its answer has been written.
 func (e *Engine) letGo(s *serving) {
-	if s.hand == nil {
-		return
+	if s.hand.now == nil {
+		return // it was never added
 	}
-	end := func() { e.inHand.remove(s.trace.span) }
 	resp := &s.c.Response
 	if !resp.IsBodyStream() {
-		end()
+		e.inHand.remove(s.trace.span)
 		return
 	}
+	end := func() { e.inHand.remove(s.trace.span) }
 	s.hand.abandonable(s.c.GetConn(), e.cfg.AbandonAfter)
-	resp.SetBodyStreamNoReset(&departing{resp.BodyStream(), s.hand, end}, resp.Header.ContentLength())
+	resp.SetBodyStreamNoReset(&departing{resp.BodyStream(), &s.hand, end}, resp.Header.ContentLength())
 }
 
 // tell answers a node that asks for calls, and reports whether c was such a
@@ -170,8 +169,7 @@
 
 // Tag implements hertzhttp.Prober: the span of the attempt.
 func (Prober) Tag(h *protocol.RequestHeader) string {
-	tc, _ := traceOf(h)
-	return tc.span.String()
+	return spanIn(h)
 }
 
 // Ask implements hertzhttp.Prober.
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -33,11 +33,12 @@
 	meta    wire.Meta
 	trace   traceContext
 	body    body
-	running *running
+	running *running // nil until the call is accepted; then it is own
 	tenant  uint16
 	ticket  admission.Ticket
-	hop     *Hop
-	hand    *handled
+	hop     Hop
+	hand    handled
+	own     running
 	who     retry.Identity // 0: the caller names none
 }
 
@@ -49,7 +50,7 @@
 	}
 	e.calls.Add(1)
 	defer e.calls.Add(-1)
-	s := &serving{c: c, hop: &Hop{Kind: HopServe, Span: newSpan(), Start: time.Now(), Target: e.self.ID, Zone: e.self.Place.Zone}}
+	s := &serving{c: c, hop: Hop{Kind: HopServe, Span: newSpan(), Start: time.Now(), Target: e.self.ID, Zone: e.self.Place.Zone}}
 	defer e.letGo(s)
 	if fault := e.accept(s); fault != nil {
 		e.refuse(s, fault)
@@ -76,6 +77,9 @@
 	}
 	r, resp := e.run(ctx, s)
 	e.finish(s, r, resp, cancel)
+	if resp != nil && r.stream == nil {
+		protocol.ReleaseResponse(resp) // the answer has a copy
+	}
 }
 
 // accept reads and checks what the other node sent.
@@ -86,7 +90,7 @@
 		return status.Refuse(status.CodeProtocol, 0, "a call between nodes without a trace")
 	}
 	s.trace, s.hop.ID, s.hop.Parent = tc, tc.id, tc.span
-	s.hand = e.inHand.add(tc.span)
+	e.inHand.add(tc.span, &s.hand)
 	meta, err := wire.GetMeta(h)
 	if err != nil {
 		return status.Refuse(status.CodeProtocol, 0, "%s", status.From(err).Detail)
@@ -131,7 +135,7 @@
 		return status.Refuse(status.CodeTooLarge, 0, "an at-most-once request may have %d bytes", e.cfg.BufferBytes)
 	}
 	s.tenant = e.tenants.of(s.meta.Tenant)
-	s.running = &running{
+	s.own = running{
 		id:       s.trace.id,
 		sampled:  s.trace.sampled,
 		class:    s.class.Name,
@@ -141,6 +145,7 @@
 		deadline: deadline,
 		purse:    retry.NewPurse(s.meta.Allowance, s.meta.Repeat),
 	}
+	s.running = &s.own
 	return nil
 }
 
@@ -238,9 +243,9 @@
 	req := protocol.AcquireRequest()
 	defer protocol.ReleaseRequest(req)
 	wire.CopyRequest(&req.Header, &s.c.Request.Header)
-	req.Header.Set(wire.HeaderTraceparent, traceContext{s.trace.id, s.running.span, s.trace.sampled}.String())
+	traceContext{s.trace.id, s.running.span, s.trace.sampled}.set(&req.Header)
 	left := max(s.running.deadline-e.now(), time.Millisecond)
-	req.Header.Set(wire.HeaderTargetDeadline, strconv.FormatInt(left.Milliseconds(), 10))
+	wire.SetInt(&req.Header, wire.HeaderTargetDeadline, left.Milliseconds())
 	s.body.attach(req)
 	resp := protocol.AcquireResponse()
 	res, err := e.local.Do(ctx, e.self.Target, req, resp)
@@ -278,28 +283,30 @@
 // firstServerError is the least status by which a target says it failed.
 const firstServerError = 500
 
-// finish answers the other node, and gives the slot back when the answer is out
-// of the target.
+// finish answers the other node, and leaves when the answer is out of the
+// target.
 func (e *Engine) finish(s *serving, r *result, resp *protocol.Response, cancel func()) {
 	e.relay(&s.c.Response, orEmpty(resp), s.trace.id, r)
-	end := func() {
-		if r.stream != nil && !r.stream.Whole() {
-			r.outcome = request.Unknown
-		}
-		e.reqs.remove(s.running)
-		e.gate.leave(s.ticket, gateResult(r))
-		e.repeats.end(s, r.outcome)
-		cancel()
-		e.seal(s, r.outcome, r.code)
-	}
 	if r.stream != nil {
-		r.stream.OnClose(end)
+		r.stream.OnClose(func() { e.leave(s, r, cancel) })
 	} else {
-		end()
+		e.leave(s, r, cancel)
 	}
 	e.mark(s, r)
 }
 
+// leave gives the slot back.
+func (e *Engine) leave(s *serving, r *result, cancel func()) {
+	if r.stream != nil && !r.stream.Whole() {
+		r.outcome = request.Unknown
+	}
+	e.reqs.remove(s.running)
+	e.gate.leave(s.ticket, gateResult(r))
+	e.repeats.end(s, r.outcome)
+	cancel()
+	e.seal(s, r.outcome, r.code)
+}
+
 func orEmpty(resp *protocol.Response) *protocol.Response {
 	if resp == nil {
 		return &protocol.Response{}
@@ -344,7 +351,9 @@
 	}
 	h := &s.c.Response.Header
 	wire.SetAnswer(h, &a)
-	h.Set(wire.HeaderAttempt, s.trace.span.String())
+	var tag [spanHex]byte
+	hex.Encode(tag[:], s.trace.span[:])
+	h.SetBytesV(wire.HeaderAttempt, tag[:])
 }
 
 // seal ends the hop.
@@ -352,5 +361,5 @@
 	s.hop.Service, s.hop.Class, s.hop.Tenant = e.self.Service, s.meta.Class, s.meta.Tenant
 	s.hop.Outcome, s.hop.Code = o, code
 	s.hop.End = time.Now()
-	e.observe(s.hop)
+	e.observe(&s.hop)
 }
--- a/internal/dataplane/trace.go
+++ b/internal/dataplane/trace.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
@@ -38,11 +39,39 @@
 	return tc, sc.IsValid()
 }
 
-// String formats the context as traceparent, version 00.
-func (t traceContext) String() string {
-	flags := "00"
+// Where a traceparent of version 00 has its parts, and the dashes between them.
+const (
+	idAt      = len("00-")
+	spanAt    = idAt + idHex + 1
+	flagsAt   = spanAt + spanHex + 1
+	parentLen = flagsAt + len("00")
+
+	idHex   = 2 * len(request.ID{})
+	spanHex = 2 * len(SpanID{})
+)
+
+// set writes the context as traceparent, version 00.
+func (t traceContext) set(h *protocol.RequestHeader) {
+	var b [parentLen]byte
+	copy(b[:], "00-")
+	hex.Encode(b[idAt:], t.id[:])
+	b[spanAt-1] = '-'
+	hex.Encode(b[spanAt:], t.span[:])
+	copy(b[flagsAt-1:], "-00")
 	if t.sampled {
-		flags = "01"
+		b[parentLen-1] = '1'
+	}
+	h.SetCanonical(traceparent, b[:])
+}
+
+var traceparent = []byte(wire.HeaderTraceparent)
+
+// spanIn returns the span, as in SpanID.String, of a request whose traceparent
+// set has written; empty for others.
+func spanIn(h *protocol.RequestHeader) string {
+	v := h.Peek(wire.HeaderTraceparent)
+	if len(v) != parentLen {
+		return ""
 	}
-	return "00-" + t.id.String() + "-" + t.span.String() + "-" + flags
+	return string(v[spanAt : spanAt+spanHex])
 }
--- a/internal/wire/strip.go
+++ b/internal/wire/strip.go
@@ -42,12 +42,15 @@
 	dst.SetNoDefaultContentType(true)
 	named := connectionOptions(src.Peek("Connection"))
 	src.VisitAll(func(k, v []byte) {
-		if endToEnd(k, named) {
+		if endToEnd(k, named) && !listed(k, dated) {
 			addTo(dst, k, v)
 		}
 	})
 }
 
+// dated is the field of an answer that the codec writes by itself.
+var dated = []string{"Date"}
+
 // header is what both of the codec's headers have.
 type header interface {
 	Add(key, value string)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -96,7 +96,7 @@
 	h.Set(HeaderTenant, string(m.Tenant))
 	h.Set(HeaderClass, string(m.Class))
 	h.Set(HeaderImportance, strconv.Itoa(int(m.Importance)))
-	h.Set(HeaderDeadline, strconv.FormatInt(m.Remaining.Milliseconds(), 10))
+	SetInt(h, HeaderDeadline, m.Remaining.Milliseconds())
 	h.Set(HeaderAllowance, strconv.Itoa(m.Allowance))
 	h.Set(HeaderDepth, strconv.Itoa(m.Depth))
 	if m.Repeat {
@@ -110,6 +110,12 @@
 	}
 }
 
+// SetInt writes a number to a request.
+func SetInt(h *protocol.RequestHeader, name string, v int64) {
+	var b [20]byte // the longest has so many
+	h.SetCanonical([]byte(name), strconv.AppendInt(b[:0], v, 10))
+}
+
 // GetMeta reads what SetMeta wrote. A value out of its range is a typed
 // protocol failure: it comes from a node of another version or from no node.
 func GetMeta(h *protocol.RequestHeader) (Meta, error) {
