--- a/internal/dataplane/trace.go
+++ b/internal/dataplane/trace.go
@@ -61,7 +61,7 @@
 	if t.sampled {
 		b[parentLen-1] = '1'
 	}
-	h.SetCanonical(traceparent, b[:])
+	h.SetArgBytes(traceparent, b[:], protocol.ArgsHasValue)
 }
 
 var traceparent = []byte(wire.HeaderTraceparent)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -113,7 +113,7 @@
 // SetInt writes a number to a request.
 func SetInt(h *protocol.RequestHeader, name string, v int64) {
 	var b [20]byte // the longest has so many
-	h.SetCanonical([]byte(name), strconv.AppendInt(b[:0], v, 10))
+	h.SetArgBytes([]byte(name), strconv.AppendInt(b[:0], v, 10), protocol.ArgsHasValue)
 }
 
 // GetMeta reads what SetMeta wrote. A value out of its range is a typed
