Don't hold a failure below against the target that passed it on

Cause: a target whose call to a further service is refused answers 502. Its callers booked that as the target's own failure, so in overload a service deep in the chain got healthy targets above it ejected, for all requests.

Now the callee's node names, beside a failure that its target answered, why a call below ended badly. Callers' nodes book nothing for the target then, and decide about a retry by that code. A target that passes on a refusal with Retry-After is no longer taken for one that sheds.

--- a/internal/dataplane/call.go
+++ b/internal/dataplane/call.go
@@ -102,6 +102,15 @@
 	}
 }
 
+// cause is why the call failed: the node's own code or, where the target itself
+// answered with a failure, that of the call below that ended badly.
+func (r *result) cause() status.Code {
+	if r.code == "" && r.outcome != request.Completed {
+		return r.answer.Below
+	}
+	return r.code
+}
+
 // discard lets go of an answer that is to be tried again. Its stream would
 // otherwise hold its connection, and the target's slot, until the whole request
 // ends.
@@ -228,7 +237,7 @@
 func (e *Engine) question(c *outgoing, r *result, sub *retry.Call, cl *callee) retry.Result {
 	return retry.Result{
 		Outcome:    r.outcome,
-		Code:       r.code,
+		Code:       r.cause(),
 		Deadline:   c.deadline,
 		Priority:   c.priority,
 		Level:      e.levels.level(c),
--- a/internal/dataplane/callee.go
+++ b/internal/dataplane/callee.go
@@ -147,10 +147,17 @@
 func (r *result) kind() route.Kind {
 	switch r.code {
 	case "":
-		if r.outcome != request.Completed {
+		switch {
+		case r.outcome == request.Completed:
+			return route.Success
+		case r.answer.Below != "":
+			// It failed because a service below did. Were that held against it,
+			// one overloaded service would eject the healthy targets of all that
+			// call it, also from requests that don't need it.
+			return route.Ignored
+		default:
 			return route.Failure // the target's own word that it failed
 		}
-		return route.Success
 	case status.CodeCanceled:
 		return route.Ignored
 	case status.CodeOverloaded, status.CodeOverShare:
--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -70,6 +70,9 @@
 	}
 	resp := protocol.AcquireResponse()
 	r := e.outcome(ctx, out, fault, resp)
+	if out.parent != nil {
+		out.parent.ended(r)
+	}
 	hop.fill(out, r)
 	e.answer(&c.Response, resp, out, r, hop)
 	if r.stream == nil {
--- a/internal/dataplane/inflight.go
+++ b/internal/dataplane/inflight.go
@@ -9,6 +9,7 @@
 	"peardrift/internal/core/early"
 	"peardrift/internal/core/request"
 	"peardrift/internal/core/retry"
+	"peardrift/internal/status"
 	"peardrift/internal/wire"
 )
 
@@ -32,6 +33,7 @@
 	open    int         // attempts below that have not ended
 	unknown bool        // some call below may have run with no known result
 	used    []early.Key // services called so far
+	below   status.Code // of the call below that ended badly last; empty: none did
 
 	next *running // begun before it, of the same identity; guarded by registry.mu
 }
@@ -80,6 +82,26 @@
 	x.unknown = x.unknown || r.outcome == request.Unknown
 }
 
+// ended takes in how a call below ended, after all its attempts.
+func (x *running) ended(r *result) {
+	if r.outcome == request.Completed || r.code == status.CodeCanceled {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.below = r.cause()
+	if x.below == "" {
+		x.below = status.CodeTargetFailed
+	}
+}
+
+// cause returns why a call below ended badly; empty if none did.
+func (x *running) cause() status.Code {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.below
+}
+
 // close ends the request here and returns what its answer reports.
 func (x *running) close() (unspent, made int) {
 	x.mu.Lock()
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -276,7 +276,9 @@
 	if s.running.doubtful() {
 		r.outcome = request.Unknown
 	}
-	r.shed = resp.StatusCode() == http.StatusServiceUnavailable && len(resp.Header.Peek(wire.HeaderRetryAfter)) > 0
+	// A target that passes on the refusal of a call below doesn't shed itself.
+	r.shed = s.running.cause() == "" &&
+		resp.StatusCode() == http.StatusServiceUnavailable && len(resp.Header.Peek(wire.HeaderRetryAfter)) > 0
 	return r
 }
 
@@ -341,6 +343,9 @@
 	st := e.gate.stats()
 	a.InFlight, a.Limit = st.Running, st.Limit
 	a.Level = e.gate.level(s.tenant)
+	if s.running != nil && r.code == "" && r.outcome != request.Completed {
+		a.Below = s.running.cause()
+	}
 	if s.running != nil {
 		a.Chain = e.levels.below(s.class.Name)
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -37,6 +37,9 @@
 	HeaderOutcome = Prefix + "Outcome"
 	// HeaderCode carries the code of a failure beside its problem document.
 	HeaderCode = Prefix + "Code"
+	// HeaderBelow carries the code of a call below that ended badly, beside a
+	// failure that the target itself answered.
+	HeaderBelow = Prefix + "Below"
 	// HeaderLevel carries the answering node's admission level.
 	HeaderLevel = Prefix + "Level"
 	// HeaderChain carries the level of the services below the answering target
@@ -152,6 +155,7 @@
 type Answer struct {
 	Outcome  request.Outcome
 	Code     status.Code
+	Below    status.Code   // why a call below ended badly, beside a failure of the target's own
 	Level    request.Level // 0: admits all
 	Chain    request.Level // of the services below, for the call's class
 	Unspent  int
@@ -167,6 +171,9 @@
 	if a.Code != "" {
 		h.Set(HeaderCode, string(a.Code))
 	}
+	if a.Below != "" {
+		h.Set(HeaderBelow, string(a.Below))
+	}
 	if a.Level > 0 {
 		h.Set(HeaderLevel, strconv.FormatUint(uint64(a.Level), 10))
 	}
@@ -193,6 +200,7 @@
 	a := Answer{
 		Outcome:  request.ParseOutcome(string(h.Peek(HeaderOutcome))),
 		Code:     status.Code(h.Peek(HeaderCode)),
+		Below:    status.Code(h.Peek(HeaderBelow)),
 		Level:    request.Level(number(h.Peek(HeaderLevel), uint64(request.MaxPriority))),
 		Chain:    request.Level(number(h.Peek(HeaderChain), uint64(request.MaxPriority))),
 		Unspent:  int(number(h.Peek(HeaderUnspent), 1<<10)),
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -28,7 +28,7 @@
 func TestAnswerTravels(t *testing.T) {
 	is := is.New(t)
 	in := Answer{
-		Outcome: request.Refused, Code: status.CodeOverloaded, Level: 7 << 16, Chain: 9 << 16,
+		Outcome: request.Refused, Code: status.CodeOverloaded, Below: status.CodeNoTarget, Level: 7 << 16, Chain: 9 << 16,
 		Unspent: 1, Made: 4, InFlight: 20, Limit: 25, Pushback: 1200 * time.Millisecond,
 	}
 	var h protocol.ResponseHeader
