Say where claims live by layouts that are known ahead

Claims of dated keys are to share rows. Which row may depend on nothing in which two nodes can differ while they place the same key. The layouts are therefore a list in one row of the table that only grows: a new one holds for keys dated two hours after its announcement, and a node that read the list places keys dated up to an hour after its read. Keys dated more than 30 min ahead are not run, so a read is good for half an hour.

A claim that its row has no room for is refused as no-room-for-key. claims.Runner asks the port Rows, which own rows implement as before.

--- a/internal/claims/duty.go
+++ b/internal/claims/duty.go
@@ -12,9 +12,9 @@
 
 // chore is a duty that waits for the platform.
 type chore struct {
-	key  string
-	duty claim.Duty
-	back *backoff.ExponentialBackOff
+	place Place
+	duty  claim.Duty
+	back  *backoff.ExponentialBackOff
 }
 
 // maxSteps bounds the operations of one try of a duty.
@@ -22,18 +22,25 @@
 
 // settle tries a duty while the answer may wait for it, and leaves the rest to
 // the pool.
-func (r *Runner) settle(ctx context.Context, key string, d claim.Duty) {
+func (r *Runner) settle(ctx context.Context, p Place, d claim.Duty) {
 	if !d.Pending() {
 		return
 	}
-	if d.Urgent() && r.allow() && r.try(ctx, key, &d, r.cfg.RecordWait) {
+	if d.Records() && r.rows.HeldBack(p) {
+		c := r.postpone(p, d)
+		if err := r.pool.Submit(func() { r.attend(c) }); err != nil {
+			r.sleep(c)
+		}
+		return
+	}
+	if d.Urgent() && r.allow() && r.try(ctx, p, &d, r.cfg.RecordWait) {
 		return
 	}
-	r.postpone(key, d)
+	r.sleep(r.postpone(p, d))
 }
 
 // try does one try of a duty within most, and reports whether it is finished.
-func (r *Runner) try(ctx context.Context, key string, d *claim.Duty, most time.Duration) bool {
+func (r *Runner) try(ctx context.Context, p Place, d *claim.Duty, most time.Duration) bool {
 	end := wall() + most
 	var ev claim.Event = claim.Begin{}
 	for range maxSteps {
@@ -42,7 +49,7 @@
 		case claim.Finished:
 			if act.Lost {
 				r.stats.lost()
-				r.log.Error("outcome not in the table", zap.String("row", key))
+				r.log.Error("outcome not in the table", zap.String("row", p.Row))
 			}
 			return true
 		case claim.Later:
@@ -52,7 +59,7 @@
 		if left <= 0 {
 			return false
 		}
-		ev = r.do(ctx, key, act, left)
+		ev = r.do(ctx, p, act, left)
 	}
 	return false
 }
@@ -63,8 +70,8 @@
 	return r.breaker.Allow(wall())
 }
 
-// postpone hands a duty to the pool, after a pause.
-func (r *Runner) postpone(key string, d claim.Duty) {
+// postpone counts a duty that the answer doesn't wait for.
+func (r *Runner) postpone(p Place, d claim.Duty) *chore {
 	back := backoff.NewExponentialBackOff()
 	back.InitialInterval, back.MaxInterval = r.cfg.RetryMin, r.cfg.RetryMax
 	back.Reset()
@@ -73,7 +80,7 @@
 	r.pending++
 	r.stats.duties(r.pending)
 	r.mu.Unlock()
-	r.sleep(&chore{key: key, duty: d, back: back})
+	return &chore{place: p, duty: d, back: back}
 }
 
 // sleep wakes the chore after its next pause, at least the breaker's.
@@ -107,7 +114,7 @@
 
 // attend tries the chore's duty.
 func (r *Runner) attend(c *chore) {
-	if !r.allow() || !r.try(context.Background(), c.key, &c.duty, maxSteps*r.cfg.Claim.OpWait) {
+	if !r.allow() || !r.try(context.Background(), c.place, &c.duty, maxSteps*r.cfg.Claim.OpWait) {
 		r.sleep(c)
 		return
 	}
--- a/internal/claims/result.go
+++ b/internal/claims/result.go
@@ -91,6 +91,9 @@
 		if code == status.CodeKeyReused {
 			return "the key was used for another request, and this one has not run"
 		}
+		if code == status.CodeNoRoom {
+			return "too many keys are dated alike; nothing has run under this one, so send the request with a new key"
+		}
 		return "nothing has run under this key"
 	}
 	switch code {
@@ -98,6 +101,8 @@
 		return "an earlier call with this key may still be running; come back for its outcome with the same key"
 	case status.CodeOutcomeUnknown:
 		return "an earlier call with this key may have run, and how it ended is not known; this call ran nothing"
+	case status.CodeKeyAhead:
+		return "the key is dated too far ahead, so the caller's clock is wrong; this call ran nothing"
 	default:
 		return "this call ran nothing; whether an earlier call with this key ran could not be read, so repeat with the same key"
 	}
--- a/internal/claims/runner.go
+++ b/internal/claims/runner.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"peardrift/internal/core/claim"
-	"peardrift/internal/port"
 	"peardrift/internal/status"
 )
 
@@ -19,9 +18,9 @@
 	Submit(task func()) error
 }
 
-// Runner claims keys at the table and runs the winners.
+// Runner claims keys and runs the winners.
 type Runner struct {
-	table port.Table
+	rows  Rows
 	pool  Pool
 	cfg   Config
 	log   *zap.Logger
@@ -40,9 +39,9 @@
 
 // New returns a runner. pool should not run traffic: tries of duties wait for
 // the platform.
-func New(table port.Table, pool Pool, cfg Config, log *zap.Logger, scope tally.Scope) *Runner {
+func New(rows Rows, pool Pool, cfg Config, log *zap.Logger, scope tally.Scope) *Runner {
 	return &Runner{
-		table: table, pool: pool, cfg: cfg, log: log, stats: newStats(scope),
+		rows: rows, pool: pool, cfg: cfg, log: log, stats: newStats(scope),
 		slots:   make(chan struct{}, cfg.MaxClaims),
 		breaker: claim.NewBreaker(cfg.Breaker),
 		waiting: make(map[*chore]*time.Timer),
@@ -66,7 +65,7 @@
 		return resultOf(claim.Answer{Outcome: claim.Outcome{Code: err.Code}, RetryAfter: err.RetryAfter, NotRunHere: true})
 	}
 	defer r.work.Done()
-	c := &call{runner: r, key: claim.RowKey(req.Scope, req.Key), slot: true}
+	c := &call{runner: r, place: placeOf(req), slot: true}
 	defer c.freeSlot()
 	attempt := claim.New(r.cfg.Claim, requestOf(req))
 	return c.drive(ctx, &attempt, run)
@@ -81,7 +80,7 @@
 		return resultOf(unsure)
 	}
 	defer r.work.Done()
-	c := &call{runner: r, key: claim.RowKey(req.Scope, req.Key), slot: true}
+	c := &call{runner: r, place: placeOf(req), slot: true}
 	defer c.freeSlot()
 	req.Deadline = time.Now().Add(r.cfg.ExplainWait)
 	attempt := claim.NewLook(r.cfg.Claim, requestOf(req), refusal)
@@ -113,7 +112,7 @@
 // call is one Do under way.
 type call struct {
 	runner *Runner
-	key    string
+	place  Place
 	slot   bool
 }
 
@@ -139,18 +138,22 @@
 			ev = ran.event()
 		case claim.Answer:
 			c.freeSlot()
-			c.runner.settle(ctx, c.key, act.Duty)
+			c.runner.settle(ctx, c.place, act.Duty)
 			if act.Origin != claim.FromRun {
 				return resultOf(act)
 			}
 			ran.Origin, ran.NotRunHere = act.Origin, act.NotRunHere
 			return ran
 		default:
-			ev = c.runner.do(ctx, c.key, act, c.runner.cfg.Claim.OpWait)
+			ev = c.runner.do(ctx, c.place, act, c.runner.cfg.Claim.OpWait)
 		}
 	}
 }
 
+func placeOf(req Request) Place {
+	return Place{Row: claim.RowKey(req.Scope, req.Key), Key: req.Key}
+}
+
 func requestOf(req Request) claim.Request {
 	keyTime, _ := claim.KeyTime(req.Key)
 	return claim.Request{
--- a/internal/claims/table.go
+++ b/internal/claims/table.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"peardrift/internal/core/claim"
-	"peardrift/internal/port"
 )
 
 // wall returns the time that rows and deadlines are compared by. It is the wall
@@ -16,72 +14,47 @@
 
 // do carries out a Write or Read and returns its event. The operation does not
 // end with the caller: a write that is cut short is only in doubt.
-func (r *Runner) do(ctx context.Context, key string, act claim.Action, most time.Duration) claim.Event {
+func (r *Runner) do(ctx context.Context, p Place, act claim.Action, most time.Duration) claim.Event {
 	ctx = context.WithoutCancel(ctx)
 	switch act := act.(type) {
 	case claim.Write:
-		ctx, cancel := context.WithTimeout(ctx, min(act.Wait, most))
-		defer cancel()
-		return r.write(ctx, key, act.Row)
+		return r.report("put", r.rows.Put(ctx, p, act.Row, min(act.Wait, most)))
 	case claim.Read:
-		ctx, cancel := context.WithTimeout(ctx, min(act.Wait, most))
-		defer cancel()
-		return r.read(ctx, key)
+		return r.report("get", r.rows.Get(ctx, p, min(act.Wait, most)))
 	default:
 		return nil
 	}
 }
 
-func (r *Runner) write(ctx context.Context, key string, row claim.Row) claim.Event {
-	value, err := row.Encode()
-	if err != nil {
-		return claim.NothingWritten{}
-	}
-	item := port.Item{Key: key, Version: row.Version, Value: value, Token: row.Token}
-	if row.Expires > 0 {
-		item.Expires = time.Unix(0, int64(row.Expires))
-	}
-	err = r.table.Put(ctx, port.Put{Item: item, IfVersion: row.Version - 1})
-	switch {
-	case err == nil:
-		r.report("put", "ok", true)
-		return claim.Written{}
-	case errors.Is(err, port.ErrConditionFailed):
-		r.report("put", "condition_failed", true)
-		return claim.ConditionFailed{}
-	case errors.Is(err, port.ErrUnavailable):
-		r.report("put", "unavailable", false)
-		return claim.NothingWritten{}
-	default:
-		// Also what the port's contract does not know: it may have been written.
-		r.report("put", "ambiguous", false)
-		return claim.InDoubt{}
-	}
-}
-
-func (r *Runner) read(ctx context.Context, key string) claim.Event {
-	item, err := r.table.Get(ctx, key)
-	switch {
-	case errors.Is(err, port.ErrNotFound):
-		r.report("get", "absent", true)
-		return claim.RowRead{}
-	case err != nil:
-		r.report("get", "unavailable", false)
-		return claim.ReadFailed{}
-	}
-	r.report("get", "ok", true)
-	row, err := claim.Decode(item.Version, item.Token, item.Value)
-	if err != nil {
-		return claim.RowUnreadable{}
-	}
-	return claim.RowRead{Row: row}
-}
-
 // report tells the breaker and the metrics how an operation ended.
-func (r *Runner) report(op, result string, ok bool) {
+func (r *Runner) report(op string, ev claim.Event) claim.Event {
+	result, ok := named(ev)
 	r.mu.Lock()
 	r.breaker.Report(wall(), ok)
 	open := r.breaker.Open()
 	r.mu.Unlock()
 	r.stats.op(op, result, open)
+	return ev
+}
+
+// named returns an event's name in the metrics, and whether the platform
+// answered.
+func named(ev claim.Event) (result string, ok bool) {
+	switch ev := ev.(type) {
+	case claim.Written, claim.RowUnreadable:
+		return "ok", true
+	case claim.RowRead:
+		if ev.Row.State == claim.Absent {
+			return "absent", true
+		}
+		return "ok", true
+	case claim.ConditionFailed:
+		return "condition_failed", true
+	case claim.NoRoom:
+		return "no_room", true
+	case claim.NothingWritten, claim.ReadFailed:
+		return "unavailable", false
+	default:
+		return "ambiguous", false
+	}
 }
--- a/internal/core/claim/attempt.go
+++ b/internal/core/claim/attempt.go
@@ -86,6 +86,10 @@
 	if a.req.KeyTime > 0 && now > a.req.KeyTime+a.req.Remember-a.cfg.Skew {
 		return a.end(Answer{Outcome: Outcome{Code: status.CodeOutcomeUnknown}, NotRunHere: true})
 	}
+	// Where a dated key lives is known for a while ahead only, see batch.Layout.
+	if a.req.KeyTime > now+a.cfg.Ahead {
+		return a.end(Answer{Outcome: Outcome{Code: status.CodeKeyAhead}, NotRunHere: true})
+	}
 	if a.refusal != nil {
 		return a.lookOr(now, a.refusal.Code)
 	}
@@ -107,6 +111,9 @@
 		return a.lookOr(now, status.CodePlatformDown)
 	case NothingWritten:
 		return a.giveUp(status.CodePlatformDown)
+	case NoRoom:
+		a.clear = true
+		return a.giveUp(status.CodeNoRoom)
 	}
 	return nil
 }
--- a/internal/core/claim/batch/batcher.go
+++ b/internal/core/claim/batch/batcher.go
@@ -115,6 +115,23 @@
 	return b.flush(now, r)
 }
 
+// Len returns how many rows are in memory.
+func (b *Batcher) Len() int { return len(b.rows) }
+
+// Has reports whether a row is in memory.
+func (b *Batcher) Has(name string) bool { return b.rows[name] != nil }
+
+// Hurry makes all that waits due: a node that stops has no time to hold ops
+// back.
+func (b *Batcher) Hurry(now time.Duration) []Action {
+	for _, r := range b.rows {
+		if len(r.queue) > 0 {
+			r.due = now
+		}
+	}
+	return b.Tick(now)
+}
+
 // Due returns when Tick is to be called next; ok is false if it needn't.
 func (b *Batcher) Due() (at time.Duration, ok bool) {
 	at = never
@@ -122,6 +139,9 @@
 		if r.phase == resting {
 			at = min(at, r.due)
 		}
+		if r.phase == resting && len(r.queue) == 0 {
+			at = min(at, r.used+b.cfg.Idle+1)
+		}
 	}
 	return at, at != never
 }
--- a/internal/core/claim/batch/config.go
+++ b/internal/core/claim/batch/config.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Config sizes the rows and paces their writes. Slot and Shards must be the
-// same on all nodes for as long as keys are remembered: they say where a key is.
+// Config sizes the rows and paces their writes. Slot and Shards are what a newly
+// announced Layout has; a node goes by the layouts that it read.
 type Config struct {
 	// Slot is the span of key times that share a row. Default 64 ms. Raising
 	// it means fewer and larger rows; lowering it means more writes.
@@ -15,8 +15,8 @@
 	// it puts more ops into a write; lowering it answers claims sooner.
 	Pace time.Duration
 	// LazyWait is how long an op that nobody waits for may be held back.
-	// Default 1 s. Raising it saves writes; lowering it shows outcomes to
-	// repeats sooner.
+	// Default 250 ms. Raising it saves writes; lowering it shows outcomes to
+	// repeats sooner, and leaves fewer keys of nodes that die "unknown".
 	LazyWait time.Duration
 	// MaxRow bounds a row's value in bytes; further new entries are refused.
 	// Default 60 KiB, under port.MaxValue. Raising it must stay under that.
@@ -42,7 +42,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Slot: 64 * time.Millisecond, Shards: 2,
-		Pace: 50 * time.Millisecond, LazyWait: time.Second,
+		Pace: 50 * time.Millisecond, LazyWait: 250 * time.Millisecond,
 		MaxRow: 60 << 10, Reserve: 192, Tries: 4,
 		Fresh: time.Second, Idle: 5 * time.Second,
 	}
--- a/internal/core/claim/batch/slot.go
+++ b/internal/core/claim/batch/slot.go
@@ -1,7 +1,7 @@
 package batch
 
 import (
-	"strconv"
+	"encoding/binary"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,35 +15,27 @@
 	Start time.Duration // since the Unix epoch
 }
 
-// SlotOf returns the row of a claim: rowKey is its claim.RowKey, key the
-// idempotency key. ok is false for an undated key, which needs a row of its own.
-func SlotOf(cfg Config, rowKey, key string) (s Slot, ok bool) {
-	t, ok := claim.KeyTime(key)
-	if !ok {
-		return Slot{}, false
-	}
-	n := int64(t / cfg.Slot)
-	shard := xxhash.Sum64String(rowKey) % uint64(cfg.Shards)
-	row := "claims/" + strconv.FormatInt(n, 10) + "/" + strconv.FormatUint(shard, 10)
-	return Slot{Row: row, Start: time.Duration(n) * cfg.Slot}, true
-}
-
-// entryKeySize is the length of an entry's key in bytes.
-const entryKeySize = 16
+// EntryKeySize is the length of an entry's key in bytes.
+const EntryKeySize = 16
 
 // EntryKey returns the key of a claim's entry: the start of a digest, as the
 // row key itself would be a third of the entry.
 func EntryKey(rowKey string) string {
 	sum := claim.Sum([]byte(rowKey))
-	return string(sum[:entryKeySize])
+	return string(sum[:EntryKeySize])
 }
 
-// Pick returns the index of the node that batches a row, by rendezvous hash:
-// when a node joins or leaves, only its own rows move. -1 if there is no node.
-func Pick(row string, nodes []string) int {
+// Pick returns the index of the node that batches a row, by rendezvous hash
+// over the nodes' ids: when a node joins or leaves, only its own rows move. Nodes
+// that skip names are passed over; nil names none. -1 if there is no node.
+func Pick(row string, ids []uint64, skip func(i int) bool) int {
 	best, weight := -1, uint64(0)
-	for i, n := range nodes {
-		if w := xxhash.Sum64String(n + "\x00" + row); best < 0 || w > weight {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:], xxhash.Sum64String(row))
+	for i, id := range ids {
+		binary.LittleEndian.PutUint64(b[8:], id)
+		w := xxhash.Sum64(b[:])
+		if (best < 0 || w > weight) && (skip == nil || !skip(i)) {
 			best, weight = i, w
 		}
 	}
--- a/internal/core/claim/config.go
+++ b/internal/core/claim/config.go
@@ -34,6 +34,11 @@
 	// Skew is the most by which the wall clocks of two nodes differ. Default
 	// 1 min. Raising it refuses dated keys a little earlier.
 	Skew time.Duration
+	// Ahead is the most by which a dated key may be ahead of the node's clock.
+	// Default 30 min. Raising it takes keys of callers whose clocks are further
+	// off; it must stay below batch.Lead - batch.Margin by as much as nodes take
+	// to read the layouts again.
+	Ahead time.Duration
 	// MaxKept is the largest answer body kept in a row, in bytes. Default
 	// 16 KiB. Raising it serves more repeats in full, up to the row's limit;
 	// lowering it saves bytes at the platform.
@@ -54,6 +59,7 @@
 		Remember:   24 * time.Hour,
 		FreeFor:    time.Hour,
 		Skew:       time.Minute,
+		Ahead:      30 * time.Minute,
 		MaxKept:    16 << 10,
 		RetryAfter: time.Second,
 	}
--- a/internal/core/claim/duty.go
+++ b/internal/core/claim/duty.go
@@ -32,6 +32,9 @@
 // the first try: by a recorded outcome, or by a claim that is free again.
 func (d *Duty) Urgent() bool { return d.task == toRecord || d.task == toRelease }
 
+// Records reports whether an outcome is to be recorded.
+func (d *Duty) Records() bool { return d.task == toRecord }
+
 func recording(cfg *Config, row Row) Duty {
 	return Duty{cfg: cfg, task: toRecord, token: row.Token, row: row}
 }
@@ -80,6 +83,10 @@
 	switch e.(type) {
 	case Written:
 		return d.finish(false)
+	case NoRoom:
+		// Only a fence writes where nothing is. What has no room for it has none
+		// for the claim that it fences off: rows never get smaller.
+		return d.finish(false)
 	case ConditionFailed:
 		return d.refused()
 	default:
--- a/internal/core/claim/event.go
+++ b/internal/core/claim/event.go
@@ -22,6 +22,9 @@
 	InDoubt struct{}
 	// NothingWritten: the platform is known not to have had the write.
 	NothingWritten struct{}
+	// NoRoom: the row that the claim shares with others has no room for it, and
+	// did not hold it.
+	NoRoom struct{}
 	// RowRead: the row, of State Absent if there is none.
 	RowRead struct{ Row Row }
 	// RowUnreadable: there is a row that this version can't decode.
@@ -45,6 +48,7 @@
 func (ConditionFailed) event() {}
 func (InDoubt) event()         {}
 func (NothingWritten) event()  {}
+func (NoRoom) event()          {}
 func (RowRead) event()         {}
 func (RowUnreadable) event()   {}
 func (ReadFailed) event()      {}
--- a/internal/core/retry/decide.go
+++ b/internal/core/retry/decide.go
@@ -163,6 +163,7 @@
 	switch c {
 	case status.CodeMalformed, status.CodeTooLarge, status.CodeUnknownService,
 		status.CodeUnknownClass, status.CodeKeyMissing, status.CodeKeyReused,
+		status.CodeKeyAhead, status.CodeNoRoom,
 		status.CodeForbidden, status.CodeOverShare, status.CodeDeadline,
 		status.CodeRetriesExhausted, status.CodeSuspect, status.CodeIsolationBusy, status.CodePlatformDown,
 		status.CodeInProgress, status.CodeAnswerNotKept, status.CodeDeadlineExceeded,
--- a/internal/dataplane/problem.go
+++ b/internal/dataplane/problem.go
@@ -67,7 +67,7 @@
 // httpStatus maps a code to the status that HTTP clients expect for it.
 func httpStatus(c status.Code) int {
 	switch c {
-	case status.CodeMalformed, status.CodeKeyMissing, status.CodeProtocol:
+	case status.CodeMalformed, status.CodeKeyMissing, status.CodeKeyAhead, status.CodeProtocol:
 		return consts.StatusBadRequest
 	case status.CodeForbidden:
 		return consts.StatusForbidden
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -137,7 +137,7 @@
 	n.local = hertzhttp.NewClient(cc)
 	cc.Prober, cc.WatchAfter = dataplane.Prober{}, watchAfter
 	n.peers = hertzhttp.NewClient(cc)
-	n.claims = claims.New(n.table, n.pool, claims.DefaultConfig(), n.log, n.metrics.Scope())
+	n.claims = claims.New(claims.OwnRows{Table: n.table}, n.pool, claims.DefaultConfig(), n.log, n.metrics.Scope())
 	cfg := dataplane.DefaultConfig()
 	cfg.BufferBytes, cfg.MaxCalls = n.set.Traffic.BufferBytes, n.set.Traffic.MaxCalls
 	cfg.MaxBody, cfg.UploadTimeout = n.set.Traffic.MaxBodyBytes, n.set.Traffic.UploadTimeout
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -28,6 +28,7 @@
 	CodeUnknownClass   Code = "unknown-class"
 	CodeKeyMissing     Code = "idempotency-key-missing"
 	CodeKeyReused      Code = "idempotency-key-reused"
+	CodeKeyAhead       Code = "idempotency-key-ahead"
 	CodeForbidden      Code = "tenant-not-allowed"
 	CodeSuspect        Code = "suspected-of-crashing-targets"
 
@@ -43,6 +44,7 @@
 	CodeIsolationBusy    Code = "isolation-busy"
 	CodePlatformDown     Code = "platform-unavailable"
 	CodeInProgress       Code = "in-progress"
+	CodeNoRoom           Code = "no-room-for-key"
 
 	// Something ran, or may have run.
 	CodeDeadlineExceeded Code = "deadline-exceeded"
