Let operators announce that claims share rows

peardrift share-claims writes the layout that holds for keys dated two hours ahead; run again it says the same. An answer that was lost ends with code 6, two operators at once with code 4 for one of them.

--- a/internal/apply/store.go
+++ b/internal/apply/store.go
@@ -50,6 +50,9 @@
 	return &Store{table: table, objects: objects, cfg: cfg, now: time.Now, token: uuid.NewString}
 }
 
+// Table returns the platform's table.
+func (s *Store) Table() port.Table { return s.table }
+
 // Head returns the accepted version of a tenant's set; port.ErrNotFound if none
 // was ever accepted.
 func (s *Store) Head(ctx context.Context, t request.Tenant) (Record, error) {
--- a/internal/claims/shared/layouts.go
+++ b/internal/claims/shared/layouts.go
@@ -123,7 +123,8 @@
 
 // Announce declares that keys dated batch.Lead from now on share rows as cfg
 // says, and returns the layout. If the newest layout already says so, it stays.
-// With port.ErrAmbiguous it may be announced; repeating Announce tells.
+// It fails with status.CodeConflict if another announced one at the same time,
+// and with status.CodeOutcomeUnknown if it may be announced; repeating it tells.
 func Announce(ctx context.Context, table port.Table, cfg batch.Config) (batch.Layout, error) {
 	list, version, err := readLayouts(ctx, table)
 	if err != nil {
@@ -142,5 +143,12 @@
 	}
 	last, _ := list.Last()
 	item := port.Item{Key: batch.LayoutKey, Version: version + 1, Value: value, Token: uuid.NewString()}
-	return last, table.Put(ctx, port.Put{Item: item, IfVersion: version})
+	err = table.Put(ctx, port.Put{Item: item, IfVersion: version})
+	switch {
+	case errors.Is(err, port.ErrConditionFailed):
+		return last, status.Wrap(status.CodeConflict, err, "another layout of claims was announced meanwhile")
+	case errors.Is(err, port.ErrAmbiguous):
+		return last, status.Wrap(status.CodeOutcomeUnknown, err, "the layout may be announced")
+	}
+	return last, err
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -14,6 +14,7 @@
 
 	"peardrift/internal/adapter/rpc/adminapi"
 	"peardrift/internal/apply"
+	"peardrift/internal/core/claim/batch"
 	"peardrift/internal/port/porttest"
 	"peardrift/internal/settings"
 	"peardrift/internal/status"
@@ -162,6 +163,28 @@
 	is.Equal(st.Nodes[0].Status.Tenants[0].InForce, int64(1))
 }
 
+func TestShareClaims(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.table.SetScript(func(op porttest.Op, _ string) porttest.Fault {
+		if op == porttest.OpPut {
+			return porttest.LostAnswer
+		}
+		return porttest.None
+	})
+	is.Equal(b.run("share-claims"), ExitUnknown)
+	is.Equal(b.run("--output", "json", "share-claims"), ExitOK) // it had been announced
+	var first, again claimLayout
+	is.NoErr(json.Unmarshal(b.out.Bytes(), &first))
+	ahead := time.Until(first.From)
+	is.True(ahead > batch.Lead-time.Minute && ahead <= batch.Lead)
+	is.Equal(b.run("--output", "json", "share-claims"), ExitOK)
+	is.NoErr(json.Unmarshal(b.out.Bytes(), &again))
+	is.Equal(again, first) // once and for all
+	b.table.SetScript(func(porttest.Op, string) porttest.Fault { return porttest.Unavailable })
+	is.Equal(b.run("share-claims"), ExitUnavailable)
+}
+
 // Symptom: a script that parses the output stumbles over prose. Events: any
 // command fails under --output json. Cause: failures were printed as text.
 func TestFailuresAreJSONToo(t *testing.T) {
