Cut claims between nodes over real connections

The op between nodes moves to adapter/rpc, beside membership's. In bench/e2e the nodes send their claims over net/rpc through links that are cut at each step, at the stand-in platform with lost answers and in an outage; each key runs once and its repeats are told that it completed.

cluster.bare lets a repeat be told completed-answer-not-kept, in these tests only: shared rows keep no answers.

--- a/bench/e2e/cluster_test.go
+++ b/bench/e2e/cluster_test.go
@@ -50,6 +50,7 @@
 	tune  func(*dataplane.Config)                       // may be nil
 	wrap  func(dataplane.Transport) dataplane.Transport // may be nil
 	local func(*hertzhttp.ClientConfig)                 // of clients of targets; may be nil
+	bare  bool                                          // answers of earlier calls are not kept
 }
 
 // claimAll runs every request: claims have tests of their own.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,7 +44,7 @@
 	peers      *hertzhttp.Client
 	local      *hertzhttp.Client
 	rows       *shared.Rows
-	claimPeers *claimPeers
+	claimPeers *rpc.ClaimPeers
 	claims     *claims.Runner
 	engine     *dataplane.Engine
 	control    *control
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -192,7 +192,7 @@
 		n.server.Close()
 		n.calls.Close()
 	}
-	n.claimPeers.calls.Close()
+	n.claimPeers.Close()
 	n.peers.Close()
 	n.local.Close()
 	n.engine.Close()
--- a/internal/node/services.go
+++ b/internal/node/services.go
@@ -31,7 +31,7 @@
 		configName:     &configService{n.control},
 		suspectsName:   &suspectService{n},
 		adminName:      &adminService{n},
-		claimsName:     &claimsService{n.rows, n.control.meter},
+		rpc.ClaimsName: rpc.NewClaimsService(n.rows.Serve, n.control.meter),
 	} {
 		if err := n.server.Register(name, rcvr); err != nil {
 			return err
