Send a changed service as a patch of the one that the peer holds

A change of one number of a service with four classes travelled as the whole service, 335 bytes. Each set now keeps what its services were in up to eight earlier versions, with the versions in which they were so, and a delta holds the bytes between what both begin and end with. The digest of the set decides as before whether the result is right; a peer that is further behind gets the whole service.

TestDeltasReachTheSetOrSaySo holds it as it did; TestSmallChangeTravelsAsPatch fails without.

--- a/internal/core/confset/packed.go
+++ b/internal/core/confset/packed.go
@@ -35,6 +35,7 @@
 	// them changed a service; it says 7, and a peer at 5 may get a service that
 	// it has already.
 	changed int64
+	past    []pastBody // what the service was before, newest first
 }
 
 type removedPart struct {
@@ -153,6 +154,7 @@
 	Share    float64              `msgpack:"s"`
 	Services []msgpack.RawMessage `msgpack:"v,omitempty"` // new ones and changed ones
 	Removed  []string             `msgpack:"r,omitempty"`
+	Patches  []Patch              `msgpack:"p,omitempty"` // changed services, as a change of what the peer holds
 }
 
 // Since returns what changed after a version, as far as it is known here; the
@@ -164,7 +166,12 @@
 	}
 	d = Delta{Tenant: p.head.Tenant, Since: version, Version: p.head.Version, Share: p.share}
 	for _, part := range p.parts {
-		if part.changed > version {
+		if part.changed <= version {
+			continue
+		}
+		if patch, ok := part.patchFrom(version); ok {
+			d.Patches = append(d.Patches, patch)
+		} else {
 			d.Services = append(d.Services, part.body)
 		}
 	}
@@ -200,6 +207,13 @@
 		}
 		changed[part.service.Name] = part
 	}
+	for i := range d.Patches {
+		part, err := p.patched(&d.Patches[i], d.Version)
+		if err != nil {
+			return nil, err
+		}
+		changed[part.service.Name] = part
+	}
 	gone := make(map[string]bool, len(d.Removed))
 	for _, name := range d.Removed {
 		gone[name] = true
@@ -214,8 +228,9 @@
 func (p *Packed) Following(old *Packed) *Packed {
 	next := &Packed{head: p.head, share: p.share, floor: old.floor}
 	changed := make(map[string]*part, len(p.parts))
-	for _, part := range p.parts {
-		changed[part.service.Name] = part
+	for _, have := range p.parts {
+		part := *have
+		changed[part.service.Name] = &part
 	}
 	gone := make(map[string]bool)
 	for _, have := range old.parts {
@@ -235,6 +250,8 @@
 		if next, ok := changed[name]; ok {
 			if next.digest == have.digest {
 				next = have // sent though it is the same: its bound stays lower
+			} else {
+				next.follow(have, old.head.Version)
 			}
 			p.parts = append(p.parts, next)
 			delete(changed, name)
--- /dev/null
+++ b/internal/core/confset/patch.go
@@ -0,0 +1,81 @@
+package confset
+
+import (
+	"cmp"
+	"slices"
+
+	"peardrift/internal/status"
+)
+
+// Patch is a changed service as a change of the one that the peer holds. Most
+// changes are of a number or two, so it is a tenth of the service. It is the
+// bytes between what both versions begin and end with; whether the result is
+// right shows by the set's digest.
+type Patch struct {
+	Name   string `msgpack:"n"`
+	Begin  int    `msgpack:"b"` // bytes kept at the beginning
+	End    int    `msgpack:"e"` // bytes kept at the end
+	Middle []byte `msgpack:"m"` // between them
+}
+
+// pastBody is what a service was at all versions from one to another, both
+// included.
+type pastBody struct {
+	body     []byte
+	from, to int64
+}
+
+// maxPast is how many earlier versions of a service are kept. A peer that is
+// further behind gets the service as a whole.
+const maxPast = 8
+
+// follow notes what the service was up to a version. That version is the one
+// that was held here, so it is exact; the bound from which on the service was
+// so may be too high, which costs a patch and nothing else.
+func (p *part) follow(before *part, version int64) {
+	p.past = append(p.past[:0:0], pastBody{before.body, before.changed, version})
+	p.past = append(p.past, before.past[:min(len(before.past), maxPast-1)]...)
+}
+
+// patchFrom returns the change from what a peer at the given version holds. ok
+// is false if that isn't known, or no smaller than the service.
+func (p *part) patchFrom(version int64) (patch Patch, ok bool) {
+	for _, old := range p.past {
+		if version < old.from || version > old.to {
+			continue
+		}
+		patch = difference(old.body, p.body)
+		patch.Name = p.service.Name
+		const framing = 16
+		return patch, len(patch.Middle)+len(patch.Name)+framing < len(p.body)
+	}
+	return Patch{}, false
+}
+
+func difference(old, body []byte) Patch {
+	limit := min(len(old), len(body))
+	begin := 0
+	for begin < limit && old[begin] == body[begin] {
+		begin++
+	}
+	end := 0
+	for end < limit-begin && old[len(old)-1-end] == body[len(body)-1-end] {
+		end++
+	}
+	return Patch{Begin: begin, End: end, Middle: body[begin : len(body)-end]}
+}
+
+// patched applies a patch to the service that is held here.
+func (p *Packed) patched(d *Patch, version int64) (*part, error) {
+	i, ok := slices.BinarySearchFunc(p.parts, d.Name, func(q *part, name string) int {
+		return cmp.Compare(q.service.Name, name)
+	})
+	if !ok {
+		return nil, status.New(status.CodeProtocol, "a change of service %q, which is not held", d.Name)
+	}
+	old := p.parts[i].body
+	if d.Begin < 0 || d.End < 0 || d.Begin > len(old) || d.End > len(old)-d.Begin {
+		return nil, status.New(status.CodeProtocol, "a change of service %q beyond its %d bytes", d.Name, len(old))
+	}
+	return newPart(slices.Concat(old[:d.Begin], d.Middle, old[len(old)-d.End:]), version)
+}
