--- a/bench/cmd/slopes/parts.go
+++ b/bench/cmd/slopes/parts.go
@@ -22,6 +22,7 @@
 	{"memory", "Memory of one node's membership, each state with its own records (bytes)", memory},
 	{"cost", "Cost a node and second, at rest, on an ordinary day's churn (2 x 2,138 changes a day at any size), and with ten times the mean of configuration heads (2.3 a second)", cost},
 	{"spread", "Seconds until news is known to 50 / 99 / 100% of the members (worst of the trials)", spread},
+	{"busy", "A busy minute, ten times the mean of changes, with membership and configuration under one budget; at rest and from a zone's loss on", busy},
 	{"zone", "A zone (1/9 of the members) lost at once, and back at once", zone},
 	{"region", "A region apart, with changes on both sides, and healed", region},
 	{"join", "One new member", join},
@@ -131,6 +132,32 @@
 	}
 }
 
+func busy(o *options) {
+	t := newTable("members", "tenants", "zone lost", "changes", "longest until in force everywhere", "bytes/s mean", "p99", "max", "processor us/s", "dearest 10 s, mean")
+	for _, n := range o.Sizes {
+		for _, c := range []struct {
+			tenants int
+			lost    bool
+		}{{1, false}, {tenants, false}, {tenants, true}} {
+			f := fleet(o, n)
+			if err := f.Configure(c.tenants, 10*time.Minute); err != nil {
+				t.row(n, c.tenants, c.lost, err)
+				continue
+			}
+			if c.lost {
+				f.KillZone("zone-4")
+			}
+			b, err := f.BusyTime(o.short(20*time.Second, time.Minute), headEvery, time.Minute)
+			if err != nil {
+				t.row(n, c.tenants, c.lost, err)
+				continue
+			}
+			row := append([]any{n, c.tenants, c.lost, b.Changes, seconds(b.Longest)}, costCells(b.Cost)...)
+			t.row(append(row, fmt.Sprintf("%.0f", b.Worst.BytesMean))...)
+		}
+	}
+}
+
 func zone(o *options) {
 	t := newTable("members", "", "changes", "all known to 50 / 99 / 100%", "head in the midst", "bytes/s in the minute", "p99", "max", "processor us/s", "dearest 10 s")
 	for _, n := range o.Sizes {
--- a/bench/scale/fleet.go
+++ b/bench/scale/fleet.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"peardrift/internal/core/inforce"
 	"peardrift/internal/core/member"
 	"peardrift/internal/core/request"
 )
@@ -43,6 +44,9 @@
 	zones   []string
 	service int
 	rng     *rand.Rand
+
+	platform *platform // nil unless the nodes have a configuration
+	shared   sharedPeers
 }
 
 // Node is one member with its connections.
@@ -60,6 +64,7 @@
 	pending []pending
 	calls   uint32
 	conns   map[string]bool
+	conf    *conf // nil unless the fleet was configured
 }
 
 type envelope struct {
@@ -69,6 +74,12 @@
 	msg      *member.Message
 	reply    bool
 	opened   bool // a new connection was set up for it
+
+	// Of questions about the configuration and their answers, see conf.go.
+	ask    *inforce.Ask
+	answer *inforce.Reply
+	askID  uint64
+	size   int
 }
 
 type pending struct {
@@ -175,6 +186,9 @@
 
 func (f *Fleet) step() {
 	f.Now += Step
+	if f.platform != nil {
+		f.sharePeers()
+	}
 	f.parallel(func(shard int) {
 		for i := shard; i < len(f.Nodes); i += shards {
 			f.runNode(f.Nodes[i])
@@ -218,6 +232,9 @@
 		for _, a := range n.State.Tick(f.Now) {
 			f.do(n, a)
 		}
+		if n.conf != nil {
+			f.tickConf(n)
+		}
 	}
 }
 
@@ -266,6 +283,9 @@
 // receive handles a message. Each end is charged one acknowledgement for what it
 // reads, as the adapter's meter does.
 func (f *Fleet) receive(n *Node, e envelope) {
+	if f.receiveConf(n, e) {
+		return
+	}
 	if e.reply {
 		if !n.take(e.call) {
 			return // too late
