Hold the main job's at-most-once requests against what the targets ran

Cause: of 20 small main jobs, four at a time beside other work (load average about 40), one failed with "payout-approval: 1 unknown": a claim waited for the platform's stand-in for longer than 300 ms, and "unknown" is then the truthful answer. The verdict so hung on what else the machine was doing.

The check was wrong in what it asked: that no answer is ever in doubt, of callers who ask once.

--- a/bench/mainjob/config.go
+++ b/bench/mainjob/config.go
@@ -47,6 +47,7 @@
 			}
 		}
 		for i := range d.Load {
+			patient(&d.Load[i])
 			for k := range d.Load[i].Phases {
 				p := &d.Load[i].Phases[k]
 				p.For = c.Load
--- a/bench/mainjob/mainjob_test.go
+++ b/bench/mainjob/mainjob_test.go
@@ -128,3 +128,14 @@
 	twice.Calls = append(twice.Calls, twice.Calls[0])
 	is.True(lacks(chainSpans(), twice) != nil) // one span can't stand for two calls
 }
+
+// Symptom: the main job passes though a payout ran twice, or never. Events: a
+// request is sent again under its key. Cause: only the callers' word was looked at.
+func TestRunsAreHeldAgainstAnswers(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(judgeRuns("payout", map[string]int{"a": 1, "b": 1}, 2))
+	is.NoErr(judgeRuns("payout", map[string]int{"a": 1, "b": 1}, 1)) // one ran and was left in doubt
+	for _, runs := range []map[string]int{{"a": 2, "b": 1}, {"a": 1}, nil} {
+		is.True(errors.Is(judgeRuns("payout", runs, 2), &status.Error{Code: CodeAnswer}))
+	}
+}
--- a/bench/mainjob/run.go
+++ b/bench/mainjob/run.go
@@ -76,6 +76,9 @@
 	if err := judge(rows); err != nil {
 		return err
 	}
+	if err := j.ranOnce(rows); err != nil {
+		return err
+	}
 	began := time.Now()
 	if err := j.fleet.Stop(stopTime); err != nil {
 		return err
