Call a tenant over its share only while another one asks

Cause: the gate compared what a tenant holds with the slots of now, also where no other tenant holds or waits for any. When the limit falls below what runs (a trial of the limit, a smaller declaration), refusals of a fleet's only tenant came with "over-share". Callers' nodes take that code as final and try no other target, and operators are sent to look for a flood.

Test: TestTenantAloneIsNotOverItsShare failed before ("over-share != overloaded").

--- a/internal/core/admission/gate_test.go
+++ b/internal/core/admission/gate_test.go
@@ -267,3 +267,27 @@
 		is.True(left > part-0.01 && left < part+0.01)
 	}
 }
+
+// Symptom: "over-share" in a fleet of one tenant, and its node tries no other
+// target.
+// Events: the limit falls below what runs already, and a request is refused.
+// Cause: what the tenant holds is compared with the slots of now, though nobody
+// else asks for any.
+func TestTenantAloneIsNotOverItsShare(t *testing.T) {
+	is := is.New(t)
+	g := newGate(4)
+	fill(g, 0, 4)
+	g.SetCapacity(1)
+	refused := 0
+	for i := range 100 {
+		d, out := g.Arrive(ms, Arrival{Ticket: Ticket(i), Priority: prio(10, uint16(i))}, nil)
+		out = append(out, Action{Decision: d})
+		for _, a := range out {
+			if a.Verdict == Refuse {
+				refused++
+				is.Equal(a.Reason, status.CodeOverloaded)
+			}
+		}
+	}
+	is.True(refused > 0)
+}
--- a/internal/core/admission/refuse.go
+++ b/internal/core/admission/refuse.go
@@ -28,8 +28,12 @@
 }
 
 // overReason tells a tenant that is over its share from one that is refused for
-// lack of capacity alone.
+// lack of capacity alone. A tenant that alone asks has all slots as its share,
+// and holds more for a moment when the limit falls.
 func (g *Gate) overReason(tenant int) status.Code {
+	if g.ledger.Alone(tenant) {
+		return status.CodeOverloaded
+	}
 	held := float64(g.ledger.Running(tenant))
 	if held > g.ledger.Guaranteed(tenant, g.limiter.Limit()) {
 		return status.CodeOverShare
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -115,6 +115,16 @@
 	return l.accounts[tenant].running
 }
 
+// Alone reports whether no other tenant holds or waits for a slot.
+func (l *Ledger) Alone(tenant int) bool {
+	for i := range l.accounts {
+		if a := &l.accounts[i]; i != tenant && a.running+a.waiting > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // Guaranteed returns the tenant's part of slots while all tenants that hold or
 // wait for any compete.
 func (l *Ledger) Guaranteed(tenant, slots int) float64 {
