Tell operators of the tool at once all that is wrong, in their own words

Found by using the built tool on the stand-in platform by hand:

- status with a node that is down wrote two JSON values; the failure is now part of the one value.
- A tenant or version that isn't there was "no row config/...".
- The tag of each cause stood in the middle of the message.
- One SIGTERM, and all after it, were swallowed while a file that is a pipe was opened; a second signal now ends the tool.
- A file with a key is read up to 4 KiB only.

Ruled out for the missing rows: wording in the table's adapter, which doesn't know what a key stands for.

--- a/cmd/peardrift/main.go
+++ b/cmd/peardrift/main.go
@@ -17,6 +17,9 @@
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	// The first signal lets a command end in order; a second one ends it at once,
+	// also where it waits for what no context ends, such as a file that is a pipe.
+	context.AfterFunc(ctx, stop)
 	nodes := cli.NewRPCNodes()
 	defer nodes.Close()
 	return cli.Run(ctx, os.Args[1:], cli.Env{
--- a/internal/apply/store.go
+++ b/internal/apply/store.go
@@ -57,6 +57,9 @@
 // was ever accepted.
 func (s *Store) Head(ctx context.Context, t request.Tenant) (Record, error) {
 	it, err := s.table.Get(ctx, headKey(t))
+	if errors.Is(err, port.ErrNotFound) {
+		return Record{}, status.Wrap(port.ErrNotFound.Code, err, "tenant %s has no accepted version", t)
+	}
 	if err != nil {
 		return Record{}, err
 	}
@@ -67,6 +70,9 @@
 // there is none.
 func (s *Store) Version(ctx context.Context, t request.Tenant, version int64) (Record, error) {
 	it, err := s.table.Get(ctx, historyKey(t, version))
+	if errors.Is(err, port.ErrNotFound) {
+		return Record{}, status.Wrap(port.ErrNotFound.Code, err, "tenant %s has no version %d", t, version)
+	}
 	if err != nil {
 		return Record{}, err
 	}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -111,6 +111,9 @@
 	if len(args) > 0 {
 		return status.New(status.CodeInvalidSettings, "unexpected argument %q", args[0])
 	}
+	if a.opts.Timeout <= 0 {
+		return status.New(status.CodeInvalidSettings, "--timeout must be more than 0")
+	}
 	ctx, cancel := context.WithTimeout(a.ctx, a.opts.Timeout)
 	defer cancel()
 	a.ctx = ctx
--- a/internal/cli/nodes.go
+++ b/internal/cli/nodes.go
@@ -2,12 +2,26 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"peardrift/internal/adapter/rpc"
 	"peardrift/internal/adapter/rpc/adminapi"
+	"peardrift/internal/status"
 )
 
+// checkNodes refuses addresses that no node can have, before anything is tried:
+// a mistyped one would look like a node that is down.
+func checkNodes(addrs []string) error {
+	for _, addr := range addrs {
+		if a, err := netip.ParseAddrPort(addr); err != nil || a.Port() == 0 {
+			return status.New(status.CodeInvalidSettings,
+				"--node must be an IP address with a port, such as 10.0.0.1:7403, is %q", addr)
+		}
+	}
+	return nil
+}
+
 // nodeTimeout bounds one call to a node: a node that doesn't answer must not
 // hold up the report of an apply that was accepted.
 const nodeTimeout = 3 * time.Second
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -2,13 +2,9 @@
 
 import (
 	"cmp"
-	"io"
-	"os"
 	"strings"
 	"time"
 
-	"github.com/goccy/go-yaml"
-
 	"peardrift/internal/adapter/awsobject"
 	"peardrift/internal/adapter/awstable"
 	"peardrift/internal/adapter/awstable/awscall"
@@ -31,28 +27,28 @@
 	CallTimeout     time.Duration `long:"call-timeout" value-name:"DURATION" description:"bound of one call to the platform (default: 2s)"`
 }
 
-// platformFile is the part of a node's settings that the tool reads.
-type platformFile struct {
-	Platform settings.Platform `yaml:"platform"`
+// flagsOf says by which flag one gives what a field of the platform needs.
+var flagsOf = map[string]string{
+	"platform.table.endpoint":   "--table-endpoint",
+	"platform.table.name":       "--table",
+	"platform.table.region":     "--region",
+	"platform.objects.endpoint": "--objects-endpoint",
+	"platform.objects.bucket":   "--bucket",
+	"platform.objects.region":   "--region",
+	"platform.accessKey":        "--access-key",
+	"platform.secretKey":        "--secret-key-file",
+	"platform.secretKeyFile":    "--secret-key-file",
+	"platform.timeout":          "--call-timeout",
 }
 
-// maxPlatformFile bounds the file in bytes.
-const maxPlatformFile = 1 << 20
-
 // resolve merges flags, environment, file and defaults.
 func (f *platformFlags) resolve() (settings.Platform, error) {
 	p := settings.Default().Platform
 	if f.File != "" {
-		file := platformFile{Platform: p}
-		body, err := readFile(f.File)
-		if err != nil {
+		var err error
+		if p, err = settings.LoadPlatform(f.File); err != nil {
 			return p, err
 		}
-		// Other keys are those of a node's settings, which the node checks.
-		if err := yaml.Unmarshal(body, &file); err != nil {
-			return p, status.Wrap(status.CodeInvalidSettings, err, "cannot read %s", f.File)
-		}
-		p = file.Platform
 	}
 	p.Table.Endpoint = cmp.Or(f.TableEndpoint, p.Table.Endpoint)
 	p.Table.Name = cmp.Or(f.Table, p.Table.Name)
@@ -67,54 +63,24 @@
 	if f.SecretKeyFile != "" {
 		p.SecretKey, p.SecretKeyFile = "", f.SecretKeyFile
 	}
-	return p, complete(&p)
-}
-
-// complete reads the keys and refuses a platform that can't be called.
-func complete(p *settings.Platform) error {
-	for _, k := range []struct {
-		key       *settings.Secret
-		file, env string
-	}{
-		{&p.AccessKey, p.AccessKeyFile, settings.EnvAccessKey},
-		{&p.SecretKey, p.SecretKeyFile, settings.EnvSecretKey},
-	} {
-		if *k.key == "" && k.file != "" {
-			body, err := readFile(k.file)
-			if err != nil {
-				return err
-			}
-			*k.key = settings.Secret(strings.TrimSpace(string(body)))
-		}
-		*k.key = cmp.Or(*k.key, settings.Secret(os.Getenv(k.env)))
+	if ps := p.Complete(); len(ps) > 0 {
+		return p, unusable(ps)
 	}
-	for _, need := range []struct{ name, value string }{
-		{"the table endpoint (--table-endpoint)", p.Table.Endpoint},
-		{"the objects endpoint (--objects-endpoint)", p.Objects.Endpoint},
-		{"the access key (--access-key)", p.AccessKey.Reveal()},
-		{"the secret key (--secret-key-file or " + settings.EnvSecretKey + ")", p.SecretKey.Reveal()},
-	} {
-		if need.value == "" {
-			return status.New(status.CodeInvalidSettings, "%s is missing", need.name)
-		}
-	}
-	return nil
+	return p, nil
 }
 
-func readFile(path string) ([]byte, error) {
-	f, err := os.Open(path)
-	if err != nil {
-		return nil, status.Wrap(status.CodeInvalidSettings, err, "cannot read a file of settings")
-	}
-	defer f.Close()
-	body, err := io.ReadAll(io.LimitReader(f, maxPlatformFile+1))
-	if err != nil {
-		return nil, status.Wrap(status.CodeInvalidSettings, err, "cannot read %s", path)
-	}
-	if len(body) > maxPlatformFile {
-		return nil, status.New(status.CodeInvalidSettings, "%s is longer than %d bytes", path, maxPlatformFile)
+// unusable is the failure of a platform that can't be called, with all problems
+// and the flags that mend them.
+func unusable(ps []settings.Problem) error {
+	lines := make([]string, 0, len(ps))
+	for _, p := range ps {
+		line := p.String()
+		if flag, ok := flagsOf[p.Field]; ok {
+			line += " (" + flag + ")"
+		}
+		lines = append(lines, line)
 	}
-	return body, nil
+	return status.New(status.CodeInvalidSettings, "%s", strings.Join(lines, "; "))
 }
 
 // OpenPlatform connects to the platform by the official clients; for Env.Open.
--- a/internal/cli/show.go
+++ b/internal/cli/show.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"runtime/debug"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -56,6 +57,7 @@
 type statusResult struct {
 	Accepted []record     `json:"accepted"`
 	Nodes    []nodeStatus `json:"nodes,omitempty"`
+	Error    *failure     `json:"error,omitempty"` // the first failure, which decides the exit code
 }
 
 type nodeStatus struct {
@@ -67,26 +69,39 @@
 // Execute implements flags.Commander. Nodes are asked also when the platform is
 // down, as that is when one wants to know; the failure decides the exit code.
 func (c *statusCommand) Execute([]string) error {
+	if err := checkNodes(c.Nodes); err != nil {
+		return err
+	}
 	var out statusResult
 	var failed error
 	out.Accepted, failed = c.accepted()
 	for _, addr := range c.Nodes {
-		n := nodeStatus{Addr: addr}
-		reply, err := c.env.Nodes.Status(c.ctx, addr)
-		if err != nil {
-			n.Error = err.Error()
-			if failed == nil {
-				failed = err
-			}
-		} else {
-			n.Status = &reply
-		}
+		n, err := c.ask(addr)
 		out.Nodes = append(out.Nodes, n)
+		if failed == nil {
+			failed = err
+		}
+	}
+	if failed == nil {
+		return c.show(out, func(w io.Writer) { c.text(w, out) })
 	}
-	if failed != nil && len(out.Nodes) == 0 {
+	if len(out.Nodes) == 0 {
 		return failed
 	}
-	return errors.Join(c.show(out, func(w io.Writer) { c.text(w, out) }), failed)
+	f := failureOf(failed)
+	out.Error = &f
+	if err := c.show(out, func(w io.Writer) { c.text(w, out) }); err != nil {
+		return err
+	}
+	return shown{failed}
+}
+
+func (c *statusCommand) ask(addr string) (nodeStatus, error) {
+	reply, err := c.env.Nodes.Status(c.ctx, addr)
+	if err != nil {
+		return nodeStatus{Addr: addr, Error: err.Error()}, err
+	}
+	return nodeStatus{Addr: addr, Status: &reply}, nil
 }
 
 func (c *statusCommand) accepted() ([]record, error) {
@@ -176,6 +191,9 @@
 	if files == (c.Tenant != "") || files && c.To != 0 {
 		return status.New(status.CodeInvalidSettings, "diff takes either DIR, or --tenant with --from and --to")
 	}
+	if c.From < 0 || c.To < 0 {
+		return status.New(status.CodeInvalidSettings, "--from and --to must not be negative")
+	}
 	var to confset.Set
 	var err error
 	if files {
@@ -262,6 +280,6 @@
 		}
 	}
 	return c.show(out, func(w io.Writer) {
-		c.printf(w, "peardrift %s %s (%s)\n", out.Version, out.Revision, out.Go)
+		c.printf(w, "peardrift %s (%s)\n", strings.TrimSpace(out.Version+" "+out.Revision), out.Go)
 	})
 }
--- a/internal/cli/submit.go
+++ b/internal/cli/submit.go
@@ -11,6 +11,7 @@
 	"peardrift/internal/apply"
 	"peardrift/internal/core/confset"
 	"peardrift/internal/core/request"
+	"peardrift/internal/status"
 )
 
 // setArgs names the files of a set.
@@ -89,6 +90,12 @@
 
 // Execute implements flags.Commander.
 func (c *applyCommand) Execute([]string) error {
+	if c.Base < 0 {
+		return status.New(status.CodeInvalidSettings, "--base must not be negative")
+	}
+	if err := checkNodes(c.Nodes); err != nil {
+		return err
+	}
 	set, err := yamlset.Load(c.Args.Paths...)
 	if err != nil {
 		return err
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -18,6 +18,7 @@
 type decoder struct {
 	problems []Problem
 	at       map[string]position // of each field that the file has
+	broken   bool                // the file could not be read as YAML
 }
 
 type position struct{ line, column int }
@@ -113,6 +114,12 @@
 	}
 }
 
+// broke notes why the file can't be read as YAML.
+func (d *decoder) broke(p Problem) {
+	d.problems = append(d.problems, p)
+	d.broken = true
+}
+
 func (d *decoder) report(field string, t *token.Token, message string) {
 	p := Problem{Field: field, Message: message}
 	if t != nil && t.Position != nil {
--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -1,6 +1,12 @@
 package settings
 
-import "time"
+import (
+	"os"
+	"time"
+)
+
+// platformKey is the key of the section Platform.
+const platformKey = "platform"
 
 // Platform says where the platform's table service and object store are.
 type Platform struct {
@@ -45,3 +51,14 @@
 	// Bucket is the bucket's name. Default "peardrift".
 	Bucket string `yaml:"bucket" validate:"required,max=63,printascii,excludesall= "`
 }
+
+// Complete fills in the keys of p from their files and the environment, and
+// returns all that is wrong with p.
+func (p *Platform) Complete() []Problem {
+	ps := resolveKeys(p, os.Getenv)
+	for _, v := range violations(p) {
+		v.Field = platformKey + "." + v.Field
+		ps = append(ps, v)
+	}
+	return ps
+}
--- a/internal/settings/secret.go
+++ b/internal/settings/secret.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"strings"
+
+	"peardrift/internal/status"
 )
 
 // Environment variables that hold the platform's keys where the file doesn't.
@@ -52,9 +55,9 @@
 			continue
 		}
 		if k.file != "" {
-			b, err := os.ReadFile(k.file)
+			b, err := readKey(k.file)
 			if err != nil {
-				ps = append(ps, Problem{Field: k.field + "File", Message: err.Error()})
+				ps = append(ps, Problem{Field: k.field + "File", Message: "can't be read: " + err.Error()})
 				continue
 			}
 			*k.key = Secret(strings.TrimSpace(string(b)))
@@ -67,3 +70,21 @@
 	}
 	return ps
 }
+
+// maxKeyBytes bounds a file that holds a key; a longer one is a wrong path.
+const maxKeyBytes = 4096
+
+// readKey reads a file that holds a key. It reads no more than a key may have,
+// so that a device or a huge file by mistake costs no memory.
+func readKey(path string) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	b, err := io.ReadAll(io.LimitReader(f, maxKeyBytes+1))
+	if err == nil && len(b) > maxKeyBytes {
+		err = status.New(status.CodeInvalidSettings, "%s is longer than %d bytes", path, maxKeyBytes)
+	}
+	return b, err
+}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -46,16 +46,22 @@
 
 // validate returns all that is wrong with the values of s.
 func validate(s *Settings) []Problem {
-	var ps []Problem
+	ps := append(violations(s), distinctListeners(s.Listen)...)
+	return append(ps, reachable(s)...)
+}
+
+// violations returns what the tags of a struct's fields forbid.
+func violations(section any) []Problem {
 	var fields validator.ValidationErrors
-	if errors.As(newValidator().Struct(s), &fields) {
-		for _, f := range fields {
-			_, path, _ := strings.Cut(f.Namespace(), ".")
-			ps = append(ps, Problem{Field: path, Message: message(f)})
-		}
+	if !errors.As(newValidator().Struct(section), &fields) {
+		return nil
 	}
-	ps = append(ps, distinctListeners(s.Listen)...)
-	return append(ps, reachable(s)...)
+	var ps []Problem
+	for _, f := range fields {
+		_, path, _ := strings.Cut(f.Namespace(), ".")
+		ps = append(ps, Problem{Field: path, Message: message(f)})
+	}
+	return ps
 }
 
 // message says in words what a check expects.
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -98,12 +98,18 @@
 	return e
 }
 
-// Error implements error.
+// Error implements error. The cause stands without the tag, which all causes
+// have and which would stand between any two parts of a longer chain.
 func (e *Error) Error() string {
-	if e.Cause != nil {
-		return fmt.Sprintf("%s: %s: %v", e.Code, e.Detail, e.Cause)
+	text := fmt.Sprintf("%s: %s", e.Code, e.Detail)
+	cause := e.Cause
+	if tags := errs.Tags(cause); len(tags) > 0 && tags[0] == class {
+		cause = errors.Unwrap(cause)
 	}
-	return fmt.Sprintf("%s: %s", e.Code, e.Detail)
+	if cause == nil {
+		return text
+	}
+	return fmt.Sprintf("%s: %v", text, cause)
 }
 
 // Unwrap returns the cause.
