Put membership and configuration under one budget

Cause: a question for a set opened a connection, which costs asker and asked 900 bytes each, and the configuration didn't know of the budget. In a busy minute the heads of new versions then waited behind questions for older ones.

Now both share a bucket (internal/core/budget). While it is short, what changed in the configuration rides along with heartbeats, after heads and before deaths and joins; nodes that are behind for 5 s ask as before. Replies say how much room their sender has, so that senders with budget left don't spend that of peers that have none. Bounds of versions are handed on with patches; without it nodes that skip versions sent each other what they had.

TestBusyMinuteKeepsBudgetAndTime fails on the version before. Messages have a new field, so the service between nodes has a new name.

--- a/bench/scale/conf.go
+++ b/bench/scale/conf.go
@@ -28,7 +28,8 @@
 	asks    uint64              // asks of others, numbered
 	waiting map[uint64]envelope // asks of others that have no answer yet
 	reads   []func() []inforce.Action
-	members *member.View // that the peers were taken from
+	members *member.View     // that the peers were taken from
+	later   []inforce.Action // of what rode along, for the next tick
 }
 
 // servicesOfTenant is the size of a tenant's set; classesOfService as many kinds
@@ -102,6 +103,19 @@
 		state:   inforce.New(inforce.DefaultConfig(), self, rng, f.Now),
 		waiting: make(map[uint64]envelope),
 	}
+	n.conf.state.SetBudget(n.State.Budget())
+	n.State.Carry(n.conf)
+}
+
+// Ask, Answer and Take make the configuration ride along with heartbeats.
+func (c *conf) Ask(now time.Duration, room int) []byte { return c.state.RideAsk(now, room) }
+
+func (c *conf) Answer(_ time.Duration, question []byte, room int) []byte {
+	return c.state.RideAnswer(question, room)
+}
+
+func (c *conf) Take(now time.Duration, answer []byte) {
+	c.later = append(c.later, c.state.RideTake(now, answer)...)
 }
 
 // tickConf does what the node's control goroutine does after a tick of the
@@ -117,6 +131,9 @@
 		f.doConf(n, done())
 	}
 	c.reads = c.reads[:0]
+	later := c.later
+	c.later = nil
+	f.doConf(n, later)
 	if v := n.State.FactsVersion(); v != c.facts {
 		c.facts = v
 		for _, fact := range n.State.Facts(member.ConfigHead) {
--- a/bench/scale/fleet_test.go
+++ b/bench/scale/fleet_test.go
@@ -54,3 +54,22 @@
 	plain := Heartbeats{Members: 90, Observers: 4, Period: 2 * time.Second, Timeout: 6 * time.Second}
 	is.True(plain.FalseDeaths(d, share, each, 3) > 0)
 }
+
+// TestBusyMinuteKeepsBudgetAndTime: symptom: in a busy minute of configuration
+// nodes spend twice their budget, and changes are in force after a minute. Events:
+// ten times the mean rate of changes, of several tenants; then a zone is lost as
+// well. Cause: membership and configuration each keep to a budget of their own.
+func TestBusyMinuteKeepsBudgetAndTime(t *testing.T) {
+	is := is.New(t)
+	const every, tenants, limit, inForce = 432 * time.Millisecond, 5, 3072, 16 * time.Second
+	for _, lost := range []string{"", "zone-4"} {
+		f := New(member.DefaultConfig(), 90, 5)
+		is.NoErr(f.Configure(tenants, 10*time.Minute))
+		f.KillZone(lost)
+		b, err := f.BusyTime(time.Minute, every, time.Minute)
+		is.NoErr(err)
+		is.True(b.Longest > 0)
+		is.True(b.Longest <= inForce)
+		is.True(b.Cost.BytesMean <= limit)
+	}
+}
--- a/internal/adapter/rpc/gossip.go
+++ b/internal/adapter/rpc/gossip.go
@@ -9,9 +9,10 @@
 )
 
 // GossipName is the name of the membership service, and exchangeMethod its one
-// method.
+// method. The name has a number, since messages travel as arrays: nodes whose
+// messages have other fields must not take them for their own.
 const (
-	GossipName     = "Gossip"
+	GossipName     = "Gossip2"
 	exchangeMethod = GossipName + ".Exchange"
 )
 
--- a/internal/core/confset/packed.go
+++ b/internal/core/confset/packed.go
@@ -251,7 +251,7 @@
 			if next.digest == have.digest {
 				next = have // sent though it is the same: its bound stays lower
 			} else {
-				next.follow(have, old.head.Version)
+				next.follow(have)
 			}
 			p.parts = append(p.parts, next)
 			delete(changed, name)
--- a/internal/core/confset/patch.go
+++ b/internal/core/confset/patch.go
@@ -1,6 +1,7 @@
 package confset
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 
@@ -16,36 +17,47 @@
 	Begin  int    `msgpack:"b"` // bytes kept at the beginning
 	End    int    `msgpack:"e"` // bytes kept at the end
 	Middle []byte `msgpack:"m"` // between them
+
+	// Changed is the version in which the service changed last, as far as the
+	// sender knows. Without it, each node that skips versions would know less
+	// than the one before, and send peers what they have.
+	Changed int64 `msgpack:"c"`
+
+	// Sum begins the digest of the result. A peer that has it already keeps it:
+	// the sender may have skipped the version in which the service changed.
+	Sum []byte `msgpack:"s"`
 }
 
-// pastBody is what a service was at all versions from one to another, both
-// included.
+// sumSize is the length of Patch.Sum in bytes.
+const sumSize = 4
+
+// pastBody is what a service was from a version on, until the next one.
 type pastBody struct {
-	body     []byte
-	from, to int64
+	body []byte
+	from int64
 }
 
 // maxPast is how many earlier versions of a service are kept. A peer that is
 // further behind gets the service as a whole.
 const maxPast = 8
 
-// follow notes what the service was up to a version. That version is the one
-// that was held here, so it is exact; the bound from which on the service was
-// so may be too high, which costs a patch and nothing else.
-func (p *part) follow(before *part, version int64) {
-	p.past = append(p.past[:0:0], pastBody{before.body, before.changed, version})
+// follow notes what the service was before. The bound from which on it was so
+// may be too high, which costs a patch and nothing else.
+func (p *part) follow(before *part) {
+	p.past = append(p.past[:0:0], pastBody{before.body, before.changed})
 	p.past = append(p.past, before.past[:min(len(before.past), maxPast-1)]...)
 }
 
-// patchFrom returns the change from what a peer at the given version holds. ok
-// is false if that isn't known, or no smaller than the service.
+// patchFrom returns the change from what a peer at the given version holds, or,
+// of versions that were skipped here, held before or has already. ok is false if
+// that isn't known, or no smaller than the service.
 func (p *part) patchFrom(version int64) (patch Patch, ok bool) {
 	for _, old := range p.past {
-		if version < old.from || version > old.to {
+		if version < old.from {
 			continue
 		}
 		patch = difference(old.body, p.body)
-		patch.Name = p.service.Name
+		patch.Name, patch.Changed, patch.Sum = p.service.Name, p.changed, p.digest[:sumSize]
 		const framing = 16
 		return patch, len(patch.Middle)+len(patch.Name)+framing < len(p.body)
 	}
@@ -65,7 +77,8 @@
 	return Patch{Begin: begin, End: end, Middle: body[begin : len(body)-end]}
 }
 
-// patched applies a patch to the service that is held here.
+// patched applies a patch to the service that is held here. The version is the
+// one that the delta leads to.
 func (p *Packed) patched(d *Patch, version int64) (*part, error) {
 	i, ok := slices.BinarySearchFunc(p.parts, d.Name, func(q *part, name string) int {
 		return cmp.Compare(q.service.Name, name)
@@ -73,9 +86,12 @@
 	if !ok {
 		return nil, status.New(status.CodeProtocol, "a change of service %q, which is not held", d.Name)
 	}
+	if have := p.parts[i]; len(d.Sum) == sumSize && bytes.Equal(d.Sum, have.digest[:sumSize]) {
+		return have, nil
+	}
 	old := p.parts[i].body
 	if d.Begin < 0 || d.End < 0 || d.Begin > len(old) || d.End > len(old)-d.Begin {
 		return nil, status.New(status.CodeProtocol, "a change of service %q beyond its %d bytes", d.Name, len(old))
 	}
-	return newPart(slices.Concat(old[:d.Begin], d.Middle, old[len(old)-d.End:]), version)
+	return newPart(slices.Concat(old[:d.Begin], d.Middle, old[len(old)-d.End:]), max(min(d.Changed, version), p.head.Version+1))
 }
--- a/internal/core/inforce/fetch.go
+++ b/internal/core/inforce/fetch.go
@@ -22,11 +22,25 @@
 	if !s.start.informed || x.fetching || now < x.next || x.version() >= x.known.Version {
 		return
 	}
+	to, peer := s.source(x)
+	if peer && s.short(now, x) {
+		// The roots read all the same, or nothing would ride along. So do the
+		// pollers: they are the first to know of a version, and in a busy minute
+		// its roots have often heard of a newer one before they hear of it.
+		if peer = !x.poll.mine; peer {
+			x.next = now + s.cfg.Spacing
+			return
+		}
+	}
 	x.fetching = true
 	x.next = now + s.cfg.Spacing
-	if to, ok := s.source(x); ok {
+	if peer {
 		id := s.begin(call{kind: callAsk, tenant: x.known.Tenant, deadline: now + s.cfg.AskTimeout})
-		s.do(AskPeer{ID: id, To: to, Ask: Ask{Want: x.known, Have: x.version()}})
+		have := x.version()
+		if x.wrong {
+			have = 0 // for the whole set
+		}
+		s.do(AskPeer{ID: id, To: to, Ask: Ask{Want: x.known, Have: have}})
 		return
 	}
 	id := s.begin(call{kind: callObject, tenant: x.known.Tenant, head: x.known, deadline: now + s.cfg.LoadTimeout})
@@ -69,7 +83,7 @@
 	p, err := s.read(x, r)
 	if err != nil || p == nil {
 		if err != nil {
-			s.stats.Refused++
+			s.refuse(x)
 		}
 		s.fetchFailed(now, x)
 		return
@@ -113,6 +127,14 @@
 	}
 }
 
+// refuse notes a delta that did not lead to what it should. Others are likely to
+// tell the same: who skipped versions in which a service changed twice can't know
+// what it was in between. So the whole set is asked for next.
+func (s *State) refuse(x *tenant) {
+	s.stats.Refused++
+	x.wrong = true
+}
+
 // loaded takes an object's bytes.
 func (s *State) loaded(now time.Duration, x *tenant, h confset.Head, body []byte) {
 	p, err := confset.Unpack(body, h)
--- a/internal/core/inforce/poll.go
+++ b/internal/core/inforce/poll.go
@@ -12,6 +12,7 @@
 	busy bool
 	next time.Duration
 	read bool // once at least
+	mine bool // this node was among the pollers last time
 }
 
 // tickPolls reads the rows that fall to this node.
@@ -41,7 +42,8 @@
 		return false
 	}
 	p.next = now + interval
-	return pollersOf(t).among(s.cfg.Pollers, s.self.ID, s.peers)
+	p.mine = pollersOf(t).among(s.cfg.Pollers, s.self.ID, s.peers)
+	return p.mine
 }
 
 func (s *State) readHead(now time.Duration, t request.Tenant) {
--- a/internal/core/inforce/state.go
+++ b/internal/core/inforce/state.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"peardrift/internal/core/budget"
 	"peardrift/internal/core/confset"
 	"peardrift/internal/core/request"
 )
@@ -28,6 +29,10 @@
 	ledger poll // of the list of tenants
 	serve  bucket
 
+	budget   *budget.Bucket // nil: unbounded
+	rode     time.Duration  // when a question last rode along
+	rideFrom int            // the tenant that the next one begins with
+
 	calls map[uint64]call
 	last  uint64 // ID of the latest call
 	out   []Action
@@ -46,7 +51,9 @@
 	attempt  int // failed fetches in a row
 	next     time.Duration
 	waiters  []waiter
-	whole    []byte // compressed, of held; nil until asked for
+	wrong    bool          // the last delta was refused
+	behind   time.Duration // since when it is behind, or the last version came
+	whole    []byte        // compressed, of held; nil until asked for
 }
 
 // hint is a version that somebody claims to be accepted.
@@ -66,6 +73,7 @@
 	Failed    int // fetches without result
 	Reads     int // of the platform's table
 	Answered  int // asks answered with a delta or a whole set
+	ByRide    int // of the versions installed, by a delta that came with a heartbeat
 }
 
 // New returns the state of a node that starts. The random source must not be
@@ -226,6 +234,9 @@
 	if h.Version <= x.known.Version {
 		return
 	}
+	if x.version() >= x.known.Version {
+		x.behind = now
+	}
 	x.known = h
 	x.attempt, x.next = 0, min(x.next, now+s.cfg.Spacing)
 	s.do(Spread{Head: h})
@@ -246,7 +257,8 @@
 	if x.held != nil {
 		p = p.Following(x.held)
 	}
-	x.held, x.whole = p, nil
+	x.held, x.whole, x.wrong = p, nil, false
+	x.behind = now
 	s.index = s.index.With(p.Set())
 	s.stats.Installed++
 	s.do(Install{Head: h, Index: s.index})
--- a/internal/core/member/exchange.go
+++ b/internal/core/member/exchange.go
@@ -4,14 +4,10 @@
 	"slices"
 	"time"
 
+	"peardrift/internal/core/budget"
 	"peardrift/internal/core/request"
 )
 
-// factsAt is the part of the budget's limit that must be left for facts not to
-// wait for the next heartbeat. At 0.25, ten times the mean of configuration heads
-// put a node in a hundred over 3,072 bytes a second.
-const factsAt = 0.4
-
 // tickLinks begins the exchanges that are due and ends links that fell silent.
 // While much of the budget is saved up, nothing waits for the next heartbeat.
 // After that only the urgent classes don't, until so much is left as keeps up the
@@ -19,17 +15,23 @@
 func (s *State) tickLinks(now time.Duration) {
 	rich := s.rich()
 	s.queue.rich = rich
+	s.queue.riding = s.rider != nil && !s.budget.Allows(budget.Conn)
 	var hasten uint32
 	switch {
 	case rich:
 		hasten = s.queue.waiting(numClasses - 1)
-	case s.budget.tokens > factsAt*s.budget.limit:
+	case s.budget.Allows(budget.Head):
 		hasten = s.queue.pressing(classFact)
-	case int(s.budget.tokens) > 2*s.cfg.ExchangeCost:
+	case s.budget.Allows(budget.Drain):
 		hasten = s.queue.pressing(classDrain)
 	}
+	drains := s.queue.pressing(classDrain)
 	for _, l := range append([]*link(nil), s.order...) {
-		soon := hasten&l.bit() != 0 || rich && (s.owes(l) || s.wants(now, l))
+		mask := hasten
+		if l.poor {
+			mask &= drains
+		}
+		soon := mask&l.bit() != 0 || rich && !l.poor && (s.owes(l) || s.wants(now, l))
 		s.tickLink(now, l, soon)
 	}
 }
@@ -78,7 +80,11 @@
 	room := s.room()
 	m := s.message(Heartbeat)
 	m.Seq, m.Got = l.seq, l.got
-	l.sent = s.fill(now, m, l, min(room/2, s.cfg.MaxItems))
+	half := min(room/2, s.cfg.MaxItems)
+	if l.poor {
+		half = minRoom
+	}
+	l.sent = s.fill(now, m, l, half, s.rideAsk(now))
 	m.Room = uint32(min(room-(m.Size()-headerSize), s.cfg.MaxItems))
 	s.exchange(s.peer(l.peer), m, false)
 }
@@ -102,7 +108,7 @@
 		return nil
 	}
 	s.stats.Requests++
-	s.budget.refill(now)
+	s.budget.Refill(now)
 	var l *link
 	if m.Kind == Heartbeat {
 		l = s.guest(now, m)
@@ -145,10 +151,11 @@
 	}
 	l.inSeq, l.lastIn = m.Seq, now
 	room := minRoom
-	if int(s.budget.tokens) >= s.cfg.ExchangeCost {
+	if s.budget.Tokens() >= s.cfg.ExchangeCost {
 		room = s.cfg.MaxItems
 	}
-	l.replied = s.fill(now, r, l, min(room, int(min(m.Room, uint32(s.cfg.MaxItems)))))
+	r.Room = uint32(room)
+	l.replied = s.fill(now, r, l, min(room, int(min(m.Room, uint32(s.cfg.MaxItems)))), s.rideAnswer(now, m.Load))
 }
 
 // guest returns the link to a peer that sends heartbeats, opening one unless
@@ -199,7 +206,7 @@
 		s.HandleFailure(now, to)
 		return
 	}
-	s.budget.refill(now)
+	s.budget.Refill(now)
 	l := s.links[m.From]
 	if l != nil && m.Kind == Heartbeat && l.busy && m.Seq == l.seq {
 		l.busy = false
@@ -207,9 +214,11 @@
 		s.queue.confirm(l.bit(), l.sent)
 		l.sent = nil
 		l.hear(now)
+		l.poor = m.Room <= minRoom
 		if m.Full {
 			s.refused(now, l)
 		}
+		s.rideTake(now, m.Load)
 	}
 	s.quiet = m.Kind == Join || m.Kind == Pull
 	s.receive(now, m, l)
@@ -240,18 +249,25 @@
 }
 
 // fill puts what waits for the link into a message, most urgent first, until
-// room bytes are used, and returns the items that need an acknowledgement.
-func (s *State) fill(now time.Duration, m *Message, l *link, room int) []sentItem {
+// room bytes are used, and returns the items that need an acknowledgement. What
+// rides along comes after facts and before deaths and joins.
+func (s *State) fill(now time.Duration, m *Message, l *link, room int, ride func(room int) []byte) []sentItem {
 	var sent []sentItem
 	room -= m.Size() - headerSize
-	s.queue.each(l.bit(), func(it *item) bool {
+	add := func(it *item) bool {
 		n, ok := s.put(m, it, room)
 		if ok {
 			sent = append(sent, s.queue.send(it))
 		}
 		room -= n
 		return n >= 0
-	})
+	}
+	more := s.queue.each(classDrain, classFact, l.bit(), add)
+	m.Load = ride(max(room, minRide) - loadSize)
+	room -= m.loadBytes()
+	if more && room > 0 {
+		s.queue.each(classDeath, numClasses-1, l.bit(), add)
+	}
 	s.stats.ItemsSent += uint64(len(sent))
 	room = s.fillOwed(m, l, room)
 	room = s.fillWants(now, m, l, room)
@@ -314,7 +330,7 @@
 }
 
 // rich reports whether much of the budget is saved up.
-func (s *State) rich() bool { return s.budget.tokens > s.budget.limit/2 }
+func (s *State) rich() bool { return s.budget.Allows(budget.Change) }
 
 // fillOwed adds records that the peer asked for; those that aren't known yet
 // stay owed, so that a record follows the news of it. One record goes into a
--- a/internal/core/member/join.go
+++ b/internal/core/member/join.go
@@ -203,11 +203,11 @@
 		r.Full = true
 		return
 	}
-	if s.join.fetching || s.budget.tokens < 0 {
+	if s.join.fetching || s.budget.Tokens() < 0 {
 		s.redirect(r)
 		return
 	}
-	room := max(s.cfg.MaxItems, min(int(s.budget.tokens), maxJoin*s.cfg.MaxItems))
+	room := max(s.cfg.MaxItems, min(s.budget.Tokens(), maxJoin*s.cfg.MaxItems))
 	for i := range s.tab.facts {
 		f := &s.tab.facts[i].fact
 		if f.Kind == ConfigHead && room > 0 {
@@ -318,7 +318,7 @@
 		r.Full = true
 		return
 	}
-	room := min(int(min(m.Room, maxJoin*uint32(s.cfg.MaxItems))), int(s.budget.tokens-s.budget.limit/4))
+	room := min(int(min(m.Room, maxJoin*uint32(s.cfg.MaxItems))), s.budget.Tokens()-s.budget.Limit()/4)
 	i, ok := s.tab.index(m.After)
 	if ok {
 		i++
--- a/internal/core/member/link.go
+++ b/internal/core/member/link.go
@@ -32,6 +32,7 @@
 	until   time.Duration // end of roleExtra
 	busy    bool          // an exchange is under way
 	failing bool          // the last exchange failed
+	poor    bool          // the peer is short of budget: it gets no more than it must
 
 	seq     uint32 // last request sent
 	got     uint32 // last request that was answered
--- a/internal/core/member/message.go
+++ b/internal/core/member/message.go
@@ -48,6 +48,7 @@
 	More        bool              // reply to Pull: there is more after Next
 	Next        request.TargetID  // reply to Pull: where to continue
 	Services    []request.Service // Join: records wanted first
+	Load        []byte            // Heartbeat: what rides along, see Rider
 }
 
 // Death is a Change to Unreachable in short form. Most of what a lost zone makes
@@ -99,7 +100,8 @@
 	digestSize   = 88
 	leafSize     = 8
 	factHeadSize = 20
-	headerSize   = 56
+	headerSize   = 57
+	loadSize     = 2 // without the bytes
 )
 
 func (r *Record) size() int {
@@ -127,7 +129,7 @@
 	for _, s := range m.Services {
 		n += len(s) + 1
 	}
-	return n
+	return n + m.loadBytes()
 }
 
 // Peer is whom to talk to. ID is zero for a seed that is only an address.
--- a/internal/core/member/queue.go
+++ b/internal/core/member/queue.go
@@ -41,6 +41,11 @@
 	return classFact
 }
 
+// ridingFanout is the number of links on which heads are told while the
+// configuration rides along with heartbeats: any peer that has a newer version
+// then tells it, whether its head was heard of or not.
+const ridingFanout = 3
+
 // itemKey names a member or a fact.
 type itemKey struct {
 	id   uint64
@@ -63,6 +68,7 @@
 	items   map[itemKey]*item
 	fanout  uint8 // links that bulk news is told on
 	rich    bool  // there is budget to tell it to all
+	riding  bool  // heads also come with the configuration that rides along
 	classes [numClasses][]*item
 }
 
@@ -70,11 +76,23 @@
 	return queue{items: make(map[itemKey]*item), fanout: uint8(fanout)}
 }
 
+// limit returns how many links news of a class is told on.
+func (q *queue) limit(c class) uint8 {
+	switch {
+	case c.bulk() && !q.rich:
+		return q.fanout
+	case c == classHead && q.riding:
+		return ridingFanout
+	default:
+		return maxLinks
+	}
+}
+
 // limited reports whether the item needn't be told to further links. What is sent
 // but not yet acknowledged counts: otherwise all links would get it before the
 // first acknowledgement comes.
 func (q *queue) limited(it *item) bool {
-	return it.class.bulk() && !q.rich && it.told+it.sent >= q.fanout
+	return it.told+it.sent >= q.limit(it.class)
 }
 
 // send notes that the item is sent, and returns what confirm or void needs.
@@ -109,7 +127,7 @@
 	}
 	it.links &^= link
 	it.told++
-	if it.class.bulk() && it.told >= q.fanout && !q.rich {
+	if it.told >= q.limit(it.class) {
 		it.links = 0
 	}
 }
@@ -164,11 +182,12 @@
 	}
 }
 
-// each calls f for the items that wait for link, in order, until it says stop.
-// It drops those that nobody waits for.
-func (q *queue) each(link uint32, f func(*item) (more bool)) {
+// each calls f for the items of some classes that wait for link, in order, until
+// it says stop, and reports whether it didn't. It drops those that nobody waits
+// for.
+func (q *queue) each(first, last class, link uint32, f func(*item) (more bool)) bool {
 	more := true
-	for c := range q.classes {
+	for c := first; c <= last; c++ {
 		list := q.classes[c]
 		kept := list[:0]
 		for _, it := range list {
@@ -186,9 +205,10 @@
 		clear(list[len(kept):])
 		q.classes[c] = kept
 		if !more {
-			return
+			return false
 		}
 	}
+	return true
 }
 
 // waiting returns the links that items up to a class wait for.
@@ -206,7 +226,7 @@
 func (q *queue) pressing(last class) (links uint32) {
 	for _, list := range q.classes[:last+1] {
 		for _, it := range list {
-			if it.told < q.fanout {
+			if it.told < min(q.fanout, q.limit(it.class)) {
 				links |= it.links
 			}
 		}
--- a/internal/core/member/queue_test.go
+++ b/internal/core/member/queue_test.go
@@ -7,7 +7,7 @@
 )
 
 func (q *queue) order(link uint32) (ids []uint64) {
-	q.each(link, func(it *item) bool {
+	q.each(0, numClasses-1, link, func(it *item) bool {
 		ids = append(ids, it.key.id)
 		return true
 	})
--- a/internal/core/member/state.go
+++ b/internal/core/member/state.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"peardrift/internal/core/budget"
 	"peardrift/internal/core/request"
 )
 
@@ -27,7 +28,8 @@
 	join    joinState
 	quiet   bool             // what is received was asked for, and is no news to others
 	teller  request.TargetID // the link's peer whose message is being received
-	budget  budget
+	budget  *budget.Bucket
+	rider   Rider // nil if nothing rides along
 	actions []Action
 	view    viewCache
 
@@ -59,7 +61,7 @@
 		body:    self.Body(),
 		links:   make(map[request.TargetID]*link),
 		lost:    make(map[request.TargetID]time.Duration),
-		budget:  newBudget(cfg),
+		budget:  budget.New(cfg.Budget, cfg.Burst, cfg.StartBudget),
 		overlay: newOverlay(),
 	}
 	s.store(0, s.selfChange(), s.selfRecord())
@@ -170,12 +172,15 @@
 
 // Spend reports the bytes of one message, sent or received, as they went over
 // the wire with headers.
-func (s *State) Spend(bytes int) { s.budget.spend(bytes) }
+func (s *State) Spend(bytes int) { s.budget.Spend(bytes) }
+
+// Budget returns the bucket that all control traffic of the node shares.
+func (s *State) Budget() *budget.Bucket { return s.budget }
 
 // Tick advances the state to now and returns what must be done.
 func (s *State) Tick(now time.Duration) []Action {
 	s.notePause(now)
-	s.budget.refill(now)
+	s.budget.Refill(now)
 	s.tickJoin(now)
 	s.tickOverlay(now)
 	s.tickLinks(now)
--- a/internal/core/member/sync.go
+++ b/internal/core/member/sync.go
@@ -11,6 +11,7 @@
 	smallLeaf  = 4 // nodes with so few entries are sent as leaves at once
 	maxSync    = 64
 	syncAfter  = 2 // exchanges that must differ in a row
+	ridingSync = 8 // the same while heads come with the configuration
 	maxEntries = 256
 )
 
@@ -110,7 +111,7 @@
 	if s.join.partial() {
 		return
 	}
-	if len(l.sync) == 0 && l.mismatch >= syncAfter && l.outgoing() && !s.waits(l) {
+	if len(l.sync) == 0 && l.mismatch >= s.syncAfter() && l.outgoing() && !s.waits(l) {
 		l.mismatch = 0
 		l.sync = append(l.sync, node{})
 	}
@@ -135,6 +136,17 @@
 	l.sync = nil
 }
 
+// syncAfter returns how many exchanges with a peer must differ in a row before
+// it is compared with. While heads are told on few links, any two members differ
+// by some of them most of the time, though those are on their way: comparing would
+// cost more than it finds.
+func (s *State) syncAfter() int {
+	if s.queue.riding {
+		return ridingSync
+	}
+	return syncAfter
+}
+
 // waits reports whether items wait for a link.
 func (s *State) waits(l *link) bool {
 	return s.queue.waiting(numClasses-1)&l.bit() != 0
--- a/internal/node/conf.go
+++ b/internal/node/conf.go
@@ -32,11 +32,31 @@
 	facts   uint64 // version of the facts that were looked at
 	asks    uint64
 	answers map[uint64]chan inforce.Reply
+	ridden  []inforce.Action // of what came with heartbeats, for the next tick
 }
 
 func (c *configuration) index() *confset.Index { return c.state.Index() }
 
-func (c *configuration) tick() { c.do(c.state.Tick(c.now())) }
+func (c *configuration) tick() {
+	ridden := c.ridden
+	c.ridden = nil
+	c.do(ridden)
+	c.do(c.state.Tick(c.now()))
+}
+
+// rider lets the configuration ride along with the heartbeats. What is to be done
+// then waits for the next tick, since it may call the membership.
+type rider struct{ conf *configuration }
+
+func (r rider) Ask(now time.Duration, room int) []byte { return r.conf.state.RideAsk(now, room) }
+
+func (r rider) Answer(_ time.Duration, question []byte, room int) []byte {
+	return r.conf.state.RideAnswer(question, room)
+}
+
+func (r rider) Take(now time.Duration, answer []byte) {
+	r.conf.ridden = append(r.conf.ridden, r.conf.state.RideTake(now, answer)...)
+}
 
 // learn looks at the gossiped heads if any fact has changed.
 func (c *configuration) learn(s *member.State) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -200,6 +200,8 @@
 		count:   func() { n.metrics.Counters.ConfigChanges.Inc(1) },
 		answers: make(map[uint64]chan inforce.Reply),
 	}
+	c.conf.state.SetBudget(c.state.Budget())
+	c.state.Carry(rider{c.conf})
 	n.control = c
 }
 
