Look at an idle connection before a call in place of watching it

Cause: a read on a goroutine of its own watched each connection to the own target between any two calls, and those to other nodes after 10 ms. Its start and its end each wake another thread of a node that is not busy, and the call waits for the latter. One look at the socket that takes and waits for nothing (recv with MSG_PEEK) just before the call says the same. The goroutine is now for connections that are idle for a second, so that closed ones don't stay.

hertz's dialer hides the system's connection, so the codec's connection is made by its server's transport.

The new test fails without the look: the next call gets the stray 408, or ends as lost on a connection that the peer had closed.

--- a/bench/e2e/cluster_test.go
+++ b/bench/e2e/cluster_test.go
@@ -113,7 +113,7 @@
 		c.local(&toTarget)
 	}
 	local := hertzhttp.NewClient(toTarget)
-	cc.Prober, cc.WatchAfter = dataplane.Prober{}, 10*time.Millisecond
+	cc.Prober = dataplane.Prober{}
 	peers := hertzhttp.NewClient(cc)
 	c.t.Cleanup(func() {
 		peers.Close()
--- a/internal/adapter/hertzhttp/client.go
+++ b/internal/adapter/hertzhttp/client.go
@@ -39,11 +39,11 @@
 	GiveUp time.Duration
 	// Prober asks peers for silent calls; nil if they can't be asked.
 	Prober Prober
-	// WatchAfter is how long a connection is idle before bytes that nobody
-	// asked for, or its end, are looked out for (default 0: at once, which costs
-	// some microseconds a call). Above 0 is for peers whose answers are marked,
-	// as stray bytes may then reach a call; a connection that the peer has
-	// closed is noticed later by as much.
+	// WatchAfter is how long a connection is idle before a goroutine waits for
+	// its end (default 1 s). Before each call it is looked for, too, and for
+	// bytes that nobody asked for. Lower closes connections that peers have
+	// closed sooner; below the usual time between two calls, each call pays for
+	// the goroutine's start and end.
 	WatchAfter time.Duration
 	// BufferBytes is the largest answer that is read whole before a byte of it
 	// is passed on (default 64 KiB). Up to it a broken answer can still become
@@ -58,6 +58,7 @@
 		MaxIdle:     256,
 		IdleTimeout: 20 * time.Second,
 		DialTimeout: time.Second,
+		WatchAfter:  time.Second,
 		BufferBytes: 64 << 10,
 	}
 }
--- a/internal/adapter/hertzhttp/client_test.go
+++ b/internal/adapter/hertzhttp/client_test.go
@@ -303,3 +303,62 @@
 	_, err = second.Do(context.Background(), s.Addr(), get("/"), &protocol.Response{})
 	is.NoErr(err)
 }
+
+// Symptom: a call gets what was meant for nobody as its answer, or ends as
+// unknown although its peer runs. Events: after a whole answer the peer sends
+// bytes that nobody asked for, or closes the connection, and at once another
+// call follows. Cause: what came in on the idle connection isn't looked at.
+func TestIdleConnectionThatIsNotSilentCarriesNoCall(t *testing.T) {
+	for name, stray := range map[string]string{
+		"another answer": "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+		"its end":        "",
+	} {
+		for which, after := range map[string]time.Duration{"before it is watched": time.Hour, "while it is watched": 0} {
+			t.Run(name+" "+which, func(t *testing.T) {
+				is := is.New(t)
+				strays := make(chan struct{})
+				addr := peer(t, func(n int, c net.Conn, _ *http.Request) {
+					write(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+					if n > 0 {
+						return
+					}
+					<-strays
+					write(c, stray)
+					_ = c.Close()
+				})
+				cfg := DefaultClientConfig()
+				cfg.WatchAfter = after
+				cl := NewClient(cfg)
+				t.Cleanup(cl.Close)
+				_, err := cl.Do(context.Background(), addr, get("/"), &protocol.Response{})
+				is.NoErr(err)
+				p := cl.pool(addr)
+				came := func() bool { return p.open() == 0 } // the watcher has seen it
+				if after > 0 {
+					sock := only(p).sock
+					is.True(sock.untouched())
+					came = func() bool { return !sock.untouched() }
+				}
+				close(strays)
+				for !came() {
+					time.Sleep(time.Millisecond)
+				}
+				var resp protocol.Response
+				res, err := cl.Do(context.Background(), addr, get("/"), &resp)
+				is.NoErr(err)
+				is.Equal(resp.StatusCode(), http.StatusOK)
+				is.True(!res.Reused)
+			})
+		}
+	}
+}
+
+// only returns the one connection of a pool.
+func only(p *pool) *clientConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		return c
+	}
+	return nil
+}
--- a/internal/adapter/hertzhttp/conn.go
+++ b/internal/adapter/hertzhttp/conn.go
@@ -16,6 +16,7 @@
 // one call, whose goroutine alone then reads and writes it.
 type clientConn struct {
 	network.Conn
+	sock  *socket // below Conn
 	pool  *pool
 	id    conn.ID
 	calls int    // completed on it
@@ -32,17 +33,12 @@
 	watched chan bool   // gets whether the connection was still good when watching ended
 }
 
-func newClientConn(p *pool, raw network.Conn) *clientConn {
-	return &clientConn{Conn: raw, pool: p, watched: make(chan bool, 1), abort: func() { _ = raw.Close() }}
+func newClientConn(p *pool, raw network.Conn, sock *socket) *clientConn {
+	return &clientConn{Conn: raw, sock: sock, pool: p, watched: make(chan bool, 1), abort: func() { _ = raw.Close() }}
 }
 
-// watch waits for bytes or the end of an idle connection, until unwatch. Called
-// with pool.mu held.
-//
-// A target that answers twice, or that says "408" on a connection it is about
-// to close, would otherwise have those bytes taken for the answer to the next
-// call. And a call sent on a connection that the peer has closed would end as
-// unknown, though a new connection would have carried it.
+// watch waits for bytes or the end of an idle connection, until unwatch, so that
+// one which the peer has closed doesn't stay. Called with pool.mu held.
 func (c *clientConn) watch() {
 	c.watching = true
 	if c.Conn.Len() > 0 {
@@ -65,10 +61,15 @@
 var past = time.Unix(1, 0)
 
 // unwatch ends watch, if it goes on, and reports whether the connection may
-// carry a call.
+// carry a call: nothing has come in since the last one's answer.
+//
+// A target that answers twice, or that says "408" on a connection it is about
+// to close, would otherwise have those bytes taken for the answer to the next
+// call. And a call sent on a connection that the peer has closed would end as
+// unknown, though a new connection would have carried it.
 func (c *clientConn) unwatch() bool {
 	if !c.watching {
-		return c.Conn.Len() == 0
+		return c.Conn.Len() == 0 && c.sock.untouched()
 	}
 	c.watching = false
 	_ = c.Conn.SetReadDeadline(past)
--- a/internal/adapter/hertzhttp/pool.go
+++ b/internal/adapter/hertzhttp/pool.go
@@ -5,9 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/network"
-	"github.com/cloudwego/hertz/pkg/network/standard"
-
 	"peardrift/internal/core/conn"
 	"peardrift/internal/status"
 )
@@ -17,7 +14,6 @@
 type pool struct {
 	client *Client
 	addr   string
-	dialer network.Dialer
 
 	mu     sync.Mutex
 	core   *conn.Peer
@@ -31,7 +27,7 @@
 
 func newPool(c *Client, addr string) *pool {
 	p := &pool{
-		client: c, addr: addr, dialer: standard.NewDialer(),
+		client: c, addr: addr,
 		core: conn.NewPeer(&c.conns), conns: make(map[conn.ID]*clientConn), armed: math.MaxInt64,
 	}
 	p.timer = time.AfterFunc(math.MaxInt64, p.tick)
@@ -71,14 +67,14 @@
 }
 
 func (p *pool) dial(tag string, timeout time.Duration) (*clientConn, error) {
-	raw, err := p.dialer.DialConnection("tcp", p.addr, min(timeout, p.client.cfg.DialTimeout), nil)
+	raw, sock, err := dial(p.addr, min(timeout, p.client.cfg.DialTimeout))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
 		p.core.DialFailed()
 		return nil, status.Wrap(status.CodeConnectFailed, err, "cannot connect to %s", p.addr)
 	}
-	c := newClientConn(p, raw)
+	c := newClientConn(p, raw, sock)
 	c.id, c.tag = p.core.Opened(p.client.now()), tag
 	p.conns[c.id] = c
 	p.arm()
@@ -100,10 +96,6 @@
 	c.idle, c.since = true, p.client.now()
 	c.calls++
 	p.arm()
-	if p.client.cfg.WatchAfter == 0 {
-		c.watch()
-		return
-	}
 	p.sweepLater()
 }
 
--- a/internal/adapter/hertzhttp/probe.go
+++ b/internal/adapter/hertzhttp/probe.go
@@ -52,7 +52,7 @@
 // ask returns the peer's word on each call, and whether it could be reached.
 func (p *pool) ask(tags map[conn.ID]string) (words map[conn.ID]conn.Word, reached bool) {
 	until := time.Now().Add(p.client.conns.ProbeTimeout)
-	fresh, err := p.dialer.DialConnection("tcp", p.addr, min(p.client.cfg.DialTimeout, p.client.conns.ProbeTimeout), nil)
+	fresh, _, err := dial(p.addr, min(p.client.cfg.DialTimeout, p.client.conns.ProbeTimeout))
 	if err != nil {
 		return nil, false
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -129,16 +129,12 @@
 	n.objects = awsobject.New(cfg, p.Objects.Bucket)
 }
 
-// watchAfter is how long a connection to another node is idle before its end is
-// looked out for; answers of nodes are marked as their calls' own.
-const watchAfter = 10 * time.Millisecond
-
 func (n *Node) buildTraffic() {
 	cc := hertzhttp.DefaultClientConfig()
 	cc.DialTimeout = n.set.Traffic.ConnectTimeout
 	cc.BufferBytes = n.set.Traffic.BufferBytes
 	n.local = hertzhttp.NewClient(cc)
-	cc.Prober, cc.WatchAfter = dataplane.Prober{}, watchAfter
+	cc.Prober = dataplane.Prober{}
 	n.peers = hertzhttp.NewClient(cc)
 	n.rows = n.sharedRows()
 	n.claims = claims.New(n.rows, n.pool, claims.DefaultConfig(), n.log, n.metrics.Scope())
