Spread the measured hops over all services, and show what saturates

Cause: all single hops went to the two targets of one service, so at 20,000 calls/s two node processes were measured and not the path; and a table that counts only from the moment of sending can't say whether the machine, the generator or the nodes were the limit. The table now also counts from when each request was due, and shows the machine's load in either way and the generator's own processor time for a request.

--- a/bench/latency/bench_test.go
+++ b/bench/latency/bench_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync/atomic"
-	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -28,7 +27,7 @@
 func measure(b *testing.B, send func(string) status.Code, path string) {
 	b.ReportAllocs()
 	var refused atomic.Int64
-	before := cpuTime()
+	before := ownTime()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
 			switch code := send(path); code {
@@ -41,16 +40,7 @@
 		}
 	})
 	b.ReportMetric(float64(refused.Load()), "refused")
-	b.ReportMetric(float64(cpuTime()-before)/float64(b.N), "cpu-ns/op")
-}
-
-// cpuTime returns the processor time of this process in ns.
-func cpuTime() int64 {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		return 0
-	}
-	return u.Utime.Nano() + u.Stime.Nano()
+	b.ReportMetric(float64(ownTime()-before)/float64(b.N), "cpu-ns/op")
 }
 
 func TestStackAnswersBothWays(t *testing.T) {
--- a/bench/latency/deployment.go
+++ b/bench/latency/deployment.go
@@ -15,10 +15,10 @@
 // Depth is the length of the chain measured beside the single hop.
 const Depth = 5
 
-// Paths of the two kinds of request, both sent to the first service.
+// Paths of the two kinds of request.
 const (
-	PathHop   = "/hop"   // answered there
-	PathChain = "/chain" // calls on to the last service
+	PathHop   = "/hop"   // answered by the service that it is sent to
+	PathChain = "/chain" // sent to the first, which calls on to the last service
 )
 
 const (
--- a/bench/latency/load.go
+++ b/bench/latency/load.go
@@ -35,9 +35,16 @@
 type Sample struct {
 	// Latency is that of completed requests in µs, from when each was sent.
 	Latency *hdrhistogram.Histogram
+	// FromDue is the same from when each was due to be sent.
+	FromDue *hdrhistogram.Histogram
 	// Late is by how much requests were sent after they were due, in µs: where
 	// it is large, the machine or the generator is saturated.
-	Late      *hdrhistogram.Histogram
+	Late *hdrhistogram.Histogram
+	// Busy is the share of the machine's processors that was in use meanwhile,
+	// by whatever runs on it. Caller is the processor time that the generator
+	// took for each request.
+	Busy      float64
+	Caller    time.Duration
 	Sent      int
 	Completed int
 	Overrun   int
@@ -62,13 +69,17 @@
 
 // way is where and what to send.
 type way struct {
-	addrs []string
+	doors []door
 	path  string
 }
 
+// door is an address that takes requests for a service.
+type door struct{ addr, service string }
+
 // run sends Poisson arrivals for a time and waits for all answers.
 func (g *generator) run(ctx context.Context, w way, rate float64, length time.Duration, seed uint64) *Sample {
-	s := &Sample{Latency: newHistogram(), Late: newHistogram(), Failed: make(map[status.Code]int)}
+	s := &Sample{Latency: newHistogram(), FromDue: newHistogram(), Late: newHistogram(), Failed: make(map[status.Code]int)}
+	defer s.usage()()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	start := time.Now()
@@ -101,7 +112,7 @@
 	}
 	defer g.open.Add(-1)
 	began := time.Now()
-	code := g.send(ctx, w.addrs[g.next.Add(1)%uint64(len(w.addrs))], w.path)
+	code := g.send(ctx, w.doors[g.next.Add(1)%uint64(len(w.doors))], w.path)
 	took := time.Since(began)
 	mu.Lock()
 	defer mu.Unlock()
@@ -113,6 +124,7 @@
 	}
 	s.Completed++
 	_ = s.Latency.RecordValue(bounded(took))
+	_ = s.FromDue.RecordValue(bounded(late + took))
 }
 
 func bounded(d time.Duration) int64 { return min(max(d.Microseconds(), lowest), highest) }
@@ -121,7 +133,7 @@
 const noCode status.Code = "none"
 
 // send makes one request. It returns no code if it was answered 200, whole.
-func (g *generator) send(ctx context.Context, addr, path string) status.Code {
+func (g *generator) send(ctx context.Context, to door, path string) status.Code {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
@@ -129,8 +141,8 @@
 	defer protocol.ReleaseResponse(resp)
 	req.Header.SetMethod(http.MethodGet)
 	req.Header.SetRequestURI(path)
-	req.Header.SetHost(first())
-	res, err := g.client.Do(ctx, addr, req, resp)
+	req.Header.SetHost(to.service)
+	res, err := g.client.Do(ctx, to.addr, req, resp)
 	if res.Stream != nil {
 		_ = res.Stream.Close()
 		return noCode
--- a/bench/latency/measure.go
+++ b/bench/latency/measure.go
@@ -136,8 +136,7 @@
 		calls = Depth
 	}
 	requests := rate / calls
-	nodes := way{addrs: entries(f), path: path}
-	direct := way{addrs: hostPorts(f.DirectURLs(first())), path: path}
+	nodes, direct := ways(f, path)
 	g.run(ctx, direct, requests, cfg.Warm, 0)
 	g.run(ctx, nodes, requests, cfg.Warm, 0)
 	for i := range cfg.Rounds {
--- a/bench/latency/process.go
+++ b/bench/latency/process.go
@@ -10,24 +10,31 @@
 	"peardrift/bench/harness"
 )
 
-// entries returns the callers' faces of the nodes that don't stand beside a
-// target of the first service: the call crosses from one instance to another.
-func entries(f *harness.Fleet) []string {
-	var out []string
-	for _, h := range f.Hosts {
-		if h.Service != first() {
-			out = append(out, h.Addr.Callers)
+// ways returns both ways of a kind of request. Requests down the chain go to
+// its first service, single hops to all services in turn: else the few targets
+// of one service would take all of them, of which each is one call. Through
+// nodes they enter at one that doesn't stand beside a target of the service, so
+// that the call crosses from one instance to another.
+func ways(f *harness.Fleet, path string) (nodes, direct way) {
+	services := []string{first()}
+	if path == PathHop {
+		services = services[:0]
+		for i := range Depth {
+			services = append(services, serviceName(i+1))
 		}
 	}
-	return out
-}
-
-func hostPorts(urls []string) []string {
-	var out []string
-	for _, u := range urls {
-		out = append(out, strings.TrimPrefix(u, "http://"))
+	nodes.path, direct.path = path, path
+	for _, s := range services {
+		for _, url := range f.DirectURLs(s) {
+			direct.doors = append(direct.doors, door{strings.TrimPrefix(url, "http://"), s})
+		}
+		for _, h := range f.Hosts {
+			if h.Service != s {
+				nodes.doors = append(nodes.doors, door{h.Addr.Callers, s})
+			}
+		}
 	}
-	return out
+	return nodes, direct
 }
 
 // tick is the unit of processor time in /proc: USER_HZ is 100 on Linux.
--- a/bench/latency/stack.go
+++ b/bench/latency/stack.go
@@ -26,8 +26,8 @@
 	kill     context.CancelFunc
 	nodes    sync.WaitGroup
 	gen      *generator
-	through  way
-	direct   way
+	through  door
+	direct   door
 }
 
 // stackTime bounds the start of a stack.
@@ -78,7 +78,7 @@
 		}
 		ops = append(ops, set.Listen.Ops)
 		// Requests enter at the last node, so that none is its own callee.
-		s.through = way{addrs: []string{set.Listen.Callers}}
+		s.through = door{set.Listen.Callers, first()}
 	}
 	if err := s.apply(); err != nil {
 		return err
@@ -98,7 +98,7 @@
 		}
 		s.targets = append(s.targets, t)
 		urls[cfg.Service] = []string{"http://" + t.Addr()}
-		s.direct = way{addrs: []string{t.Addr()}}
+		s.direct = door{t.Addr(), first()}
 	}
 	return nil
 }
@@ -212,10 +212,10 @@
 // Through sends a request through the nodes and returns the code of what kept
 // it from completing, empty if nothing did.
 func (s *Stack) Through(path string) status.Code {
-	return s.gen.send(context.Background(), s.through.addrs[0], path)
+	return s.gen.send(context.Background(), s.through, path)
 }
 
 // Direct sends the same request to the targets without nodes.
 func (s *Stack) Direct(path string) status.Code {
-	return s.gen.send(context.Background(), s.direct.addrs[0], path)
+	return s.gen.send(context.Background(), s.direct, path)
 }
--- a/bench/latency/table.go
+++ b/bench/latency/table.go
@@ -7,6 +7,8 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"peardrift/internal/status"
 )
 
@@ -15,9 +17,12 @@
 
 // Print writes a table of the cells: the median over the rounds of each
 // quantile, and of what the nodes add to it the least and the greatest as well.
+// "from due" is what they add counted from when each request was due, which
+// holds the generator's delay too; "busy" how much of the machine was in use,
+// direct and through nodes: near 100 it is the machine that is measured.
 func Print(out io.Writer, cells []Cell) {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "request\tcalls/s\tquantile\tdirect ms\tnodes ms\tadded ms\t(least to greatest)\tadded a call ms\tratio\tcompleted\tlate p99 ms\tnode CPU us/call\t")
+	fmt.Fprintln(w, "request\tcalls/s\tquantile\tdirect ms\tnodes ms\tadded ms\t(least to greatest)\tadded a call ms\tratio\tfrom due ms\tcompleted\tlate p99 ms\tbusy %\tcaller us\tnode CPU us/call\t")
 	for _, c := range cells {
 		for i, q := range quantiles {
 			c.printLine(w, q, i == 0)
@@ -55,26 +60,34 @@
 }
 
 func (c *Cell) printLine(w io.Writer, q float64, head bool) {
-	direct, nodes, added := c.quantile(q)
+	direct, nodes, added := c.quantile(q, (*Sample).fromSent)
+	_, _, due := c.quantile(q, (*Sample).fromDue)
 	calls := 1.0
 	if c.Kind == PathChain {
 		calls = Depth
 	}
 	mid := median(added)
-	fmt.Fprintf(w, "%s\t%.0f\tp%g\t%.2f\t%.2f\t%.2f\t(%.2f to %.2f)\t%.2f\t%.1f\t", c.Kind, c.Rate, q,
-		median(direct), median(nodes), mid, slices.Min(added), slices.Max(added), mid/calls, median(nodes)/median(direct))
+	fmt.Fprintf(w, "%s\t%.0f\tp%g\t%.2f\t%.2f\t%.2f\t(%.2f to %.2f)\t%.2f\t%.1f\t%.2f\t", c.Kind, c.Rate, q, median(direct), median(nodes),
+		mid, slices.Min(added), slices.Max(added), mid/calls, median(nodes)/median(direct), median(due))
 	if !head {
-		fmt.Fprintln(w, "\t\t\t")
+		fmt.Fprintln(w, "\t\t\t\t\t")
 		return
 	}
 	sent, completed := c.counts()
-	fmt.Fprintf(w, "%d of %d\t%.2f\t%.0f\t\n", completed, sent, c.late(), c.cpu())
+	fmt.Fprintf(w, "%d of %d\t%.2f\t%.0f, %.0f\t%.0f\t%.0f\t\n", completed, sent, c.late(),
+		100*c.busy((*Round).direct), 100*c.busy((*Round).nodes), c.caller(), c.cpu())
 }
 
+func (s *Sample) fromSent() *hdrhistogram.Histogram { return s.Latency }
+func (s *Sample) fromDue() *hdrhistogram.Histogram  { return s.FromDue }
+
+func (r *Round) direct() *Sample { return r.Direct }
+func (r *Round) nodes() *Sample  { return r.Nodes }
+
 // quantile returns the quantile in ms of each round, and what the nodes added.
-func (c *Cell) quantile(q float64) (direct, nodes, added []float64) {
+func (c *Cell) quantile(q float64, of func(*Sample) *hdrhistogram.Histogram) (direct, nodes, added []float64) {
 	for _, r := range c.Rounds {
-		d, n := float64(r.Direct.Latency.ValueAtQuantile(q))/1e3, float64(r.Nodes.Latency.ValueAtQuantile(q))/1e3
+		d, n := float64(of(r.Direct).ValueAtQuantile(q))/1e3, float64(of(r.Nodes).ValueAtQuantile(q))/1e3
 		direct, nodes, added = append(direct, d), append(nodes, n), append(added, n-d)
 	}
 	return direct, nodes, added
@@ -109,6 +122,25 @@
 	return median(us)
 }
 
+// busy returns the median over the rounds of the machine's load in one way.
+func (c *Cell) busy(of func(*Round) *Sample) float64 {
+	var shares []float64
+	for i := range c.Rounds {
+		shares = append(shares, of(&c.Rounds[i]).Busy)
+	}
+	return median(shares)
+}
+
+// caller returns the generator's processor time for each request in µs, of the
+// way and round where it was least: the others hold more of the machine's work.
+func (c *Cell) caller() float64 {
+	var us []float64
+	for _, r := range c.Rounds {
+		us = append(us, float64(r.Direct.Caller)/float64(time.Microsecond), float64(r.Nodes.Caller)/float64(time.Microsecond))
+	}
+	return slices.Min(us)
+}
+
 func median(vs []float64) float64 {
 	s := slices.Sorted(slices.Values(vs))
 	if len(s) == 0 {
