--- a/bench/faults/crash.go
+++ b/bench/faults/crash.go
@@ -28,39 +28,47 @@
 // Cause: each node counts on its own, or the request is known only by the
 // identity of one attempt.
 func crashes(ctx context.Context, l *Lab) (Row, error) {
+	row, n, err := l.crashing(ctx, l.resendCrash)
+	if err == nil && (n < 1 || n > maxCrashes) {
+		err = status.New(CodeBroken, "one request crashed %d targets", n)
+	}
+	row.Note = fmt.Sprintf("sent %d times, %d crashes in all", resends, n)
+	return row, err
+}
+
+// resendCrash sends the crashing request again and again.
+func (l *Lab) resendCrash(ctx context.Context) error {
+	for n := range resends {
+		if err := firstOf(l.sendCrash(ctx, n), pause(ctx, resendEvery)()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// crashing plays what sends crashing requests, while feed's targets are started
+// again each time they die, and returns how often they did.
+func (l *Lab) crashing(ctx context.Context, send func(context.Context) error) (Row, int64, error) {
 	var died atomic.Int64
 	watch, stop := context.WithCancel(ctx)
 	var wg sync.WaitGroup
-	faults := make(chan error, len(l.Fleet.Hosts))
-	for _, h := range []*harness.Host{l.host("feed", 1), l.host("feed", 2)} {
+	feeds := []*harness.Host{l.host("feed", 1), l.host("feed", 2)}
+	faults := make(chan error, len(feeds))
+	for _, h := range feeds {
 		wg.Go(func() { faults <- l.revive(watch, h, &died) })
 	}
-	row, err := l.playCrash(ctx)
+	row, err := l.play(ctx, l.entries("notices"), func() error { return send(ctx) }, nil, func() error { return l.whole(ctx) })
 	stop()
 	wg.Wait()
-	if n := died.Load(); err == nil && (n < 1 || n > maxCrashes) {
-		err = status.New(CodeBroken, "one request crashed %d targets", n)
-	}
-	for range 2 {
+	for range feeds {
 		err = firstOf(err, <-faults)
 	}
-	row.Note = fmt.Sprintf("sent %d times, %d crashes in all", resends, died.Load())
-	return row, err
+	return row, died.Load(), err
 }
 
-func (l *Lab) playCrash(ctx context.Context) (Row, error) {
-	return l.play(ctx, l.entries("notices"), func() error {
-		for n := range resends {
-			if err := l.sendCrash(ctx, n); err != nil {
-				return err
-			}
-			if err := pause(ctx, resendEvery)(); err != nil {
-				return err
-			}
-		}
-		return nil
-	}, nil, func() error { return l.whole(ctx) })
-}
+// crashPath is that of the load's crashing request, another one for each scenario:
+// the nodes remember those of earlier ones.
+func (l *Lab) crashPath() string { return fmt.Sprintf("/feed/special-%d", l.seed) }
 
 // sendCrash sends the crashing request once, through another node each time. It
 // is the same request each time, but for the mark, which the product ignores.
@@ -68,7 +76,7 @@
 	urls := l.entries("notices")
 	_, err := client.Run(ctx, client.Config{
 		URLs: urls[n%len(urls):][:1], Seed: uint64(n), Duration: time.Hour,
-		Classes: []client.Class{{Name: crashMark, Host: "feed.lab", Path: "/feed/special", Workers: 1, Requests: 1}},
+		Classes: []client.Class{{Name: crashMark, Host: "feed.lab", Path: l.crashPath(), Workers: 1, Requests: 1}},
 	})
 	return err
 }
--- a/bench/faults/scenario.go
+++ b/bench/faults/scenario.go
@@ -58,6 +58,14 @@
 		{"node stopped before target", nodeStopsFirst},
 		{"target stopped before node", targetStopsFirst},
 		{"node stopped in overload", stopInOverload},
+		{"copies of a crashing request at once", manyCopies},
+		{"crashing request, drain", crashInDrain},
+		{"node killed, platform down", nodeKilledInOutage},
+		{"answers lost, node frozen for 4 s", answersLostAndFrozen},
+		{"operators at once, answers lost", operatorsInOutage},
+		{"connections silent, node killed", silentAndKilled},
+		{"overload, connections silent", silentInOverload},
+		{"node frozen until held dead, new set", frozenTillDead},
 	}
 }
 
