Let SIGHUP pass, and name each setting that keeps a node from starting

Found by running a node by hand:

- SIGHUP (a terminal that is closed, or an operator's hope that settings are read again) ended the node with all calls in the middle, exit by signal.
It is ignored now; ruled out was a graceful stop, which a reload by habit would turn into a lost node.
- Of several busy addresses the first one was told, without its setting.
All are told now: "cannot-listen: listen.nodes: ...".

--- a/bench/badinput/requests_test.go
+++ b/bench/badinput/requests_test.go
@@ -44,8 +44,9 @@
 	return r.runs
 }
 
-// oneNode starts a node for notices.khaosan beside the recorder.
-func oneNode(t *testing.T) (*harness.Host, *recorder) {
+// oneNode starts a node for notices.khaosan beside the recorder, with its
+// settings changed by tune.
+func oneNode(t *testing.T, tune ...func(*settings.Settings)) (*harness.Host, *recorder) {
 	t.Helper()
 	p := build(t)
 	rec := &recorder{}
@@ -56,7 +57,12 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(f.Close)
-	f.Tune = func(_ *harness.Host, s *settings.Settings) { s.Target.Address = target.Listener.Addr().String() }
+	f.Tune = func(_ *harness.Host, s *settings.Settings) {
+		s.Target.Address = target.Listener.Addr().String()
+		for _, change := range tune {
+			change(s)
+		}
+	}
 	d := deploy.Khaosan()
 	d.Services = []deploy.Service{{Name: "notices", Targets: 1, Slots: 190}}
 	for _, step := range []func() error{
--- a/bench/badinput/settings_test.go
+++ b/bench/badinput/settings_test.go
@@ -74,6 +74,7 @@
 		{"two listeners on one address", "callers: 127.0.0.1:0\n  nodes: 127.0.0.1:0", "callers: 127.0.0.1:7400\n  nodes: 127.0.0.1:7400", daemon.ExitSettings, "listen.nodes takes the address of listen.callers"},
 		{"a busy port for callers", "callers: 127.0.0.1:0", "callers: BUSY", daemon.ExitListen, "cannot-listen"},
 		{"a busy port for control", "control: 127.0.0.1:0", "control: BUSY", daemon.ExitListen, "cannot-listen"},
+		{"a log that can't be written", "platform:", "logs: {file: /nonexistent/log}\nplatform:", daemon.ExitSettings, "settings.yaml:14:8: logs.file"},
 		{"no file", "", "", daemon.ExitSettings, "settings.yaml"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -94,6 +95,27 @@
 	}
 }
 
+// Symptom: an operator frees one port after the other, with a failed start
+// between. Events: two of a node's addresses are taken. Cause: the first that
+// could not be opened ended the start, and the failure didn't name its setting.
+func TestAllBusyPortsAreNamedWithTheirSettings(t *testing.T) {
+	is := is.New(t)
+	p := build(t)
+	text := strings.ReplaceAll(usable, "PLATFORM", "http://127.0.0.1:9")
+	for _, key := range []string{"nodes", "control"} {
+		busy, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		defer busy.Close()
+		text = strings.Replace(text, key+": 127.0.0.1:0", key+": "+busy.Addr().String(), 1)
+	}
+	file := filepath.Join(t.TempDir(), "settings.yaml")
+	is.NoErr(os.WriteFile(file, []byte(text), 0o600))
+	code, stderr := runNode(t, p.bins.Node, file)
+	is.Equal(code, daemon.ExitListen)
+	is.True(strings.Contains(stderr, "cannot-listen: listen.nodes: "))
+	is.True(strings.Contains(stderr, "cannot-listen: listen.control: "))
+}
+
 func runNode(t *testing.T, bin, file string) (code int, stderr string) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), endTime)
--- a/internal/cli/show.go
+++ b/internal/cli/show.go
@@ -4,14 +4,13 @@
 	"cmp"
 	"errors"
 	"io"
-	"runtime/debug"
-	"strings"
 	"text/tabwriter"
 	"time"
 
 	"peardrift/internal/adapter/rpc/adminapi"
 	"peardrift/internal/adapter/yamlset"
 	"peardrift/internal/apply"
+	"peardrift/internal/buildinfo"
 	"peardrift/internal/core/confset"
 	"peardrift/internal/core/request"
 	"peardrift/internal/port"
@@ -258,28 +257,8 @@
 
 type versionCommand struct{ *app }
 
-type versionResult struct {
-	Version  string `json:"version"`
-	Revision string `json:"revision,omitempty"`
-	Modified bool   `json:"modified,omitempty"`
-	Go       string `json:"go"`
-}
-
 // Execute implements flags.Commander.
 func (c *versionCommand) Execute([]string) error {
-	out := versionResult{Version: "unknown"}
-	if info, ok := debug.ReadBuildInfo(); ok {
-		out.Version, out.Go = info.Main.Version, info.GoVersion
-		for _, s := range info.Settings {
-			switch s.Key {
-			case "vcs.revision":
-				out.Revision = s.Value
-			case "vcs.modified":
-				out.Modified = s.Value == "true"
-			}
-		}
-	}
-	return c.show(out, func(w io.Writer) {
-		c.printf(w, "peardrift %s (%s)\n", strings.TrimSpace(out.Version+" "+out.Revision), out.Go)
-	})
+	out := buildinfo.Read()
+	return c.show(out, func(w io.Writer) { c.printf(w, "peardrift %s\n", out) })
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"peardrift/internal/buildinfo"
 	"peardrift/internal/node"
 	"peardrift/internal/settings"
 	"peardrift/internal/status"
@@ -27,8 +28,9 @@
 )
 
 type options struct {
-	Settings string `short:"s" long:"settings" required:"true" value-name:"FILE" description:"the node's settings (YAML)"`
+	Settings string `short:"s" long:"settings" value-name:"FILE" description:"the node's settings (YAML); needed"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
+	Version  bool   `long:"version" description:"show the node's own version and exit"`
 }
 
 // Main runs peardriftd and returns its exit code.
@@ -41,6 +43,14 @@
 	if rest, err := p.ParseArgs(args); err != nil || len(rest) > 0 {
 		return usage(rest, err, stdout, stderr)
 	}
+	if opts.Version {
+		fmt.Fprintf(stdout, "peardriftd %s\n", buildinfo.Read())
+		return ExitOK
+	}
+	if opts.Settings == "" {
+		fmt.Fprintln(stderr, status.New(status.CodeInvalidSettings, "--settings FILE is missing"))
+		return ExitUsage
+	}
 	set, err := settings.Load(opts.Settings)
 	if err != nil {
 		return fail(stderr, err)
@@ -68,10 +78,12 @@
 // serve runs the node until SIGTERM or SIGINT; a second one ends it at once.
 func serve(set settings.Settings, stderr io.Writer) int {
 	tuneGC()
-	// A log line written to a standard error whose reader has gone would end
-	// the process by this signal, and all its calls in the middle; ignored, the
-	// write fails and the line is lost.
-	signal.Ignore(syscall.SIGPIPE)
+	// Either signal would end the process with all its calls in the middle.
+	// SIGPIPE comes of a log line written to a standard error whose reader has
+	// gone; ignored, the write fails and the line is lost. SIGHUP comes of a
+	// terminal that is closed, or of an operator who wants the settings to be
+	// read again, which takes a restart.
+	signal.Ignore(syscall.SIGPIPE, syscall.SIGHUP)
 	n, err := node.New(set)
 	if err != nil {
 		return fail(stderr, err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"math/rand/v2"
 	"net"
 	"strings"
@@ -146,28 +147,35 @@
 	n.engine = dataplane.New(cfg, n.self, n.peers, n.local, n.claims, obs)
 }
 
+// listen opens all listeners, or fails with each that can't be opened.
 func (n *Node) listen() error {
 	cfg := hertzhttp.DefaultServerConfig()
 	cfg.IdleTimeout, cfg.MaxHeaderBytes = n.set.Traffic.IdleTimeout, n.set.Traffic.MaxHeaderBytes
 	cfg.Conns = hertzhttp.NewConnLimit(n.set.Traffic.MaxConnections)
 	l := n.set.Listen
-	var err error
-	bind := func(to **hertzhttp.Server, addr string, h hertzhttp.Handler) {
-		if err == nil {
-			*to, err = hertzhttp.Listen(addr, cfg, h)
+	var failed []error
+	for _, f := range []struct {
+		key, addr string
+		to        **hertzhttp.Server
+		handle    hertzhttp.Handler
+	}{
+		{"listen.callers", l.Callers, &n.faces.callers, n.engine.ServeCaller},
+		{"listen.nodes", l.Nodes, &n.faces.nodes, n.engine.ServeNode},
+		{"listen.target", l.Target, &n.faces.target, n.engine.ServeTarget},
+		{"listen.ops", l.Ops, &n.faces.ops, n.serveOps},
+	} {
+		s, err := hertzhttp.Listen(f.addr, cfg, f.handle)
+		if err != nil {
+			failed = append(failed, status.Wrap(status.CodeListen, status.From(err).Cause, "%s", f.key))
+			continue
 		}
+		*f.to = s
 	}
-	bind(&n.faces.callers, l.Callers, n.engine.ServeCaller)
-	bind(&n.faces.nodes, l.Nodes, n.engine.ServeNode)
-	bind(&n.faces.target, l.Target, n.engine.ServeTarget)
-	bind(&n.faces.ops, l.Ops, n.serveOps)
-	if err != nil {
-		return err
-	}
+	var err error
 	if n.ln, err = net.Listen("tcp", l.Control); err != nil {
-		return status.Wrap(status.CodeListen, err, "cannot listen on %s", l.Control)
+		failed = append(failed, status.Wrap(status.CodeListen, err, "listen.control"))
 	}
-	return nil
+	return errors.Join(failed...)
 }
 
 // epoch2020 is where incarnations count from, in seconds.
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -97,6 +97,9 @@
 		{"bad level", minimal + "logs: {level: all}\n", "logs.level must be one of debug info warn error"},
 		{"no URL", strings.Replace(minimal, "http://127.0.0.1:8000", "127.0.0.1:8000", 1), "platform.table.endpoint must be an http or https URL"},
 		{"key file missing", strings.Replace(minimal, "secretKey: key-s", "secretKeyFile: /nonexistent/key", 1), "f:7:3: platform.secretKeyFile "},
+		{"folder of the log missing", minimal + "logs:\n  file: /nonexistent/log\n", "f:9:3: logs.file can't be appended to: stat /nonexistent: no such file"},
+		{"log file that is a folder", minimal + "logs: {file: /}\ntraces: {file: /nonexistent/spans}\n", "f:8:8: logs.file can't be appended to: open /: is a directory\nf:9:10: traces.file can't be"},
+		{"log file under a file", minimal + "logs: {file: load_test.go/log}\n", "f:8:8: logs.file can't be appended to: stat load_test.go/log: not a directory"},
 		{"no key", strings.Replace(minimal, "  secretKey: key-s\n", "", 1), "f:3:1: platform.secretKey is required"},
 	}
 	for _, tt := range tests {
--- a/internal/settings/observe.go
+++ b/internal/settings/observe.go
@@ -8,7 +8,8 @@
 	// Default info. debug adds a line a call; error hides refusals.
 	Level string `yaml:"level" validate:"oneof=debug info warn error"`
 
-	// File is where lines are appended. Default: standard error.
+	// File is where lines are appended. Default: standard error. Its folder must
+	// be there.
 	File string `yaml:"file" validate:"max=4096"`
 
 	// PerSecond bounds the lines written in a second, over all messages.
@@ -35,7 +36,8 @@
 // Traces says which spans are recorded and where they go. With neither File
 // nor Endpoint tracing is off.
 type Traces struct {
-	// File is where spans are appended as JSON lines. Default: none.
+	// File is where spans are appended as JSON lines. Default: none. Its folder
+	// must be there.
 	File string `yaml:"file" validate:"max=4096"`
 
 	// Endpoint is the URL of an OTLP/HTTP collector, for example
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -47,7 +47,8 @@
 // validate returns all that is wrong with the values of s.
 func validate(s *Settings) []Problem {
 	ps := append(violations(s), distinctListeners(s.Listen)...)
-	return append(ps, reachable(s)...)
+	ps = append(ps, reachable(s)...)
+	return append(ps, appendable(s)...)
 }
 
 // violations returns what the tags of a struct's fields forbid.
