Show operators who asks too much, why a node isn't ready, and how its gate stands

Found by looking at a node under load as an operator would:

- No metric named the tenant whose requests take the slots; overload.md sent operators to peardrift_calls_total, whose labels are the callee's.
There are now runs, refusals and busy time by tenant, up to 64 of them.
- /ready said "not ready" whatever was the matter.
It, /status and "peardrift status" now give the reasons; the log has "ready" and "not ready".
- The gate in /status had the core's field names, the level as a raw number, and no count of what a leaving target refused, which another field hid.
- "peardrift status" showed nothing of an overload; the log did not say when one began and ended.
- Whether the target is up was in no metric.

The tests of tenants, of readiness and of the gate's JSON are new with what they test.

--- a/bench/badinput/signals_test.go
+++ b/bench/badinput/operate_test.go
@@ -1,6 +1,8 @@
 package badinput
 
 import (
+	"io"
+	"net/http"
 	"syscall"
 	"testing"
 	"time"
@@ -41,6 +43,29 @@
 	is.Equal(h.Node.Exited(), daemon.ExitOK)
 }
 
+// Symptom: a node stays out of service and gives no reason. Events: it starts,
+// and no set declares its service, for example since the name is mistyped.
+// Cause: /ready said "not ready" whatever was the matter.
+func TestNodeSaysWhyItIsNotReady(t *testing.T) {
+	f, _ := emptyNode(t)
+	const why = "no set in force declares the target's service"
+	h := f.Hosts[0]
+	await(t, func() bool {
+		resp, err := http.Get("http://" + h.Addr.Ops + "/ready")
+		if err != nil {
+			return false // it starts
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		return err == nil && resp.StatusCode == http.StatusServiceUnavailable && string(body) == "not ready: "+why+"\n"
+	})
+	s, err := h.Status()
+	is := is.New(t)
+	is.NoErr(err)
+	is.Equal(s.NotReady, []string{why})
+	is.True(!s.Ready)
+}
+
 // await polls until ok, or fails after a time that only a fault needs.
 func await(t *testing.T, ok func() bool) {
 	t.Helper()
--- a/bench/badinput/requests_test.go
+++ b/bench/badinput/requests_test.go
@@ -45,14 +45,26 @@
 }
 
 // oneNode starts a node for notices.khaosan beside the recorder, with its
-// settings changed by tune.
+// settings changed by tune, and applies the set.
 func oneNode(t *testing.T, tune ...func(*settings.Settings)) (*harness.Host, *recorder) {
 	t.Helper()
-	p := build(t)
+	f, rec := emptyNode(t, tune...)
+	if err := f.Apply(t.Context(), build(t).root, deploy.Khaosan().Tenant, 0); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Ready(time.Minute); err != nil {
+		t.Fatal(err)
+	}
+	return f.Hosts[0], rec
+}
+
+// emptyNode is oneNode without a set.
+func emptyNode(t *testing.T, tune ...func(*settings.Settings)) (*harness.Fleet, *recorder) {
+	t.Helper()
 	rec := &recorder{}
 	target := httptest.NewServer(rec)
 	t.Cleanup(target.Close)
-	f, err := harness.New(p.bins)
+	f, err := harness.New(build(t).bins)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -65,17 +77,13 @@
 	}
 	d := deploy.Khaosan()
 	d.Services = []deploy.Service{{Name: "notices", Targets: 1, Slots: 190}}
-	for _, step := range []func() error{
-		func() error { return f.Add(d) },
-		f.Start,
-		func() error { return f.Apply(t.Context(), p.root, d.Tenant, 0) },
-		func() error { return f.Ready(time.Minute) },
-	} {
-		if err := step(); err != nil {
-			t.Fatal(err)
-		}
+	if err := f.Add(d); err != nil {
+		t.Fatal(err)
 	}
-	return f.Hosts[0], rec
+	if err := f.Start(); err != nil {
+		t.Fatal(err)
+	}
+	return f, rec
 }
 
 const (
--- a/internal/adapter/rpc/adminapi/adminapi.go
+++ b/internal/adapter/rpc/adminapi/adminapi.go
@@ -39,6 +39,19 @@
 	Leaving bool
 	Members int // known to be alive, this node included
 	Tenants []TenantStatus
+
+	Build    string   // version of the node's program
+	NotReady []string // what keeps the node from being ready
+	Gate     GateStatus
+}
+
+// GateStatus is how the gate before the node's target stands.
+type GateStatus struct {
+	Limit   int     // requests that may run at once
+	Running int     // requests that run
+	Queued  int     // requests that wait
+	Demand  float64 // recent demand in slots
+	Level   float64 // what is less important than this is refused; 0: nothing is
 }
 
 // TenantStatus is what a node knows of one tenant's configuration.
--- a/internal/adapter/tallymetrics/calls.go
+++ b/internal/adapter/tallymetrics/calls.go
@@ -50,8 +50,9 @@
 	c := m.calls(h.Kind, pair{string(h.Service), string(h.Class)})
 	m.count(c, result{h.Outcome, h.Code})
 	c.time.RecordDuration(min(h.End.Sub(h.Start), longest))
-	if c.queue != nil {
+	if h.Kind == dataplane.HopServe {
 		c.queue.RecordDuration(min(h.Queued, longest))
+		m.tenant(h.Tenant).take(h)
 	}
 }
 
--- a/internal/adapter/tallymetrics/doc.go
+++ b/internal/adapter/tallymetrics/doc.go
@@ -10,8 +10,8 @@
 // Labels come from outside in part (a caller's Host header, another node's
 // answer), so their number is bounded: only configured services and classes,
 // at most settings.Metrics.MaxClasses pairs and 64 results per series get
-// labels of their own, all others share "other". Series of services and classes
-// that leave the configuration are removed.
+// labels of their own, all others share "other". So do tenants beyond 64. Series
+// of services, classes and tenants that leave the configuration are removed.
 //
 // tally collects at an interval, so a scrape shows values up to
 // settings.Metrics.Interval old. tally's histograms keep counts per bucket
--- a/internal/adapter/tallymetrics/metrics.go
+++ b/internal/adapter/tallymetrics/metrics.go
@@ -56,7 +56,7 @@
 		closer:   closer,
 		registry: registry,
 	}
-	m.state.Store(&state{max: s.MaxClasses, pairs: map[pair]*group{}})
+	m.state.Store(&state{max: s.MaxClasses, pairs: map[pair]*group{}, tenants: map[string]*tenant{}})
 	registry.MustRegister(
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
--- a/internal/adapter/tallymetrics/names.go
+++ b/internal/adapter/tallymetrics/names.go
@@ -18,6 +18,13 @@
 	nameQueue = "queue_seconds"
 )
 
+// Names of the metrics of tenants.
+const (
+	nameTenantRuns     = "tenant_runs_total"
+	nameTenantRefusals = "tenant_refusals_total"
+	nameTenantBusy     = "tenant_busy_milliseconds_total"
+)
+
 // Labels of the metrics of calls.
 const (
 	labelHop     = "hop"
@@ -25,6 +32,7 @@
 	labelClass   = "class"
 	labelOutcome = "outcome"
 	labelCode    = "code"
+	labelTenant  = "tenant"
 )
 
 // other is the label value that stands for all that have none of their own.
@@ -51,6 +59,7 @@
 type vecs struct {
 	calls       *prom.CounterVec
 	time, queue *prom.HistogramVec
+	tenants     []*prom.CounterVec
 }
 
 // register names the families of calls to the reporter, with help texts.
@@ -60,6 +69,13 @@
 		"Hops that ended, by outcome and code."))
 	v.time = histogram(r, nameTime, "Time from a hop's start to its end.")
 	v.queue = histogram(r, nameQueue, "Time that a hop waited for a slot of the target.")
+	for _, c := range []struct{ name, help string }{
+		{nameTenantRuns, "Requests of a tenant that ran on the target."},
+		{nameTenantRefusals, "Requests of a tenant that were refused at the target."},
+		{nameTenantBusy, "Time for which requests of a tenant ran on the target."},
+	} {
+		v.tenants = append(v.tenants, must(r.RegisterCounter(namePrefix+"_"+c.name, []string{labelTenant}, c.help)))
+	}
 }
 
 func histogram(r prometheus.Reporter, name, help string) *prom.HistogramVec {
@@ -86,3 +102,10 @@
 	v.time.DeletePartialMatch(labels)
 	v.queue.DeletePartialMatch(labels)
 }
+
+// removeTenant drops the series of one tenant.
+func (v *vecs) removeTenant(name string) {
+	for _, c := range v.tenants {
+		c.DeleteLabelValues(name)
+	}
+}
--- a/internal/adapter/tallymetrics/node.go
+++ b/internal/adapter/tallymetrics/node.go
@@ -18,6 +18,7 @@
 	ConfigVersion tally.Gauge // version of the configuration in force
 	Ready         tally.Gauge // 1 if the node takes calls
 	Draining      tally.Gauge // 1 if the target is leaving
+	TargetUp      tally.Gauge // 1 if the target answers its health check
 }
 
 func newGauges(s tally.Scope) Gauges {
@@ -35,6 +36,7 @@
 		ConfigVersion: s.Gauge("config_version"),
 		Ready:         s.Gauge("ready"),
 		Draining:      s.Gauge("draining"),
+		TargetUp:      s.Gauge("target_up"),
 	}
 }
 
--- a/internal/adapter/tallymetrics/pairs.go
+++ b/internal/adapter/tallymetrics/pairs.go
@@ -24,7 +24,9 @@
 type state struct {
 	services, classes map[string]bool // that the configuration names
 	pairs             map[pair]*group
-	max               int // pairs with series of their own
+	max               int             // pairs with series of their own
+	owners            map[string]bool // tenants of the services
+	tenants           map[string]*tenant
 }
 
 // place returns the pair whose series p is counted in.
@@ -40,8 +42,8 @@
 
 func (s *state) known(p pair) bool { return s.services[p.service] && s.classes[p.class] }
 
-// Configure tells which services and classes there are. Pairs of others have no
-// series of their own, and lose those that they had. Called at each change of
+// Configure tells which services and classes there are. Pairs of others, and
+// tenants without a service, have no series of their own, and lose those that they had. Called at each change of
 // the configuration, before traffic sees it.
 func (m *Metrics) Configure(services []request.Service, classes []request.Class) {
 	if m == nil {
@@ -51,6 +53,8 @@
 	defer m.mu.Unlock()
 	s := *m.state.Load()
 	s.services, s.classes = set(services), set(classes)
+	s.owners = ownersOf(services)
+	m.retireTenants(&s)
 	s.pairs = maps.Clone(s.pairs)
 	for p, g := range s.pairs {
 		if p == otherPair || s.known(p) {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -37,7 +37,8 @@
 	if addr != knownNode {
 		return adminapi.StatusReply{}, status.New(status.CodeConnectionLost, "no node at %s", addr)
 	}
-	return adminapi.StatusReply{Node: "feed-1", Ready: true, Members: 3,
+	return adminapi.StatusReply{Node: "feed-1", Members: 3, NotReady: []string{"its target is down"},
+		Gate:    adminapi.GateStatus{Limit: 25, Running: 24, Queued: 7, Demand: 60, Level: 30.25},
 		Tenants: []adminapi.TenantStatus{{Tenant: "khaosan", InForce: 1, Known: 2}}}, nil
 }
 
--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -120,3 +120,11 @@
 		is.True(strings.Contains(b.err.String(), flag))
 	}
 }
+
+func TestStatusTellsOfOverloadAndReadiness(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	is.Equal(b.run("status", "--node", knownNode), ExitOK)
+	is.True(strings.Contains(b.out.String(), "  not ready: its target is down\n"+
+		"  target: 24 of 25 run, 7 wait, demand 60.0; refuses what is less important than 30.2\n"))
+}
--- a/internal/cli/show.go
+++ b/internal/cli/show.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"fmt"
 	"io"
 	"text/tabwriter"
 	"time"
@@ -134,12 +135,24 @@
 		s := n.Status
 		c.printf(w, "node %s: %s of %s in %s, ready %t, leaving %t, %d members\n",
 			n.Addr, s.Node, s.Service, s.Zone, s.Ready, s.Leaving, s.Members)
+		for _, why := range s.NotReady {
+			c.printf(w, "  not ready: %s\n", why)
+		}
+		c.printf(w, "  target: %s\n", gateText(s.Gate))
 		for _, t := range s.Tenants {
 			c.printf(w, "  %s: version %d in force, %d known\n", t.Tenant, t.InForce, t.Known)
 		}
 	}
 }
 
+func gateText(g adminapi.GateStatus) string {
+	refuses := "nothing"
+	if g.Level > 0 {
+		refuses = fmt.Sprintf("what is less important than %.1f", g.Level)
+	}
+	return fmt.Sprintf("%d of %d run, %d wait, demand %.1f; refuses %s", g.Running, g.Limit, g.Queued, g.Demand, refuses)
+}
+
 type historyCommand struct {
 	*app
 	Tenant string `long:"tenant" value-name:"NAME" required:"yes" description:"whose versions"`
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -59,6 +59,11 @@
 // Importance returns the importance that the priority was derived from.
 func (p Priority) Importance() Importance { return Importance(p >> hashBits) }
 
+// AsImportance returns the priority on the scale of importances. Of a level, the
+// whole part is the importance at the margin, and the fraction the part of it
+// that is refused.
+func (p Priority) AsImportance() float64 { return float64(p) / (1 << hashBits) }
+
 // Level is an admission level: requests with a Priority below it are refused.
 // Level 0 admits all.
 type Level = Priority
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -37,6 +37,7 @@
 	whole    bool // the members were all known once
 	targetUp bool
 	leaving  bool
+	overload overload
 }
 
 // shown is what the last published view was made of.
@@ -119,7 +120,7 @@
 		members: c.state.Snapshot(),
 		index:   c.conf.index(),
 		whole:   c.state.Complete(),
-		ready:   c.ready(),
+		ready:   c.judges(),
 		up:      c.targetUp,
 		leaving: c.leaving,
 	}
@@ -140,25 +141,11 @@
 	if next.index != c.shown.index {
 		c.node.metrics.Configure(classes(next.index))
 	}
+	before := c.shown
 	c.shown = next
 	c.gen++
 	c.engine.Publish(c.view(next))
-}
-
-// ready: calls can be judged and sent. A node that took calls before it knew the
-// configuration would refuse them as of unknown services; one that didn't know
-// the other members, for lack of targets.
-func (c *control) ready() bool {
-	_, known := c.conf.index().Service(c.self.Service)
-	return c.membersKnown() && known && c.conf.state.Ready()
-}
-
-// membersKnown reports whether the members have been known at some time. A node
-// that serves and then joins through nodes that it finds later knows no less
-// than before: taking it for new would refuse calls for nothing.
-func (c *control) membersKnown() bool {
-	c.whole = c.whole || c.state.Complete()
-	return c.whole
+	c.logReady(before)
 }
 
 func (c *control) view(s shown) *dataplane.View {
@@ -249,7 +236,6 @@
 		return
 	}
 	c.targetUp = up
-	c.log.Info("target", zap.Bool("up", up))
 	c.publish()
 }
 
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -6,6 +6,7 @@
 	"peardrift/internal/adapter/oteltrace"
 	"peardrift/internal/adapter/tallymetrics"
 	"peardrift/internal/adapter/zaplog"
+	"peardrift/internal/core/admission"
 	"peardrift/internal/core/confset"
 	"peardrift/internal/core/member"
 	"peardrift/internal/core/request"
@@ -50,6 +51,12 @@
 	g.ConfigVersion.Update(float64(c.conf.index().Version(n.self.Tenant)))
 	g.Ready.Update(flag(c.shown.ready))
 	g.Draining.Update(flag(c.leaving))
+	g.TargetUp.Update(flag(c.targetUp))
+	if began, over := c.overload.look(c.now(), st.Level > 0); began {
+		n.log.Warn("overload began", fieldsOverload(st)...)
+	} else if over {
+		n.log.Info("overload over", fieldsOverload(st)...)
+	}
 }
 
 // gaugeMembers sets the gauges that change with the membership only.
@@ -85,6 +92,14 @@
 	return services, names
 }
 
+// fieldsOverload describes the gate for the log.
+func fieldsOverload(st admission.Stats) []zap.Field {
+	return []zap.Field{
+		zap.Float64("refused_below", st.Level.AsImportance()), zap.Int("limit", st.Limit),
+		zap.Float64("demand", st.Demand), zap.Int("queued", st.Queued),
+	}
+}
+
 // fieldReport describes a crash report for the log.
 func fieldReport(r suspect.Report) []zap.Field {
 	return []zap.Field{zaplog.Target(r.Crash.Target), zap.Int("in_flight", r.InFlight)}
--- a/internal/node/ops.go
+++ b/internal/node/ops.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"strings"
 
 	"github.com/cloudwego/hertz/pkg/app"
 
@@ -38,13 +39,17 @@
 	}
 }
 
+// serveReady answers by what traffic has been given: what control knows may be
+// ahead of it by a tick.
 func (n *Node) serveReady(c *app.RequestContext) {
+	obstacles := []string{obstacleStopping}
 	var s shown
-	if n.control.ask(func() { s = n.control.shown }) && s.ready && s.up && !s.leaving {
+	alive := n.control.ask(func() { s, obstacles = n.control.shown, n.control.obstacles() })
+	if alive && s.open() {
 		c.String(http.StatusOK, "ready\n")
 		return
 	}
-	c.String(http.StatusServiceUnavailable, "not ready\n")
+	c.String(http.StatusServiceUnavailable, "not ready: %s\n", strings.Join(obstacles, "; "))
 }
 
 func (n *Node) serveMetrics(c *app.RequestContext) {
--- a/internal/node/services.go
+++ b/internal/node/services.go
@@ -152,6 +152,11 @@
 	*out = adminapi.StatusReply{
 		Node: st.Name, Service: st.Service, Region: s.node.self.Place.Region, Zone: st.Zone,
 		Ready: st.Ready, Leaving: st.Leaving, Members: st.Members[member.Alive.String()],
+		Build: st.Build.String(), NotReady: st.NotReady,
+		Gate: adminapi.GateStatus{
+			Limit: st.Gate.Limit, Running: st.Gate.Running, Queued: st.Gate.Queued,
+			Demand: st.Gate.Demand, Level: st.Gate.Level,
+		},
 	}
 	c := s.node.control
 	c.ask(func() {
--- /dev/null
+++ b/internal/node/status_test.go
@@ -0,0 +1,28 @@
+package node
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peardrift/internal/core/admission"
+)
+
+// Symptom: /status never shows how many requests a leaving target refused.
+// Events: it drains and refuses. Cause: the count and the state had one name in
+// the JSON that was made of the core's own struct, and the state won.
+func TestStatusShowsTheGateWholeAndByStableNames(t *testing.T) {
+	is := is.New(t)
+	st := admission.Stats{
+		Counts: admission.Counts{Admitted: 1, Overloaded: 2, OverShare: 3, DeadlineShort: 4, Draining: 5, CanceledQueued: 6},
+		Limit:  7, Running: 8, Queued: 9, Level: 30<<16 + 1<<15, Active: true, Demand: 10.5,
+		Service: 1500 * time.Microsecond, Backlog: time.Second, Draining: true,
+	}
+	b, err := json.Marshal(gateOf(st))
+	is.NoErr(err)
+	is.Equal(string(b), `{"limit":7,"running":8,"queued":9,"demand":10.5,"level":30.5,"overloaded":true,`+
+		`"service_ms":1.5,"backlog_ms":1000,"decisions":{"admitted":1,"overloaded":2,"over-share":3,`+
+		`"deadline-too-short":4,"draining":5,"canceled":6}}`)
+}
