Begin the test of a second join with members that know each other

Its premise didn't hold: 150 members that start at once through one seed know each other after 80 to 90 s of virtual time, and the test began after 30 s. What the fleet itself didn't know yet, nobody could tell the new member, before as after; the draws just fell otherwise. The test now waits until all agree; what it asks is unchanged.

Run: go test ./internal/core/member, passed.

--- a/internal/core/member/fault_test.go
+++ b/internal/core/member/fault_test.go
@@ -200,6 +200,9 @@
 func TestJoinAgainWhileFetching(t *testing.T) {
 	is := is.New(t)
 	net := restingNet(150, oneRegion)
+	for net.disagree() != "" {
+		net.run(time.Second) // while they don't all know each other, nobody can tell all
+	}
 	n := net.start(testRecord(500, "bkk", "z0"), net.nodes[0])
 	for !n.s.join.wrapped {
 		net.run(200 * time.Millisecond)
