Let the stand-in target answer until callers have heard of its drain

The stand-in closed its listener as soon as it had nothing in flight, which resets connections that wait in the listener's queue, with bytes of requests sent.

Ruled out: telling such a reset from a crash. No byte of an answer has come in either.

The stand-in now answers 503 until no work has come for a second, 15 s at most.

--- a/bench/cmd/standin-target/main.go
+++ b/bench/cmd/standin-target/main.go
@@ -18,6 +18,11 @@
 	exitUsage = 2
 	exitCrash = 3
 	drainPoll = 10 * time.Millisecond
+	// quiet is longer than the pauses of callers that haven't heard of a drain,
+	// under the loads of the benches.
+	quiet = time.Second
+	// linger bounds the wait for callers that never hear of it.
+	linger = 15 * time.Second
 )
 
 type options struct {
@@ -80,12 +85,25 @@
 	}
 }
 
-// awaitIdle returns when no work is in flight, or at a second signal.
+// awaitIdle returns when no work is in flight and none has come for quiet, after
+// linger at the latest, or at a second signal.
+//
+// A target that closes its listener as soon as it is idle resets the connections
+// in the listener's queue, on which bytes of requests have been sent already. The
+// sender can't tell that from a crash in the middle of a run: now and then an
+// upload was in doubt after a planned stop. Until callers have heard of the drain,
+// a target that drains answers them that it does.
 func awaitIdle(s *target.Server, stop <-chan os.Signal) {
 	t := time.NewTicker(drainPoll)
 	defer t.Stop()
+	began := time.Now()
+	last, asked := began, int64(0)
 	for {
-		if c := s.Counters(); c.InFlight+c.Queued == 0 {
+		c := s.Counters()
+		if c.InFlight+c.Queued > 0 || c.AfterDrain > asked {
+			last, asked = time.Now(), c.AfterDrain
+		}
+		if time.Since(last) > quiet || c.InFlight+c.Queued == 0 && time.Since(began) > linger {
 			return
 		}
 		select {
