Take a target that turns calls away and says so out at once

Cause: a planned stop of a target failed calls until three checks of its health endpoint had failed, three seconds, though it turned calls away all the while. The three are for an endpoint that is slow or wrong for a moment. A call that the target turned away now brings the next check about, and if that says so too the target counts as down; neither alone does, as overloaded targets shed and endpoints lie.

Ruled out: going by sheds alone (an overloaded target is then out), and fewer checks (a slow endpoint is then enough). At most ten such checks a second.

--- a/internal/dataplane/engine.go
+++ b/internal/dataplane/engine.go
@@ -137,6 +137,7 @@
 	repeats  *repeats
 	calls    atomic.Int64
 	closing  atomic.Bool // callers are to go elsewhere
+	onShed   func()
 
 	mu      sync.Mutex
 	callees map[request.Service]*callee
@@ -151,6 +152,7 @@
 		local:   local,
 		claims:  cl,
 		obs:     obs,
+		onShed:  func() {},
 		epoch:   time.Now(),
 		reqs:    newRegistry(),
 		callees: make(map[request.Service]*callee),
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -286,9 +286,16 @@
 	// A target that passes on the refusal of a call below doesn't shed itself.
 	r.shed = s.running.cause() == "" &&
 		resp.StatusCode() == http.StatusServiceUnavailable && len(resp.Header.Peek(wire.HeaderRetryAfter)) > 0
+	if r.shed {
+		e.onShed()
+	}
 	return r
 }
 
+// OnShed sets what is told that the own target turned a call away. Call it before
+// traffic begins; f is called from traffic goroutines and must not block.
+func (e *Engine) OnShed(f func()) { e.onShed = f }
+
 // firstServerError is the least status by which a target says it failed.
 const firstServerError = 500
 
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -20,27 +20,71 @@
 	set    settings.Target
 	client dataplane.Transport
 	report func(up bool)
+	shed   chan struct{} // the target has just turned a call away; room for one
+}
+
+func newHealth(set settings.Target, client dataplane.Transport, report func(up bool)) *health {
+	return &health{set: set, client: client, report: report, shed: make(chan struct{}, 1)}
 }
 
 // downAfter is how many checks must fail in a row before the target counts as
 // down, so that one that is merely slow to answer under load isn't taken out.
 const downAfter = 3
 
+// shedPause is the least time between checks that calls turned away bring about:
+// an overloaded target sheds hundreds a second.
+const shedPause = 100 * time.Millisecond
+
+// verdict is what one check says.
+type verdict int
+
+const (
+	healthy verdict = iota
+	silent          // no answer, or not in time
+	refuses         // the endpoint itself says that the target takes no calls
+)
+
+// hint makes a check due soon. Called from traffic goroutines; it never blocks.
+func (h *health) hint() {
+	select {
+	case h.shed <- struct{}{}:
+	default:
+	}
+}
+
 // run checks until ctx ends.
+//
+// A target that drains turns calls away, and its endpoint says so as well. With
+// the endpoint alone, which may lie for a moment, such a target would get calls
+// and fail them until three checks have failed; with the calls alone, one that is
+// overloaded would be taken out. Both together are enough at once.
 func (h *health) run(ctx context.Context) {
 	tick := time.NewTicker(h.set.HealthPeriod)
 	defer tick.Stop()
-	for failed := 0; ; {
-		if h.check(ctx) {
+	for failed, hinted := 0, false; ; {
+		switch v := h.check(ctx); {
+		case v == healthy:
 			failed = 0
 			h.report(true)
-		} else if failed++; failed >= downAfter {
+		case hinted && v == refuses:
+			failed = downAfter
+		case !hinted:
+			failed++
+		}
+		if failed >= downAfter {
 			h.report(false)
 		}
+		checked := time.Now()
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+			hinted = false
+		case <-h.shed:
+			hinted = true
+			if !wait(ctx, shedPause-time.Since(checked)) {
+				return
+			}
 		}
 	}
 }
@@ -49,9 +93,12 @@
 // calls.
 const firstHealthError = 500
 
-func (h *health) check(ctx context.Context) bool {
+func (h *health) check(ctx context.Context) verdict {
 	if h.set.HealthPath == "" {
-		return h.client.Reachable(h.set.Address)
+		if h.client.Reachable(h.set.Address) {
+			return healthy
+		}
+		return silent
 	}
 	ctx, cancel := context.WithTimeout(ctx, h.set.HealthPeriod)
 	defer cancel()
@@ -63,10 +110,13 @@
 	req.Header.SetHost(h.set.Address)
 	res, err := h.client.Do(ctx, h.set.Address, req, resp)
 	if err != nil {
-		return false
+		return silent
 	}
 	if res.Stream != nil {
 		_ = res.Stream.Close()
 	}
-	return resp.StatusCode() < firstHealthError
+	if resp.StatusCode() >= firstHealthError {
+		return refuses
+	}
+	return healthy
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,7 @@
 	claimPeers *rpc.ClaimPeers
 	claims     *claims.Runner
 	engine     *dataplane.Engine
+	health     *health // of the own target; set by Run
 	control    *control
 	calls      *rpc.Pool
 	server     *rpc.Server
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -18,6 +18,10 @@
 		return err
 	}
 	n.engine.OnCrash(n.crashed)
+	n.health = newHealth(n.set.Target, n.local, func(up bool) {
+		n.control.post(func() { n.control.setTarget(up) })
+	})
+	n.engine.OnShed(n.health.hint)
 	inner, stop := context.WithCancel(context.Background())
 	defer stop()
 	n.start(inner)
@@ -37,10 +41,7 @@
 	n.run(func() { _ = n.server.Serve(n.ln) })
 	n.run(func() { n.control.loop(ctx, member.DefaultConfig().TickEvery) })
 	n.run(func() { n.join(ctx) })
-	h := &health{set: n.set.Target, client: n.local, report: func(up bool) {
-		n.control.post(func() { n.control.setTarget(up) })
-	}}
-	n.run(func() { h.run(ctx) })
+	n.run(func() { n.health.run(ctx) })
 	n.run(func() { every(ctx, probeEvery, func(time.Time) { n.engine.ProbeTargets(n.pool.Submit) }) })
 	n.faces.ops.Start()
 	n.faces.nodes.Start()
