Keep the level of the chain by tenant, and forget targets that left

A node reported one level of the services below for a class, whoever asked: one tenant's flood of a shared callee made callers refuse the other's requests to the service above. The chain is now kept by class and tenant.

A node kept the levels of targets that had left, which counted among the known ones until they were pushed out; now a callee's table forgets them as soon as a view lacks them.

Failed first: TestChainLevelIsATenants (khaosan's level for kalahari), TestLevelsOfTargetsThatLeftAreForgotten (level 0 in place of the others').

--- a/bench/replay/core.go
+++ b/bench/replay/core.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"peardrift/internal/core/admission"
+	"peardrift/internal/core/early"
 	"peardrift/internal/core/request"
 	"peardrift/internal/core/route"
 	"peardrift/internal/status"
@@ -102,11 +103,16 @@
 		limit:    g.n.target.slots,
 	}
 	if g.n.w.pol.ChainLevel {
-		x.chain = g.n.chain.Level(g.n.w.now, request.Class(a.call.tree.class.Name))
+		x.chain = g.n.chain.Level(g.n.w.now, workOf(a.call.tree))
 	}
 	return x
 }
 
+// workOf is what a request is to the chain of a node.
+func workOf(t *tree) early.Work {
+	return early.Work{Class: request.Class(t.class.Name), Tenant: request.Tenant(t.class.Tenant)}
+}
+
 // tenant is the small index of a tenant.
 func (w *world) tenant(name string) uint16 {
 	i := slices.Index(w.tenants, name)
--- a/bench/replay/node.go
+++ b/bench/replay/node.go
@@ -57,7 +57,7 @@
 func (n *node) begin(a *attempt) {
 	a.gated = true
 	n.w.m.decide(decidedAdmit)
-	n.chain.Served(n.w.now, request.Class(a.call.tree.class.Name))
+	n.chain.Served(n.w.now, workOf(a.call.tree))
 	n.offer(a)
 }
 
--- a/internal/core/early/chain.go
+++ b/internal/core/early/chain.go
@@ -21,11 +21,20 @@
 	uses   []use
 }
 
-// Chain holds which callees each class of the node's own service uses.
+// Work is a class of the node's own service, and the tenant it is done for.
+// Symptom if it lacked the tenant: one tenant floods a service below, and the
+// chain's level that is meant for it refuses the other's requests early.
+type Work struct {
+	Class  request.Class
+	Tenant request.Tenant
+}
+
+// Chain holds which callees each class of the node's own service uses for each
+// tenant.
 type Chain struct {
 	cfg     *Config
 	table   *Table
-	classes map[request.Class]*class
+	classes map[Work]*class
 }
 
 // maxUses bounds the callees remembered for a class.
@@ -33,26 +42,26 @@
 
 // NewChain returns a chain that looks up callees' levels in table.
 func NewChain(cfg *Config, table *Table) *Chain {
-	return &Chain{cfg: cfg, table: table, classes: map[request.Class]*class{}}
+	return &Chain{cfg: cfg, table: table, classes: map[Work]*class{}}
 }
 
 // Served counts a request of the class that the own target begins to serve.
-func (c *Chain) Served(now time.Duration, name request.Class) {
-	cl := c.classes[name]
+func (c *Chain) Served(now time.Duration, w Work) {
+	cl := c.classes[w]
 	if cl == nil {
 		if len(c.classes) >= c.cfg.MaxKeys {
 			return
 		}
 		cl = &class{at: now}
-		c.classes[name] = cl
+		c.classes[w] = cl
 	}
 	cl.served = c.decay(cl.served, now-cl.at) + 1
 	cl.at = now
 }
 
 // Used counts the first call that a request of the class makes to a callee.
-func (c *Chain) Used(now time.Duration, name request.Class, k Key) {
-	cl := c.classes[name]
+func (c *Chain) Used(now time.Duration, w Work, k Key) {
+	cl := c.classes[w]
 	if cl == nil {
 		return
 	}
@@ -71,8 +80,8 @@
 // Level returns the level that the services below refuse at for a class: the
 // highest among the callees that at least MinUse of its requests call. A callee
 // that few requests need is left out; those that do call it are refused there.
-func (c *Chain) Level(now time.Duration, name request.Class) request.Level {
-	cl := c.classes[name]
+func (c *Chain) Level(now time.Duration, w Work) request.Level {
+	cl := c.classes[w]
 	if cl == nil {
 		return 0
 	}
--- a/internal/core/early/doc.go
+++ b/internal/core/early/doc.go
@@ -14,9 +14,8 @@
 // node learns of a recovery soon, whatever the traffic.
 //
 // A Chain holds which callees each of the node's own classes uses, and works
-// out from the Table what level the node reports upward for that class. A node
-// that serves several tenants keeps a Chain for each, over one Table: levels are
-// a tenant's.
+// out from the Table what level the node reports upward for that class and
+// tenant.
 //
 // Who calls what: Check before a call is sent (at the entry: before the
 // request's first call) and Learn with each answer. The node of a target calls
--- a/internal/core/early/early_test.go
+++ b/internal/core/early/early_test.go
@@ -96,8 +96,8 @@
 	tab := newTable()
 	cfg := DefaultConfig()
 	chain := NewChain(&cfg, tab)
-	chain.Served(0, "front")
-	chain.Used(0, "front", archive)
+	chain.Served(0, Work{Class: "front"})
+	chain.Used(0, Work{Class: "front"}, archive)
 	for _, r := range []struct {
 		at         time.Duration
 		level, low request.Level
@@ -107,7 +107,7 @@
 	} {
 		learn(tab, r.at, r.level, r.level)
 		is.Equal(tab.Level(r.at, archive), r.low)
-		is.Equal(chain.Level(r.at, "front"), r.level) // passed on as it is
+		is.Equal(chain.Level(r.at, Work{Class: "front"}), r.level) // passed on as it is
 	}
 }
 
@@ -131,17 +131,17 @@
 	rare := Key{Service: "media.khaosan", Class: "read"}
 	for i := range 100 {
 		now := time.Duration(i) * ms
-		chain.Served(now, "headlines")
-		chain.Used(now, "headlines", archive)
+		chain.Served(now, Work{Class: "headlines"})
+		chain.Used(now, Work{Class: "headlines"}, archive)
 		if i%10 == 0 {
-			chain.Used(now, "headlines", rare)
+			chain.Used(now, Work{Class: "headlines"}, rare)
 		}
 	}
 	tab.Learn(100*ms, rare, Report{Target: 1, Chain: pay})
-	is.Equal(chain.Level(100*ms, "headlines"), request.Level(0)) // few requests need it
+	is.Equal(chain.Level(100*ms, Work{Class: "headlines"}), request.Level(0)) // few requests need it
 	learn(tab, 110*ms, feed, feed)
-	is.Equal(chain.Level(110*ms, "headlines"), feed)
-	is.Equal(chain.Level(110*ms, "other"), request.Level(0))
+	is.Equal(chain.Level(110*ms, Work{Class: "headlines"}), feed)
+	is.Equal(chain.Level(110*ms, Work{Class: "other"}), request.Level(0))
 }
 
 func TestOwnLevelHoldsForAllClasses(t *testing.T) {
@@ -172,6 +172,34 @@
 	is.Equal(tab.Check(0, other, 0), Verdict{})
 }
 
+// Symptom: one tenant floods a store that a shared service calls; the other's
+// requests to the service are refused by callers although its share of the store
+// is free. Events: the service serves both tenants' requests of one class, and the
+// store answers the flood's with a high level. Cause: the service reported one
+// level of the chain for the class, whoever asked.
+func TestChainLevelIsATenants(t *testing.T) {
+	is := is.New(t)
+	tab := newTable()
+	chain := NewChain(tab.cfg, tab)
+	for _, tenant := range []request.Tenant{"khaosan", "kalahari"} {
+		w, k := Work{Class: "read", Tenant: tenant}, archive
+		k.Tenant = tenant
+		for range 10 {
+			chain.Served(0, w)
+			chain.Used(0, w, k)
+		}
+		level := request.Level(0)
+		if tenant == "khaosan" {
+			level = feed
+		}
+		for i := range 2 {
+			tab.Learn(0, k, Report{Target: request.TargetID(i + 1), Own: level, Slots: 100})
+		}
+	}
+	is.Equal(chain.Level(0, Work{Class: "read", Tenant: "khaosan"}), feed)
+	is.Equal(chain.Level(0, Work{Class: "read", Tenant: "kalahari"}), request.Level(0))
+}
+
 func TestBounds(t *testing.T) {
 	is := is.New(t)
 	tab := newTable()
@@ -201,19 +229,19 @@
 	chain := NewChain(tab.cfg, tab)
 	learn(tab, 0, make([]request.Level, 16)...)
 	tab.Level(0, archive)
-	chain.Served(0, "headlines")
-	chain.Used(0, "headlines", archive)
+	chain.Served(0, Work{Class: "headlines"})
+	chain.Used(0, Work{Class: "headlines"}, archive)
 	return tab, chain
 }
 
 // serve is what one request with one call costs, with each level worked out anew.
 func serve(tab *Table, chain *Chain, now time.Duration) time.Duration {
 	now += 5 * ms
-	chain.Served(now, "headlines")
-	chain.Used(now, "headlines", archive)
+	chain.Served(now, Work{Class: "headlines"})
+	chain.Used(now, Work{Class: "headlines"}, archive)
 	tab.Check(now, archive, pay)
 	tab.Learn(now, archive, Report{Target: 3, Own: feed, Slots: 100})
-	chain.Level(now, "headlines")
+	chain.Level(now, Work{Class: "headlines"})
 	return now
 }
 
--- a/internal/dataplane/callee.go
+++ b/internal/dataplane/callee.go
@@ -22,7 +22,8 @@
 	brake   retry.Brake
 	decider *retry.Decider
 	costs   map[request.Class]*retry.Cost
-	usual   time.Duration // mean time of whole answers; 0 not known
+	forget  func(request.TargetID) // told of targets that have gone
+	usual   time.Duration          // mean time of whole answers; 0 not known
 }
 
 // usualWeight is the weight of a new time in the mean, as a divisor.
@@ -42,6 +43,7 @@
 		brake:   retry.NewBrake(&e.cfg.Retry, e.now()),
 		decider: retry.NewDecider(&e.cfg.Retry, rng),
 		costs:   make(map[request.Class]*retry.Cost),
+		forget:  e.levels.forget,
 	}
 	e.callees[name] = cl
 	return cl
@@ -55,12 +57,18 @@
 	cl.gen = v.Gen
 	peers := v.Peers(name)
 	ts := make([]route.Target, len(peers))
+	before := cl.addrs
 	cl.addrs = make(map[request.TargetID]string, len(peers))
 	for i, p := range peers {
 		ts[i] = p.Target
 		cl.addrs[p.ID] = p.Addr
 	}
 	cl.table.Update(cl.now(), ts, v.Callers(name))
+	for id := range before {
+		if _, ok := cl.addrs[id]; !ok {
+			cl.forget(id)
+		}
+	}
 }
 
 // choice is a target picked for one attempt.
--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -210,7 +210,7 @@
 		meta:     x.meta,
 	}
 	if x.firstUse(out.key()) {
-		e.levels.used(x.class, out)
+		e.levels.used(x.work(), out)
 	}
 	out.meta.Depth++
 	out.meta.Origin = e.self.Service
--- a/internal/dataplane/levels.go
+++ b/internal/dataplane/levels.go
@@ -57,26 +57,38 @@
 }
 
 // served counts a request that the own target begins to serve.
-func (l *levels) served(class request.Class) {
+func (l *levels) served(w early.Work) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.chain.Served(l.now(), class)
+	l.chain.Served(l.now(), w)
 }
 
-// used counts a call that a request of the class makes.
-func (l *levels) used(class request.Class, c *outgoing) {
+// used counts a call that such a request makes.
+func (l *levels) used(w early.Work, c *outgoing) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.chain.Used(l.now(), class, c.key())
+	l.chain.Used(l.now(), w, c.key())
 }
 
-// below returns the level at which the services below refuse the class.
-func (l *levels) below(class request.Class) request.Level {
+// below returns the level at which the services below refuse such requests.
+func (l *levels) below(w early.Work) request.Level {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.chain.Level(l.now(), class)
+	return l.chain.Level(l.now(), w)
 }
 
 func (c *outgoing) key() early.Key {
 	return early.Key{Service: c.info.Name, Class: c.class.Name, Tenant: c.meta.Tenant}
 }
+
+// forget drops a target that is no member any more.
+func (l *levels) forget(id request.TargetID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table.Forget(id)
+}
+
+// work is what the request is to the chain.
+func (x *running) work() early.Work {
+	return early.Work{Class: x.class, Tenant: x.meta.Tenant}
+}
--- /dev/null
+++ b/internal/dataplane/levels_test.go
@@ -0,0 +1,47 @@
+package dataplane
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peardrift/internal/core/request"
+	"peardrift/internal/core/route"
+	"peardrift/internal/wire"
+)
+
+// Symptom: after half of a service's targets have left, the rest refuses and
+// callers go on sending for seconds, to be refused there. Events: two targets of
+// four answer with no level and leave; the others answer with a high one. Cause:
+// the levels of those that left counted among the service's.
+func TestLevelsOfTargetsThatLeftAreForgotten(t *testing.T) {
+	is := is.New(t)
+	e, info := caller(t)
+	view := *e.view.Load()
+	publish := func(ids ...request.TargetID) {
+		view.Gen++
+		view.Peers = func(request.Service) (out []Peer) {
+			for _, id := range ids {
+				out = append(out, Peer{Addr: "127.0.0.1:1", Target: route.Target{ID: id, Slots: 10, Conns: 100}})
+			}
+			return out
+		}
+		v := view
+		e.Publish(&v)
+		var tried route.Tried
+		_, ok := e.callee(info.Name).pick(&v, &outgoing{info: info}, &tried)
+		is.True(ok)
+	}
+	c := &outgoing{info: info, class: &info.Classes[0]}
+	const high = request.Level(50 << 16)
+	now := time.Duration(0)
+	e.levels.now = func() time.Duration { return now }
+	publish(1, 2, 3, 4)
+	for id, level := range map[request.TargetID]request.Level{1: 0, 2: 0, 3: high, 4: high} {
+		e.levels.learn(c, &result{target: id, answered: true, answer: wire.Answer{Level: level, Limit: 10}})
+	}
+	is.Equal(e.levels.level(c), request.Level(0)) // half of them take more
+	publish(3, 4)
+	is.Equal(e.levels.level(c), high)
+}
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -68,7 +68,7 @@
 		e.refuse(s, fault)
 		return
 	}
-	e.levels.served(s.class.Name)
+	e.levels.served(s.running.work())
 	e.reqs.add(s.running)
 	if s.class.AtMostOnce {
 		e.runOnce(ctx, s)
@@ -361,7 +361,7 @@
 		a.Below = s.running.cause()
 	}
 	if s.running != nil {
-		a.Chain = e.levels.below(s.class.Name)
+		a.Chain = e.levels.below(s.running.work())
 	}
 	// While the answer is a stream the target may still make calls: its
 	// allowance stays open, and what is left then counts as spent.
