--- /dev/null
+++ b/bench/cmd/claims/fleet.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"peardrift/bench/harness"
+	"peardrift/bench/standin/platform"
+	"peardrift/internal/adapter/awstable"
+	"peardrift/internal/adapter/awstable/awscall"
+	"peardrift/internal/adapter/rpc"
+	"peardrift/internal/claims"
+	"peardrift/internal/claims/shared"
+	"peardrift/internal/core/claim/batch"
+	"peardrift/internal/port"
+	"peardrift/internal/status"
+)
+
+// fleet is the claims of some nodes and a platform.
+type fleet struct {
+	platform *platform.Server
+	nodes    []*node
+	sharing  bool
+}
+
+// node is one node's part.
+type node struct {
+	table   *awstable.Table
+	pool    *ants.Pool
+	peers   *rpc.ClaimPeers
+	server  *rpc.Server
+	rows    *shared.Rows
+	control net.Listener
+	claims  *claims.Runner
+}
+
+// background is the size of a node's pool, as in peardriftd.
+const background = 512
+
+// manyNodes makes nodes take a connection for each op.
+const manyNodes = 1000
+
+func newFleet(ctx context.Context, o options, sharing bool) (*fleet, error) {
+	f := &fleet{platform: platform.New(), sharing: sharing}
+	if err := f.platform.Start("127.0.0.1:0"); err != nil {
+		return nil, status.Wrap(harness.CodeHarness, err, "start the platform")
+	}
+	var ms []shared.Member
+	for i := range o.Nodes {
+		n, err := newNode(f.platform.URL(), uint64(i))
+		if err != nil {
+			return f, err
+		}
+		if o.Once {
+			n.peers.SetCount(manyNodes)
+		}
+		f.nodes = append(f.nodes, n)
+		ms = append(ms, shared.Member{ID: uint64(i), Addr: n.control.Addr().String()})
+	}
+	for _, n := range f.nodes {
+		n.rows.SetMembers(ms)
+	}
+	if sharing {
+		if err := f.announce(ctx); err != nil {
+			return f, err
+		}
+	}
+	f.platform.SetFaults(platform.Faults{DelayMS: o.Platform})
+	return f, nil
+}
+
+// announce writes a layout that holds for all keys, before any is used.
+func (f *fleet) announce(ctx context.Context) error {
+	cfg := batch.DefaultConfig()
+	value, err := batch.Layouts{{From: 1, Slot: cfg.Slot, Shards: cfg.Shards}}.Encode()
+	if err != nil {
+		return err
+	}
+	item := port.Item{Key: batch.LayoutKey, Version: 1, Value: value, Token: "claims"}
+	return f.nodes[0].table.Put(ctx, port.Put{Item: item})
+}
+
+func newNode(platformURL string, id uint64) (*node, error) {
+	cfg := awscall.DefaultConfig()
+	cfg.Endpoint, cfg.AccessKey, cfg.SecretKey = platformURL, "access", "secret"
+	n := &node{
+		table:  awstable.New(cfg, "peardrift"),
+		peers:  rpc.NewClaimPeers(rpc.DefaultConfig()),
+		server: rpc.NewServer(rpc.DefaultConfig(), &rpc.Meter{}),
+	}
+	var err error
+	if n.pool, err = ants.NewPool(background, ants.WithNonblocking(true)); err != nil {
+		return nil, status.Wrap(harness.CodeHarness, err, "a node's pool")
+	}
+	n.rows = shared.New(n.table, n.peers, id, n.pool, shared.DefaultConfig(), tally.NoopScope)
+	n.claims = claims.New(n.rows, n.pool, claims.DefaultConfig(), zap.NewNop(), tally.NoopScope)
+	if err := n.server.Register(rpc.ClaimsName, rpc.NewClaimsService(n.rows.Serve, &rpc.Meter{})); err != nil {
+		return nil, err
+	}
+	if n.control, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return nil, status.Wrap(harness.CodeHarness, err, "a node's listener")
+	}
+	go func() { _ = n.server.Serve(n.control) }()
+	return n, nil
+}
+
+// settleTime bounds the wait for outcomes that are still to be recorded.
+const settleTime = 10 * time.Second
+
+// settle waits until all outcomes are recorded.
+func (f *fleet) settle() error {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
+	defer cancel()
+	for _, n := range f.nodes {
+		if err := n.claims.Close(ctx); err != nil {
+			return err
+		}
+	}
+	for _, n := range f.nodes {
+		if err := n.rows.Close(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) close() {
+	for _, n := range f.nodes {
+		n.server.Close()
+		n.peers.Close()
+		n.table.Close()
+		n.pool.Release()
+	}
+	_ = f.platform.Close()
+}
