Tell returns and deaths in short forms, and pack the records of a pull

Returns of members whose contents are known take 10 bytes now, deaths 6, as bytes without a mark of type for each number. What they don't fit is left to the comparison of digests as before.

--- a/internal/adapter/rpc/fuzz_test.go
+++ b/internal/adapter/rpc/fuzz_test.go
@@ -105,6 +105,8 @@
 		{Kind: member.Ask, From: 7, Doubts: []member.Doubt{{Subject: rec.ID, Incarnation: 100, Silence: 1 << 31}}},
 		{Kind: member.Probe, From: rec.ID, Changes: []member.Change{{ID: fuzzRecord(0).ID, Incarnation: 1<<32 - 1, Status: member.Dead}}},
 		{From: 7, Wants: []request.TargetID{rec.ID}, Deaths: []member.Death{{ID: uint32(rec.ID >> 32), Incarnation: 100}}, Got: 1},
+		{From: 7, Backs: member.Backs{{ID: uint32(rec.ID >> 32), Incarnation: 1<<32 - 1}}, Load: []byte{0xdd, 0xff}},
+		{Kind: member.Pull, From: 7, Packed: []byte{0x03, 0x00}, More: true},
 		{From: 7, Digests: []member.Digest{{Sums: make([]uint32, 16)}, {Prefix: 1 << 31, Depth: 9}}},
 		{From: 7, Leaves: []member.Leaf{{Prefix: 3, Depth: 1, Changes: []member.Change{{ID: 1}}, Facts: []member.FactHead{{Kind: 1}}}}},
 		{From: 7, Facts: []member.Fact{{Kind: 1, Key: 1, Version: 1<<64 - 1, Value: make([]byte, 64)}}},
--- a/internal/core/member/exchange.go
+++ b/internal/core/member/exchange.go
@@ -289,10 +289,8 @@
 		m.Records = append(m.Records, e.rec)
 		return e.rec.size(), true
 	}
-	if e.status == Unreachable {
-		if short, ok := s.tab.shortID(e.id); ok {
-			return s.putDeath(m, Death{short, uint16(e.inc)}, room)
-		}
+	if n, done := s.putShort(m, it, e, room); done {
+		return n, n >= 0
 	}
 	if changeSize > room {
 		return -1, false
@@ -301,14 +299,6 @@
 	return changeSize, true
 }
 
-func (s *State) putDeath(m *Message, d Death, room int) (bytes int, ok bool) {
-	if deathSize > room {
-		return -1, false
-	}
-	m.Deaths = append(m.Deaths, d)
-	return deathSize, true
-}
-
 func (s *State) putFact(m *Message, id uint64, room int) (bytes int, ok bool) {
 	f := s.tab.fact(id)
 	if f == nil {
--- a/internal/core/member/fault_test.go
+++ b/internal/core/member/fault_test.go
@@ -205,7 +205,7 @@
 	}
 	n := net.start(testRecord(500, "bkk", "z0"), net.nodes[0])
 	for !n.s.join.wrapped {
-		net.run(200 * time.Millisecond)
+		net.run(20 * time.Millisecond)
 	}
 	is.True(!n.s.Complete())
 	n.s.Join([]Peer{{Control: net.nodes[1].rec.Control}}, []request.Service{"svc1.tenant"})
--- a/internal/core/member/join.go
+++ b/internal/core/member/join.go
@@ -323,18 +323,22 @@
 	if ok {
 		i++
 	}
-	for ; i < len(s.tab.members); i++ {
-		e := &s.tab.members[i]
-		if e.rec == nil || len(m.Services) > 0 && !slices.Contains(m.Services, e.rec.Service) {
-			continue
-		}
-		if e.rec.size()+changeSize > room {
-			return
-		}
-		room -= r.addEntry(e)
-		r.Next = e.id
+	if room < minPull {
+		return
 	}
-	r.More = false
+	if i = s.packPart(m, r, i, room); i >= len(s.tab.members) {
+		r.More = false
+	} else if i > 0 {
+		r.Next = s.tab.members[i-1].id
+	}
+}
+
+// minPull is the least room, in bytes, that is worth an answer to Pull.
+const minPull = 300
+
+// wantsEntry reports whether a Pull asks for a member.
+func (m *Message) wantsEntry(e *entry) bool {
+	return e.rec != nil && (len(m.Services) == 0 || slices.Contains(m.Services, e.rec.Service))
 }
 
 func (s *State) pulled(now time.Duration, to Peer, m *Message) {
--- a/internal/core/member/message.go
+++ b/internal/core/member/message.go
@@ -37,7 +37,8 @@
 	Partial     bool   // the sender is still receiving the whole state
 	Full        bool   // the sender accepts no link; try another member
 	Changes     []Change
-	Deaths      []Death
+	Deaths      Deaths
+	Backs       Backs
 	Facts       []Fact
 	Records     []*Record
 	Wants       []request.TargetID // records that the sender lacks
@@ -48,17 +49,10 @@
 	More        bool              // reply to Pull: there is more after Next
 	Next        request.TargetID  // reply to Pull: where to continue
 	Services    []request.Service // Join: records wanted first
+	Packed      []byte            // reply to Pull: records, see pack
 	Load        []byte            // Heartbeat: what rides along, see Rider
 }
 
-// Death is a Change to Unreachable in short form. Most of what a lost zone makes
-// members tell each other is this, so it matters that it is half the size. A
-// receiver takes it only for a member that it knows and that fits uniquely.
-type Death struct {
-	ID          uint32 // upper half of the identity
-	Incarnation uint16 // lower half of the incarnation
-}
-
 // Doubt says how long an observer has heard nothing from a subject.
 type Doubt struct {
 	Subject     request.TargetID
@@ -92,7 +86,6 @@
 // cost afterwards.
 const (
 	changeSize   = 21
-	deathSize    = 9
 	factSize     = 22 // without the value
 	recordSize   = 34 // without the strings
 	wantSize     = 9
@@ -100,7 +93,7 @@
 	digestSize   = 88
 	leafSize     = 8
 	factHeadSize = 20
-	headerSize   = 57
+	headerSize   = 59
 	loadSize     = 2 // without the bytes
 )
 
@@ -115,7 +108,7 @@
 
 // Size estimates the encoded size of the message in bytes.
 func (m *Message) Size() int {
-	n := headerSize + changeSize*len(m.Changes) + deathSize*len(m.Deaths) + wantSize*len(m.Wants) +
+	n := headerSize + changeSize*len(m.Changes) + m.shortBytes() + len(m.Packed) + wantSize*len(m.Wants) +
 		doubtSize*len(m.Doubts) + digestSize*len(m.Digests)
 	for i := range m.Facts {
 		n += factSize + len(m.Facts[i].Value)
@@ -156,3 +149,12 @@
 
 func (Exchange) action()   {}
 func (Disconnect) action() {}
+
+// shortBytes is the size of the changes in short form.
+func (m *Message) shortBytes() int {
+	n := deathSize*len(m.Deaths) + backSize*len(m.Backs)
+	if n > 0 {
+		n += shortListSize
+	}
+	return n
+}
--- a/internal/core/member/receive.go
+++ b/internal/core/member/receive.go
@@ -26,6 +26,10 @@
 	for _, r := range m.Records {
 		s.applyRecord(now, r, from)
 	}
+	packed, _ := unpack(m.Packed) // what can't be read is found missing by comparing
+	for _, r := range packed {
+		s.applyRecord(now, r, from)
+	}
 	s.meet(now, m, from)
 	for _, c := range m.Changes {
 		s.stats.ItemsReceived++
@@ -35,6 +39,10 @@
 		s.stats.ItemsReceived++
 		s.applyDeath(now, d, from)
 	}
+	for _, b := range m.Backs {
+		s.stats.ItemsReceived++
+		s.applyBack(now, b, from)
+	}
 	for _, f := range m.Facts {
 		s.stats.ItemsReceived++
 		s.applyFact(f, s.allLinks()&^from)
@@ -109,6 +117,16 @@
 	}
 }
 
+// applyBack merges a return in short form. One that doesn't fit is left to the
+// comparison of digests.
+func (s *State) applyBack(now time.Duration, b Back, from uint32) {
+	e := s.tab.byShort(b.ID)
+	if e == nil || e.rec == nil || e.stale || uint16(e.bodySum()&bodyLow) != b.Body {
+		return
+	}
+	s.applyChange(now, Change{ID: e.id, Incarnation: b.Incarnation, Status: Alive, Body: e.bodySum()}, from)
+}
+
 // passOn makes news about a member wait for all links but the one it came from.
 // A new member waits until its record is here, so that whoever hears of it can
 // get the record from whoever told it.
