Let stand-ins play a recorded trace

Callers take the times of arrivals from a trace, bound their back-off and their patience, and say of a refused connection that nothing was sent. Targets make a call with a chance, and write down how long each run held its slot.

Run: go test ./bench/standin/...

--- a/bench/standin/client/attempt.go
+++ b/bench/standin/client/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -34,6 +35,9 @@
 	resp, err := r.http.Do(req)
 	if err != nil {
 		a.Err = status.Wrap(status.CodeConnectionLost, err, "send")
+		if dial := (*net.OpError)(nil); errors.As(err, &dial) && dial.Op == "dial" {
+			a.Err, a.Code = status.Wrap(status.CodeConnectFailed, err, "connect"), string(status.CodeConnectFailed)
+		}
 		return a
 	}
 	defer resp.Body.Close()
--- a/bench/standin/client/client.go
+++ b/bench/standin/client/client.go
@@ -28,7 +28,7 @@
 	defer r.http.CloseIdleConnections()
 	var wg sync.WaitGroup
 	for i, c := range cfg.Classes {
-		if len(c.Phases) > 0 {
+		if len(c.Phases)+len(c.Times) > 0 {
 			wg.Go(func() { r.openLoop(ctx, i, c) })
 		}
 		for range c.Workers {
@@ -54,7 +54,7 @@
 	defer wg.Wait()
 	start := time.Now()
 	rng := rand.New(rand.NewPCG(r.cfg.Seed, uint64(i)))
-	for at := range arrivals(c.Phases, rng) {
+	for at := range c.arrivals(rng) {
 		due := start.Add(at)
 		if sleep(ctx, time.Until(due)) != nil {
 			return
@@ -91,18 +91,22 @@
 	r.rec.update(c.Name, func(s *Stats) { s.Sent++ })
 	for k := 1; ; k++ {
 		a := r.attempt(ctx, c, mark, k)
-		a.Final = a.Result == Completed || k >= c.Attempts || ctx.Err() != nil
+		pause := c.wait(k, a.retryAfter, rng)
+		a.Final = a.Result == Completed || k >= c.Attempts || ctx.Err() != nil || c.tired(time.Since(due)+pause)
 		r.rec.update(c.Name, func(s *Stats) { s.Attempts++ })
 		if r.cfg.Observe != nil {
 			r.cfg.Observe(a)
 		}
-		if a.Final || sleep(ctx, c.wait(k, a.retryAfter, rng)) != nil {
+		if a.Final || sleep(ctx, pause) != nil {
 			r.rec.finish(a, time.Since(due))
 			return
 		}
 	}
 }
 
+// tired reports whether no attempt begins so long after the arrival.
+func (c Class) tired(after time.Duration) bool { return c.Patience > 0 && after >= c.Patience }
+
 // sleep waits for d or for the end of ctx.
 func sleep(ctx context.Context, d time.Duration) error {
 	if d <= 0 {
--- a/bench/standin/client/client_test.go
+++ b/bench/standin/client/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -14,6 +15,7 @@
 	"go.uber.org/goleak"
 
 	"peardrift/bench/standin/target"
+	"peardrift/internal/status"
 	"peardrift/internal/wire"
 )
 
@@ -127,6 +129,46 @@
 	is.True(mean > 3900*time.Millisecond && mean < 4100*time.Millisecond)
 }
 
+func TestWaitIsBounded(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 1))
+	c := Class{Backoff: time.Second, MaxBackoff: 3 * time.Second}
+	var most time.Duration
+	for range 1000 {
+		most = max(most, c.wait(9, 0, rng))
+	}
+	is.True(most > 2*time.Second && most < 3*time.Second)
+}
+
+func TestNoTryAfterThePatience(t *testing.T) {
+	is := is.New(t)
+	refuse := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
+	got, stats := one(t, Class{Attempts: 1000, Backoff: time.Hour, Patience: time.Minute}, refuse)
+	is.Equal(len(got), 1)
+	is.True(got[0].Final)
+	is.Equal(stats.ByResult[Refused], int64(1))
+}
+
+func TestRefusedConnectionIsTold(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(ln.Close())
+	var got Attempt
+	_, err = Run(t.Context(), Config{URLs: []string{"http://" + ln.Addr().String()}, Observe: func(a Attempt) { got = a },
+		Classes: []Class{{Name: "reads", Times: []time.Duration{0}}}})
+	is.NoErr(err)
+	is.Equal(got.Code, string(status.CodeConnectFailed))
+	is.Equal(got.Result, Unknown)
+}
+
+func TestTimesAreArrivals(t *testing.T) {
+	is := is.New(t)
+	times := []time.Duration{time.Second, 3 * time.Second}
+	c := Class{Times: times, Phases: []Phase{{For: time.Second, Rate: 1000}}}
+	is.Equal(slices.Collect(c.arrivals(rand.New(rand.NewPCG(1, 1)))), times)
+}
+
 func TestArrivals(t *testing.T) {
 	is := is.New(t)
 	phases := []Phase{{time.Minute, 100}, {time.Minute, 0}, {time.Minute, 1000}}
--- a/bench/standin/client/config.go
+++ b/bench/standin/client/config.go
@@ -3,6 +3,7 @@
 import (
 	"iter"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -33,6 +34,9 @@
 
 	// Phases are an open loop's arrivals, one after the other.
 	Phases []Phase
+	// Times are an open loop's arrivals since the start, in rising order, in
+	// place of Phases: those of a recorded trace.
+	Times []time.Duration
 	// Workers are a closed loop's callers; each sends its next request when its
 	// last is done.
 	Workers int
@@ -47,6 +51,11 @@
 	// Backoff is the mean wait before the second attempt, doubled for each
 	// further one and drawn evenly from 0 to twice that; 0: none.
 	Backoff time.Duration
+	// MaxBackoff bounds what the doubled wait is drawn from; 0: no bound.
+	MaxBackoff time.Duration
+	// Patience ends a request: no attempt begins later than this after its
+	// arrival. 0: no bound.
+	Patience time.Duration
 	// HonourRetryAfter waits at least as long as an answer asks for.
 	HonourRetryAfter bool
 }
@@ -86,6 +95,15 @@
 	return def
 }
 
+// arrivals yields the times since the start at which the class's requests
+// arrive in an open loop.
+func (c Class) arrivals(rng *rand.Rand) iter.Seq[time.Duration] {
+	if len(c.Times) > 0 {
+		return slices.Values(c.Times)
+	}
+	return arrivals(c.Phases, rng)
+}
+
 // arrivals yields the times since the start at which requests of phases arrive.
 func arrivals(phases []Phase, rng *rand.Rand) iter.Seq[time.Duration] {
 	return func(yield func(time.Duration) bool) {
@@ -111,7 +129,11 @@
 func (c Class) wait(n int, retryAfter time.Duration, rng *rand.Rand) time.Duration {
 	var d time.Duration
 	if c.Backoff > 0 {
-		d = time.Duration(rng.Int64N(int64(2 * c.Backoff << min(n-1, 16))))
+		most := 2 * c.Backoff << min(n-1, 16)
+		if c.MaxBackoff > 0 {
+			most = min(most, c.MaxBackoff)
+		}
+		d = time.Duration(rng.Int64N(int64(most)))
 	}
 	if c.HonourRetryAfter {
 		d = max(d, retryAfter)
--- a/bench/standin/client/report.go
+++ b/bench/standin/client/report.go
@@ -28,8 +28,8 @@
 	Final  bool // no further one follows
 	At     time.Time
 	Took   time.Duration
-	Status int // 0: no answer
-	Code   string
+	Status int    // 0: no answer
+	Code   string // of the answer; connect-failed if nothing could be sent
 	Result Result
 	// Degraded tells of a completed request that optional calls are missing.
 	Degraded bool
--- a/bench/standin/target/calls.go
+++ b/bench/standin/target/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strings"
@@ -27,11 +28,14 @@
 	client *http.Client
 	next   atomic.Uint64
 	count  *counters
+
+	mu  sync.Mutex
+	rng *rand.Rand // draws whether calls with a chance are made
 }
 
 func newCaller(cfg Config, count *counters) *caller {
 	tr := &http.Transport{MaxIdleConnsPerHost: maxIdle, DisableCompression: true}
-	return &caller{cfg: cfg, client: &http.Client{Transport: tr, Timeout: cfg.CallTimeout}, count: count}
+	return &caller{cfg: cfg, client: &http.Client{Transport: tr, Timeout: cfg.CallTimeout}, count: count, rng: rand.New(rand.NewPCG(cfg.Seed, 2))}
 }
 
 func (c *caller) close() { c.client.CloseIdleConnections() }
@@ -42,10 +46,11 @@
 // all makes a route's calls and returns their results in the route's order.
 // The error is the first required call's that failed.
 func (c *caller) all(ctx context.Context, r Route, o origin) ([]Result, error) {
-	results := make([]Result, len(r.Calls))
-	errs := make([]error, len(r.Calls))
+	calls := c.draw(r.Calls)
+	results := make([]Result, len(calls))
+	errs := make([]error, len(calls))
 	var wg sync.WaitGroup
-	for i, call := range r.Calls {
+	for i, call := range calls {
 		if r.Parallel {
 			wg.Go(func() { results[i], errs[i] = c.one(ctx, call, o) })
 			continue
@@ -57,13 +62,26 @@
 	}
 	wg.Wait()
 	for i, err := range errs {
-		if err != nil && r.Calls[i].Required {
+		if err != nil && calls[i].Required {
 			return results, err
 		}
 	}
 	return results, nil
 }
 
+// draw returns the calls that this run makes.
+func (c *caller) draw(calls []Call) []Call {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	made := make([]Call, 0, len(calls))
+	for _, call := range calls {
+		if call.Chance == 0 || c.rng.Float64() < call.Chance {
+			made = append(made, call)
+		}
+	}
+	return made
+}
+
 func (c *caller) one(ctx context.Context, call Call, o origin) (Result, error) {
 	res := Result{Service: call.Service, Path: call.Path}
 	var err error
--- a/bench/standin/target/config.go
+++ b/bench/standin/target/config.go
@@ -68,6 +68,10 @@
 	// service, path, key and mark, with tabs between. It outlives the process, so
 	// that runs are counted though their target is killed.
 	RunsFile string `yaml:"runs_file"`
+	// WorkFile, if set, is a file to which each run adds a line when it ends:
+	// service, path, mark, begin (Unix time in µs) and the time that it held its
+	// slot (µs), with tabs between.
+	WorkFile string `yaml:"work_file"`
 	// CallTimeout bounds one outgoing call; default 10s.
 	CallTimeout time.Duration `yaml:"call_timeout"`
 	// Routes is tried in order; the first whose method and prefix match runs.
@@ -102,6 +106,8 @@
 	Path    string `yaml:"path"`
 	// Key sends an Idempotency-Key derived from the request's own.
 	Key bool `yaml:"key"`
+	// Chance is the probability that the call is made, 0 to 1; 0: always.
+	Chance float64 `yaml:"chance"`
 	// Required fails the whole request when the call fails.
 	Required bool `yaml:"required"`
 	// Attempts is how often the call is tried in all; default 1.
--- a/bench/standin/target/handler.go
+++ b/bench/standin/target/handler.go
@@ -172,6 +172,7 @@
 	}
 	defer func() { <-s.slots }()
 	s.noteRun(j)
+	defer s.noteWork(j, time.Now())
 	s.count.start(j.route.Method+" "+j.route.Prefix, j.origin.key)
 	defer s.count.update(func(c *Counters) { c.InFlight-- })
 
--- a/bench/standin/target/server.go
+++ b/bench/standin/target/server.go
@@ -28,6 +28,7 @@
 	loads loadLog
 	count counters
 	runs  *os.File // nil: not written
+	held  *os.File // nil: not written
 	calls *caller
 	drain atomic.Pointer[time.Time] // since when it drains
 
@@ -58,7 +59,11 @@
 	if err := s.cfg.Validate(); err != nil {
 		return err
 	}
-	if err := s.openRuns(); err != nil {
+	var err error
+	if s.runs, err = appendTo(s.cfg.RunsFile); err != nil {
+		return err
+	}
+	if s.held, err = appendTo(s.cfg.WorkFile); err != nil {
 		return err
 	}
 	s.pace.restart(time.Now(), s.cfg.ColdFor)
@@ -77,15 +82,16 @@
 	return nil
 }
 
-func (s *Server) openRuns() (err error) {
-	if s.cfg.RunsFile == "" {
-		return nil
+// appendTo opens a file of lines; nil for none.
+func appendTo(name string) (*os.File, error) {
+	if name == "" {
+		return nil, nil
 	}
-	s.runs, err = os.OpenFile(s.cfg.RunsFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	f, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return status.Wrap(status.CodeInvalidSettings, err, "runs_file")
+		return nil, status.Wrap(status.CodeInvalidSettings, err, "open %s", name)
 	}
-	return nil
+	return f, nil
 }
 
 // noteRun adds a run to the file of runs, by one write, so that lines of
@@ -96,6 +102,14 @@
 	}
 }
 
+// noteWork adds a run that has ended to the file of work.
+func (s *Server) noteWork(j job, began time.Time) {
+	if s.held != nil {
+		_, _ = fmt.Fprintf(s.held, "%s\t%s\t%s\t%d\t%d\n", s.cfg.Service, j.path, j.origin.mark,
+			began.UnixMicro(), time.Since(began).Microseconds())
+	}
+}
+
 // Addr returns the address in use.
 func (s *Server) Addr() string { return s.http.Addr() }
 
@@ -110,6 +124,7 @@
 	s.calls.close()
 	s.sampling.Wait()
 	_ = s.runs.Close() // of no file is an error that nobody needs
+	_ = s.held.Close()
 	return err
 }
 
--- a/bench/standin/target/target_test.go
+++ b/bench/standin/target/target_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -102,6 +104,30 @@
 	is.Equal(archive.Counters().Runs[" /"]["m1/morning"], 1)
 }
 
+func TestCallsWithAChance(t *testing.T) {
+	is := is.New(t)
+	archive := start(t, target.DefaultConfig("archive.khaosan"))
+	cfg := target.DefaultConfig("feed.khaosan")
+	cfg.ServiceTime = time.Microsecond
+	cfg.WorkFile = filepath.Join(t.TempDir(), "work")
+	cfg.Direct = map[string][]string{"archive.khaosan": {archive.URL()}}
+	cfg.Routes = []target.Route{{Prefix: "/", Calls: []target.Call{{Service: "archive.khaosan", Path: "/x", Chance: 0.5}}}}
+	feed := start(t, cfg)
+	const runs = 100
+	for range runs {
+		code, body, err := do(t.Context(), "GET", feed.URL()+"/?mark=a", nil, "")
+		is.NoErr(err)
+		is.Equal(code, 200)
+		_, err = target.Verify([]byte(body), "a")
+		is.NoErr(err)
+	}
+	made := feed.Counters().Calls // the draws are seeded
+	is.True(made > runs/4 && made < 3*runs/4)
+	lines, err := os.ReadFile(cfg.WorkFile)
+	is.NoErr(err)
+	is.Equal(strings.Count(string(lines), "feed.khaosan\t/\ta\t"), runs)
+}
+
 func TestRequiredCallFailsTheWhole(t *testing.T) {
 	for _, tc := range []struct {
 		required bool
