Play the worst case on real processes, beside the replay of the same trace

bench/overload runs a deployment of the replay as real processes: the same slots, service times, calls and trace, made small enough that slots are the narrow place; through nodes and, in the same run, straight at targets without nodes. It judges what callers were told against what targets ran (nothing twice, no false "not run", no wrong or partial answer), and prints goodput, order, recovery, useless slot time and tries beside the replay's.

--- /dev/null
+++ b/bench/overload/lab.go
@@ -0,0 +1,129 @@
+package overload
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"peardrift/bench/harness"
+	"peardrift/bench/standin/target"
+	"peardrift/internal/settings"
+	"peardrift/internal/status"
+)
+
+const (
+	startTime  = 90 * time.Second // more than a start takes on a busy machine
+	workSuffix = ".work"
+	runsSuffix = ".runs"
+)
+
+// Lab is a case's running processes: targets with nodes, and as many without.
+// Use it from one goroutine; call Close at the end.
+type Lab struct {
+	Case  *Case
+	Fleet *harness.Fleet
+	Dump  *Dump  // of the runs through nodes; nil for none
+	seed  uint64 // of the last target's draws
+}
+
+// Open starts the processes of a case and puts its sets in force.
+func Open(ctx context.Context, bins harness.Bins, c *Case) (*Lab, error) {
+	f, err := harness.New(bins)
+	if err != nil {
+		return nil, err
+	}
+	l := &Lab{Case: c, Fleet: f}
+	if err := l.start(ctx); err != nil {
+		l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// Close ends all processes.
+func (l *Lab) Close() { l.Fleet.Close() }
+
+func (l *Lab) start(ctx context.Context) error {
+	f := l.Fleet
+	f.TuneTarget = l.tune
+	f.Tune = func(_ *harness.Host, s *settings.Settings) {
+		for _, other := range f.Hosts { // those planned before it
+			s.Peers = append(s.Peers, other.Addr.Control)
+		}
+	}
+	for _, d := range l.Case.deployments() {
+		if err := f.Add(d); err != nil {
+			return err
+		}
+		if err := f.AddDirect(d); err != nil {
+			return err
+		}
+	}
+	if err := f.Start(); err != nil {
+		return err
+	}
+	for _, tenant := range l.Case.tenants() {
+		if err := l.apply(ctx, tenant); err != nil {
+			return err
+		}
+	}
+	if err := f.Ready(startTime); err != nil {
+		return err
+	}
+	return f.Converged(startTime)
+}
+
+// tune makes a target what the replay's is. One without a node tries each of
+// its calls as often as the replay's baseline.
+func (l *Lab) tune(h *harness.Host, c *target.Config) {
+	l.seed++
+	c.Seed, c.Dist, c.Sigma = l.seed, target.DistLognormal, spread
+	c.RunsFile = filepath.Join(l.Fleet.Dir, h.Name+runsSuffix)
+	c.WorkFile = filepath.Join(l.Fleet.Dir, h.Name+workSuffix)
+	c.CallTimeout = l.Case.Dep.Timeout
+	for _, s := range l.Case.Dep.Services {
+		if l.Case.full(s.Name) == h.Service {
+			c.Queue = s.Connections - s.Slots
+		}
+	}
+	if c.Direct == nil {
+		return
+	}
+	for i := range c.Routes {
+		for k := range c.Routes[i].Calls {
+			c.Routes[i].Calls[k].Attempts = straightTries
+		}
+	}
+}
+
+// straightTries is the usual default of three attempts at each hop.
+const straightTries = 3
+
+func (l *Lab) apply(ctx context.Context, tenant string) error {
+	dir := filepath.Join(l.Fleet.Dir, "set-"+tenant)
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return status.Wrap(harness.CodeHarness, err, "folder of the set")
+	}
+	if err := os.WriteFile(filepath.Join(dir, "set.yaml"), []byte(l.Case.set(tenant)), 0o600); err != nil {
+		return status.Wrap(harness.CodeHarness, err, "write the set")
+	}
+	_, _, err := l.Fleet.Tool(ctx, "apply", "--base", strconv.Itoa(0), "--node", l.Fleet.Hosts[0].Addr.Control, dir)
+	return err
+}
+
+// hosts returns the instances of a service, with nodes or without.
+func (l *Lab) hosts(service string, nodes bool) []*harness.Host {
+	all := l.Fleet.Direct
+	if nodes {
+		all = l.Fleet.Hosts
+	}
+	var out []*harness.Host
+	for _, h := range all {
+		if h.Service == l.Case.full(service) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/bench/overload/table.go
@@ -0,0 +1,121 @@
+package overload
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"peardrift/bench/replay"
+	"peardrift/bench/standin/client"
+)
+
+// Print writes an outcome as tables: the whole, the classes in the trigger, and
+// goodput over time.
+func (o *Outcome) Print(w io.Writer) error {
+	h, d := o.Case.Trace.Header, o.Case.Dep
+	fmt.Fprintf(w, "\n%s, %s, seed %d: %v before, %v of the trigger, %v after; ", h.Deployment, h.Scenario, h.Seed,
+		h.From, h.To-h.From, h.Lasts-h.To)
+	fmt.Fprintf(w, "sustainable %.0f requests/s, highest possible in the trigger %.0f.\n", d.Sustainable(), o.Replayed.Best)
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(tw, "\tgoodput/s\tof highest\timportant served\tfirst try\trecovery\tuseless work\timportant refused\twith lesser done\tsent per need\ttries a request\t")
+	if o.Nodes != nil {
+		o.whole(tw, "nodes", o.Nodes)
+	}
+	o.replayed(tw, "replay", o.Replayed)
+	if o.Straight != nil {
+		o.whole(tw, "straight", o.Straight)
+	}
+	o.replayed(tw, "replay, no control", o.Uncontrolled)
+	if err := tw.Flush(); err != nil || o.Nodes == nil {
+		return err
+	}
+	o.verdicts(w)
+	if err := o.classes(w); err != nil {
+		return err
+	}
+	return o.goodput(w)
+}
+
+func (o *Outcome) replayed(w io.Writer, name string, r *replay.Result) {
+	fmt.Fprintf(w, "%s\t%.1f\t%.1f%%\t%.1f%%\t%.1f%%\t%s\t%.1f%%\t%d\t%d\t", name, r.Surge, percent(r.OfBest()), percent(r.Important()),
+		percent(r.ImportantFirst()), recovery(r), percent(r.Useless), r.Refused, r.Inverted)
+	fmt.Fprint(w, "\t\t\n")
+}
+
+func (o *Outcome) whole(w io.Writer, name string, m *Measured) {
+	r := &m.Result
+	fmt.Fprintf(w, "%s\t%.1f\t%.1f%%\t%.1f%%\t%.1f%%\t%s\t%.1f%%\t%d\t%d\t%.2f\t%.2f\t\n", name, r.Surge, percent(r.OfBest()), percent(r.Important()),
+		percent(r.ImportantFirst()), recovery(r), percent(r.Useless), r.Refused, r.Inverted, m.PerDone, float64(m.Tries)/float64(max(1, m.Requests)))
+}
+
+func percent(part float64) float64 { return 100 * part }
+
+func recovery(r *replay.Result) string {
+	if !r.Recovered {
+		return "not in " + r.Recovery.String()
+	}
+	return fmt.Sprintf("%.1fs", r.Recovery.Seconds())
+}
+
+// verdicts prints what callers were told in the end, what was broken, and why
+// tries didn't complete.
+func (o *Outcome) verdicts(w io.Writer) {
+	for _, m := range []struct {
+		name string
+		of   *Measured
+	}{{"nodes", o.Nodes}, {"straight", o.Straight}} {
+		if m.of == nil {
+			continue
+		}
+		fmt.Fprintf(w, "%s: %d requests:", m.name, m.of.Requests)
+		for _, r := range []client.Result{client.Completed, client.Refused, client.Failed, client.Unknown} {
+			fmt.Fprintf(w, " %d %s", m.of.Results[r], r)
+		}
+		fmt.Fprintf(w, "; %d ran twice, %d falsely not run, %d wrong, %d partial. Tries by code:",
+			m.of.Broken.Twice, m.of.Broken.FalseNot, m.of.Broken.Wrong, m.of.Broken.Partial)
+		for _, code := range slices.Sorted(maps.Keys(m.of.Codes)) {
+			fmt.Fprintf(w, " %d %q", m.of.Codes[code], code)
+		}
+		fmt.Fprintln(w, ".")
+	}
+}
+
+// classes prints what became of each class in the trigger.
+func (o *Outcome) classes(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(tw, "class\timportance\tdemand/s\thighest\tnodes\treplay\tstraight\tserved: nodes\treplay\tstraight\tfirst try: nodes\treplay\t")
+	for _, c := range o.Case.Dep.Classes {
+		n, r, s := o.Nodes.Classes[c.Name], o.Replayed.Classes[c.Name], replay.ClassResult{}
+		if o.Straight != nil {
+			s = o.Straight.Classes[c.Name]
+		}
+		fmt.Fprintf(tw, "%s\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f%%\t%.1f%%\t%.1f%%\t%.1f%%\t%.1f%%\t\n", c.Name, c.Importance, n.Demand, n.Best,
+			n.Done, r.Done, s.Done, percent(n.Served), percent(r.Served), percent(s.Served), percent(n.First), percent(r.First))
+	}
+	return tw.Flush()
+}
+
+// goodput prints goodput of each second.
+func (o *Outcome) goodput(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(tw, "second\tnodes\treplay\tstraight\t")
+	step := int(time.Second / replay.Bin)
+	for i := 0; i+step <= len(o.Nodes.Goodput); i += step {
+		fmt.Fprintf(tw, "%d\t%.0f\t%.0f\t", i/step, mean(o.Nodes.Goodput[i:i+step]), mean(o.Replayed.Goodput[i:i+step]))
+		if o.Straight != nil {
+			fmt.Fprintf(tw, "%.0f", mean(o.Straight.Goodput[i:i+step]))
+		}
+		fmt.Fprint(tw, "\t\n")
+	}
+	return tw.Flush()
+}
+
+func mean(x []float64) (sum float64) {
+	for _, v := range x {
+		sum += v / float64(len(x))
+	}
+	return sum
+}
--- a/bench/replay/result.go
+++ b/bench/replay/result.go
@@ -78,7 +78,7 @@
 	}
 	r.Normal = meanOf(r.Goodput[min(int(warmUp/bin), from/2):from])
 	r.Surge = meanOf(r.Goodput[from:to])
-	r.Recovery, r.Recovered = recovery(r.Goodput, to, r.Normal)
+	r.Recovery, r.Recovered = Recovery(r.Goodput, to, r.Normal)
 	if all := m.useful + m.useless; all > 0 {
 		r.Useless = float64(m.useless) / float64(all)
 	}
@@ -98,7 +98,9 @@
 	recoveredAt    = 0.95
 )
 
-func recovery(goodput []float64, end int, normal float64) (time.Duration, bool) {
+// Recovery is how long after the bin end, the end of the trigger, goodput is back at
+// normal, and whether it came back at all.
+func Recovery(goodput []float64, end int, normal float64) (time.Duration, bool) {
 	w, stable := int(recoveryWindow/bin), int(stableFor/bin)
 	for i := end; i+w+stable <= len(goodput); i++ {
 		if meanOf(goodput[i:i+w]) >= recoveredAt*normal && meanOf(goodput[i:i+stable]) >= recoveredAt*normal {
