Measure larger fleets, their cost at rest and a drain in rollout

A node is told to stop while others call its service: its target's own file of work says when the last call began.

--- a/bench/cmd/rollout/main.go
+++ b/bench/cmd/rollout/main.go
@@ -1,15 +1,16 @@
 // Command rollout measures, on real processes of both deployments, how long a
 // configuration takes from the operators' tool to being in force on every node,
-// and what control costs a node meanwhile.
+// how long a target that leaves goes on getting calls, and what control costs a
+// node at rest. Targets are lean ones, so that many nodes fit on one machine.
 package main
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -24,11 +25,12 @@
 
 type options struct {
 	Changes int           `long:"changes" default:"5" description:"changes applied one after the other"`
-	Rest    time.Duration `long:"rest" default:"20s" description:"how long control's bytes are counted at rest"`
+	Rest    time.Duration `long:"rest" default:"20s" description:"how long control's cost is counted at rest"`
+	Times   int           `long:"times" default:"1" description:"run this many times the targets of both deployments, 33 in all"`
+	Within  time.Duration `long:"within" default:"2m" description:"give up what takes longer than this"`
 }
 
 const (
-	within  = time.Minute // that only a broken fleet needs
 	tenant  = request.Tenant("khaosan")
 	example = "khaosan"
 )
@@ -52,27 +54,26 @@
 		return status.Wrap(harness.CodeHarness, err, "folder of the programs")
 	}
 	defer os.RemoveAll(bin)
-	root, f, err := start(ctx, bin)
+	root, f, err := start(ctx, bin, o)
 	if f != nil {
 		defer f.Close()
 	}
 	if err != nil {
 		return err
 	}
-	fmt.Printf("%d nodes know one another.\n", len(f.Hosts))
 	if err := rest(ctx, f, o.Rest); err != nil {
 		return err
 	}
 	sets := filepath.Join(f.Dir, "sets")
 	for i := range o.Changes {
-		if err := change(ctx, f, filepath.Join(root, "examples", example), sets, int64(i+1)); err != nil {
+		if err := change(ctx, f, filepath.Join(root, "examples", example), sets, int64(i+1), o.Within); err != nil {
 			return err
 		}
 	}
-	return nil
+	return drain(ctx, f)
 }
 
-func start(ctx context.Context, bin string) (string, *harness.Fleet, error) {
+func start(ctx context.Context, bin string, o options) (string, *harness.Fleet, error) {
 	root, err := harness.Root()
 	if err != nil {
 		return "", nil, err
@@ -81,15 +82,25 @@
 	if err != nil {
 		return "", nil, err
 	}
+	whole := bins.Target
+	if bins.Target, err = harness.BuildOne(root, bin, "./bench/cmd/standin-lean"); err != nil {
+		return "", nil, err
+	}
 	f, err := harness.New(bins)
 	if err != nil {
 		return "", nil, err
 	}
+	f.TuneTarget = noteWork(f)
 	for _, d := range deploy.All() {
+		for i := range d.Services {
+			d.Services[i].Targets *= o.Times
+		}
 		if err := f.Add(d); err != nil {
 			return "", f, err
 		}
 	}
+	leaver(f).Program = whole
+	began := time.Now()
 	if err := f.Start(); err != nil {
 		return "", f, err
 	}
@@ -98,49 +109,16 @@
 			return "", f, err
 		}
 	}
-	return root, f, f.Converged(within)
-}
-
-// rest prints what control costs while nothing changes.
-func rest(ctx context.Context, f *harness.Fleet, d time.Duration) error {
-	before, err := spent(f)
-	if err != nil {
-		return err
-	}
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	after, err := spent(f)
-	if err != nil {
-		return err
-	}
-	rates := make([]int64, len(after))
-	for i := range after {
-		rates[i] = int64(float64(after[i]-before[i]) / d.Seconds())
-	}
-	slices.Sort(rates)
-	fmt.Printf("Control at rest over %v, bytes/s a node, sent and received: least %d, median %d, most %d.\n",
-		d, rates[0], rates[len(rates)/2], rates[len(rates)-1])
-	return nil
-}
-
-func spent(f *harness.Fleet) ([]int64, error) {
-	out := make([]int64, len(f.Hosts))
-	for i, h := range f.Hosts {
-		s, err := h.Status()
-		if err != nil {
-			return nil, err
-		}
-		out[i] = s.Control.Bytes
+	if err := errors.Join(f.Ready(o.Within), f.Converged(o.Within)); err != nil {
+		return "", f, err
 	}
-	return out, nil
+	fmt.Printf("%d nodes were ready and knew one another %v after the first was started.\n", len(f.Hosts), time.Since(began).Round(time.Millisecond))
+	return root, f, nil
 }
 
 // change applies a set with another service and waits until every
 // node has it in force.
-func change(ctx context.Context, f *harness.Fleet, from, to string, base int64) error {
+func change(ctx context.Context, f *harness.Fleet, from, to string, base int64, within time.Duration) error {
 	if err := vary(from, to, base); err != nil {
 		return err
 	}
--- a/bench/harness/fleet.go
+++ b/bench/harness/fleet.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"os"
@@ -22,6 +23,7 @@
 	Name, Zone, Service string
 	Target, Node        *Process
 	Addr                Addrs
+	Program             string // of the target; empty: the fleet's
 	targetFile          string
 	nodeFile            string
 }
@@ -175,7 +177,7 @@
 // StartTarget starts a host's target, again if it has ended.
 func (f *Fleet) StartTarget(h *Host) (err error) {
 	f.ports.release(h.Addr.Target)
-	h.Target, err = f.run(h.Name+"-target", f.Bins.Target, "--config", h.targetFile)
+	h.Target, err = f.run(h.Name+"-target", cmp.Or(h.Program, f.Bins.Target), "--config", h.targetFile)
 	return err
 }
 
--- /dev/null
+++ b/bench/harness/usage.go
@@ -0,0 +1,49 @@
+package harness
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// tick is the unit of processor time in /proc: USER_HZ is 100 on Linux.
+const tick = 10 * time.Millisecond
+
+// Positions of user and system time in /proc/PID/stat, counted after the
+// program's name in parentheses.
+const (
+	fieldUser   = 11
+	fieldSystem = 12
+)
+
+// CPU returns the processor time that the process has used; 0 if it has ended.
+func (p *Process) CPU() (used time.Duration) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Pid()))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(b), ") ")
+	fields := strings.Fields(rest)
+	for _, i := range []int{fieldUser, fieldSystem} {
+		if n, err := strconv.ParseInt(fields[i], 10, 64); err == nil {
+			used += time.Duration(n) * tick
+		}
+	}
+	return used
+}
+
+// Resident returns the process's resident memory in bytes; 0 if it has ended.
+func (p *Process) Resident() int64 {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.Pid()))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(b))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseInt(fields[1], 10, 64)
+	return pages * int64(os.Getpagesize())
+}
