--- a/bench/overload/measure.go
+++ b/bench/overload/measure.go
@@ -1,6 +1,7 @@
 package overload
 
 import (
+	"strings"
 	"time"
 
 	"peardrift/bench/replay"
@@ -15,7 +16,11 @@
 	Broken Broken
 	// PerDone is how many requests the deep service's targets were sent for each
 	// that the completed requests need.
-	PerDone  float64
+	PerDone float64
+	// Held is how long targets that call nobody held their slots before the
+	// trigger, for each second that they were told to: above 1 by what the
+	// machine adds.
+	Held     float64
 	Requests int
 	Tries    int // of clients
 	Results  map[client.Result]int
@@ -30,7 +35,9 @@
 	classes map[string]*series
 	useful  time.Duration
 	useless time.Duration
-	needed  float64 // calls of the deep service that completed requests need
+	held    time.Duration // before the trigger, at targets that call nobody
+	told    time.Duration // the mean of that by the settings
+	needed  float64       // calls of the deep service that completed requests need
 	refused map[int]map[string]int
 	done    map[int]map[string]bool
 }
@@ -52,8 +59,12 @@
 	for mark, as := range p.attempts {
 		t.request(p.start, as)
 		t.spent(as, work[mark])
+		t.hold(p.start, as[0].Class, work[mark])
 	}
 	t.finish()
+	if t.told > 0 {
+		t.out.Held = t.held.Seconds() / t.told.Seconds()
+	}
 	if t.needed > 0 {
 		t.out.PerDone = float64(p.deep) / t.needed
 	}
@@ -143,6 +154,20 @@
 	}
 }
 
+// hold compares the slot time of runs that call nobody with what their targets
+// were told.
+func (t *tally) hold(start time.Time, class string, runs []run) {
+	for _, r := range runs {
+		service, _, _ := strings.Cut(r.service, ".")
+		call := at(t.l.Case.Dep.Class(class), service)
+		if call == nil || len(call.Steps) > 0 || r.began.Sub(start) >= t.header.From {
+			continue
+		}
+		t.held += r.held
+		t.told += call.Work
+	}
+}
+
 // finish works out the figures of the whole run.
 func (t *tally) finish() {
 	d, h, r := t.l.Case.Dep, t.header, &t.out.Result
--- a/bench/overload/table.go
+++ b/bench/overload/table.go
@@ -79,7 +79,7 @@
 		for _, code := range slices.Sorted(maps.Keys(m.of.Codes)) {
 			fmt.Fprintf(w, " %d %q", m.of.Codes[code], code)
 		}
-		fmt.Fprintln(w, ".")
+		fmt.Fprintf(w, ". Before the trigger targets held slots %.2f times as long as told.\n", m.of.Held)
 	}
 }
 
