Let a node's own code run on two processors at most

Cause: a node that has little to do wakes a thread for each call and another to look for more work, on as many processors as its machine has.

GOMAXPROCS in the environment takes precedence, as before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -78,6 +78,7 @@
 // serve runs the node until SIGTERM or SIGINT; a second one ends it at once.
 func serve(set settings.Settings, stderr io.Writer) int {
 	tuneGC()
+	tuneProcs()
 	// Either signal would end the process with all its calls in the middle.
 	// SIGPIPE comes of a log line written to a standard error whose reader has
 	// gone; ignored, the write fails and the line is lost. SIGHUP comes of a
