Test that bytes which are here before a call are not its answer

Two guards of the client could be taken out without any test noticing: that a connection that isn't watched yet may have bytes waiting, and that bytes may come between taking it and ending the watch. Each has a test that fails without it ("no != ok").

--- /dev/null
+++ b/internal/adapter/hertzhttp/stray_test.go
@@ -0,0 +1,67 @@
+package hertzhttp
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/matryer/is"
+
+	"peardrift/internal/core/conn"
+)
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// Symptom: a caller gets the answer to an earlier request.
+// Events: a peer's answer comes twice, at once; the connection isn't watched yet
+// when the next call takes it. Cause: bytes that are here already are taken for the
+// answer to the next request.
+func TestSecondAnswerIsNotTheNextOne(t *testing.T) {
+	is := is.New(t)
+	addr := peer(t, func(n int, c net.Conn, _ *http.Request) {
+		if n == 0 {
+			write(c, okAnswer+"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno")
+			return
+		}
+		write(c, okAnswer)
+	})
+	cfg := DefaultClientConfig()
+	cfg.WatchAfter = time.Hour
+	cl := NewClient(cfg)
+	defer cl.Close()
+	for range 2 {
+		var resp protocol.Response
+		_, err := cl.Do(context.Background(), addr, get("/"), &resp)
+		is.NoErr(err)
+		is.Equal(string(resp.Body()), "ok")
+	}
+}
+
+// Symptom: as above, rarely.
+// Events: the bytes come after a call has taken the connection from the pool, and
+// before it has ended the watch. Cause: only connections that are idle are dropped.
+func TestBytesBetweenTakeAndSend(t *testing.T) {
+	is := is.New(t)
+	stray := make(chan struct{})
+	addr := peer(t, func(_ int, c net.Conn, _ *http.Request) {
+		write(c, okAnswer)
+		<-stray
+		write(c, okAnswer)
+	})
+	cl := NewClient(DefaultClientConfig())
+	defer cl.Close()
+	var resp protocol.Response
+	_, err := cl.Do(context.Background(), addr, get("/"), &resp)
+	is.NoErr(err)
+	c, offer := cl.pool(addr).take("")
+	is.Equal(offer, conn.Reuse)
+	close(stray)
+	for len(c.watched) == 0 { // until the watch has seen the bytes
+		time.Sleep(time.Millisecond)
+	}
+	is.True(!c.unwatch())
+	cl.pool(addr).end(c, conn.Aborted)
+}
