--- a/bench/e2e/path_test.go
+++ b/bench/e2e/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -137,3 +138,31 @@
 		return resp.Header.Get("Peardrift-Outcome") == "completed"
 	})
 }
+
+// Symptom: an upload is answered as unknown, or its target takes the rest of it for
+// the whole.
+// Events: the first target that it is sent to refuses it, as it leaves, when part of
+// the body has been sent. Cause: the upload is sent on to another target, although
+// its body is gone.
+func TestRefusedUploadIsNotSentOn(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, threeServices())
+	c.add("feed-1", chainConfig("feed.khaosan", 10), nil)
+	for n := range 2 {
+		c.add(fmt.Sprintf("media-%d", n), chainConfig("media.khaosan", 10), nil)
+	}
+	c.hosts[1].leaves = true
+	refused := 0
+	for n := range 20 {
+		c.publish() // as seen by all others anew
+		to, err := c.ask(c.hosts[0], query{method: "POST", host: "media.khaosan", path: "/m", body: 300_000}, fmt.Sprint("mark-", n))
+		is.NoErr(err)
+		if to.outcome == "refused" {
+			is.Equal(to.code, "draining")
+			refused++
+			continue
+		}
+		is.Equal(to.outcome, "completed")
+	}
+	is.True(refused > 0)
+}
