Build the programs of process tests in one place, and try the other listeners

badinput and mainjob each had the same 45 lines that take a turn and build the programs; bench/harness/harnesstest has them now.

The list of bad requests had nothing for the target's own listener, and for the nodes' listener only a call without headers. New rows: importance, deadline, allowance and depth out of range, a call without a trace, unknown services and foreign or broken traces from the target, nonsense for each listener, lengths without end for control.

A line of a refused call had neither the field "outcome", which logs.md lists, nor anything to say in "attempts" and "retry" where no attempt was made.

--- a/bench/badinput/requests_test.go
+++ b/bench/badinput/requests_test.go
@@ -16,6 +16,7 @@
 
 	"peardrift/bench/deploy"
 	"peardrift/bench/harness"
+	"peardrift/bench/harness/harnesstest"
 	"peardrift/internal/settings"
 )
 
@@ -49,7 +50,8 @@
 func oneNode(t *testing.T, tune ...func(*settings.Settings)) (*harness.Host, *recorder) {
 	t.Helper()
 	f, rec := emptyNode(t, tune...)
-	if err := f.Apply(t.Context(), build(t).root, deploy.Khaosan().Tenant, 0); err != nil {
+	root, _ := harnesstest.Programs(t)
+	if err := f.Apply(t.Context(), root, deploy.Khaosan().Tenant, 0); err != nil {
 		t.Fatal(err)
 	}
 	if err := f.Ready(time.Minute); err != nil {
@@ -64,7 +66,8 @@
 	rec := &recorder{}
 	target := httptest.NewServer(rec)
 	t.Cleanup(target.Close)
-	f, err := harness.New(build(t).bins)
+	_, bins := harnesstest.Programs(t)
+	f, err := harness.New(bins)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -116,6 +119,19 @@
 	return resp.StatusCode, resp.Header, string(b)
 }
 
+// between is a call as nodes send it, but for the headers given, which come in
+// place of its own, and without a trace.
+func between(headers string) string {
+	text := "GET /notices/status HTTP/1.1\r\nHost: notices.khaosan\r\n" + headers
+	for _, own := range []string{"Tenant: khaosan", "Class: notice-status", "Importance: 20", "Deadline-Ms: 500", "Allowance: 0", "Depth: 0"} {
+		name, _, _ := strings.Cut(own, ":")
+		if !strings.Contains(headers, "Peardrift-"+name+":") {
+			text += "Peardrift-" + own + "\r\n"
+		}
+	}
+	return text + "\r\n"
+}
+
 // Symptom: one bad request takes a node down, or reaches the target as if it
 // were a good one. Events: a malformed, oversize or hostile request comes in on
 // any face. Cause: a check that is missing or made too late.
@@ -147,6 +163,19 @@
 		{"a body too large", h.Addr.Callers, post("/notices", fmt.Sprintf("Idempotency-Key: e\r\nContent-Length: %d\r\n", len(long)), long), []int{413}, "request-too-large"},
 		{"a chunked body too large", h.Addr.Callers, post("/notices", "Idempotency-Key: f\r\nTransfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(long), long)), []int{0, 400, 413}, ""},
 		{"a node's call without its headers", h.Addr.Nodes, goodRequest, []int{400}, "protocol"},
+		{"an importance that no class can have", h.Addr.Nodes, between("Peardrift-Importance: 101\r\n"), []int{400}, "protocol"},
+		{"a deadline in the past", h.Addr.Nodes, between("Peardrift-Deadline-Ms: -1\r\n"), []int{400}, "protocol"},
+		{"an allowance without end", h.Addr.Nodes, between("Peardrift-Allowance: 999999999999999999999\r\n"), []int{400}, "protocol"},
+		{"a chain without end", h.Addr.Nodes, between("Peardrift-Depth: 33\r\n"), []int{400}, "protocol"},
+		{"a node's call without a trace", h.Addr.Nodes, between(""), []int{400}, "protocol"},
+		{"a target's call of a service that isn't there", h.Addr.Egress, "GET / HTTP/1.1\r\nHost: nowhere.khaosan\r\n\r\n", []int{404}, "unknown-service"},
+		{"a target's call with a trace of nobody's", h.Addr.Egress, "GET /nothing HTTP/1.1\r\nHost: notices.khaosan\r\nTraceparent: 00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01\r\n\r\n", []int{404}, "unknown-class"},
+		{"a target's call with a broken trace", h.Addr.Egress, "GET /nothing HTTP/1.1\r\nHost: notices.khaosan\r\nTraceparent: 00-zz\r\n\r\n", []int{404}, "unknown-class"},
+		{"no HTTP from the target", h.Addr.Egress, "NONSENSE\r\n\r\n", []int{0, 400}, ""},
+		{"no HTTP from a node", h.Addr.Nodes, "\x00\x00\xff\r\n\r\n", []int{0, 400}, ""},
+		{"no HTTP from an operator", h.Addr.Ops, "NONSENSE\r\n\r\n", []int{0, 400}, ""},
+		{"a drain by a wrong method", h.Addr.Ops, "GET /drain HTTP/1.1\r\nHost: x\r\n\r\n", []int{405}, ""},
+		{"lengths without end for the control listener", h.Addr.Control, "\xdd\xff\xff\xff\xff\xdb\xff\xff\xff\xff", []int{0}, ""},
 		{"nonsense for the control listener", h.Addr.Control, "GET / HTTP/1.1\r\n\r\n" + long, []int{0}, ""},
 		{"an unknown path of the operators' listener", h.Addr.Ops, "GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n", []int{404}, ""},
 	} {
--- a/bench/badinput/settings_test.go
+++ b/bench/badinput/settings_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"peardrift/bench/harness/harnesstest"
 	"peardrift/bench/standin/platform"
 	"peardrift/internal/daemon"
 )
@@ -49,7 +50,7 @@
 // ends at a later check. Cause: announcing before everything has been opened
 // and checked.
 func TestUnusableSettingsEndBeforeAnythingIsAnnounced(t *testing.T) {
-	p := build(t)
+	_, bins := harnesstest.Programs(t)
 	plat := platform.New()
 	if err := plat.Start("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
@@ -86,7 +87,7 @@
 				text = strings.NewReplacer("PLATFORM", plat.URL(), "BUSY", busy.Addr().String()).Replace(text)
 				is.NoErr(os.WriteFile(file, []byte(text), 0o600))
 			}
-			code, stderr := runNode(t, p.bins.Node, file)
+			code, stderr := runNode(t, bins.Node, file)
 			is.Equal(code, tt.exit)
 			is.True(strings.Contains(stderr, tt.says))
 			c := plat.Counters()
@@ -100,7 +101,7 @@
 // could not be opened ended the start, and the failure didn't name its setting.
 func TestAllBusyPortsAreNamedWithTheirSettings(t *testing.T) {
 	is := is.New(t)
-	p := build(t)
+	_, bins := harnesstest.Programs(t)
 	text := strings.ReplaceAll(usable, "PLATFORM", "http://127.0.0.1:9")
 	for _, key := range []string{"nodes", "control"} {
 		busy, err := net.Listen("tcp", "127.0.0.1:0")
@@ -110,7 +111,7 @@
 	}
 	file := filepath.Join(t.TempDir(), "settings.yaml")
 	is.NoErr(os.WriteFile(file, []byte(text), 0o600))
-	code, stderr := runNode(t, p.bins.Node, file)
+	code, stderr := runNode(t, bins.Node, file)
 	is.Equal(code, daemon.ExitListen)
 	is.True(strings.Contains(stderr, "cannot-listen: listen.nodes: "))
 	is.True(strings.Contains(stderr, "cannot-listen: listen.control: "))
--- a/bench/mainjob/mainjob_test.go
+++ b/bench/mainjob/mainjob_test.go
@@ -3,67 +3,24 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
-	"peardrift/bench/harness"
+	"peardrift/bench/harness/harnesstest"
 	"peardrift/bench/standin/target"
 	"peardrift/internal/status"
 )
 
-var binDir string
-
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "peardrift-mainjob-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	binDir = dir
-	end, err := harness.Turn()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	code := m.Run()
-	end()
-	_ = os.RemoveAll(dir)
-	os.Exit(code)
-}
-
-type programs struct {
-	root string
-	bins harness.Bins
-	err  error
-}
-
-var built = sync.OnceValue(func() (p programs) {
-	if p.root, p.err = harness.Root(); p.err == nil {
-		p.bins, p.err = harness.Build(p.root, binDir)
-	}
-	return p
-})
-
-func build(t *testing.T) programs {
-	t.Helper()
-	p := built()
-	if p.err != nil {
-		t.Fatal(p.err)
-	}
-	return p
-}
+func TestMain(m *testing.M) { harnesstest.Main(m) }
 
 func TestSmallMainJob(t *testing.T) {
-	p := build(t)
+	root, bins := harnesstest.Programs(t)
 	var out strings.Builder
-	err := Run(t.Context(), Config{Root: p.root, Bins: p.bins, Small: true, Load: time.Second, Out: &out})
+	err := Run(t.Context(), Config{Root: root, Bins: bins, Small: true, Load: time.Second, Out: &out})
 	t.Log(out.String())
 	if err != nil {
 		t.Fatal(err)
@@ -80,11 +37,11 @@
 // not see it.
 func TestInterruptedMainJobLeavesNothing(t *testing.T) {
 	is := is.New(t)
-	p := build(t)
+	root, bins := harnesstest.Programs(t)
 	tmp := t.TempDir()
 	t.Setenv("TMPDIR", tmp)
 	ctx, cancel := context.WithCancel(t.Context())
-	err := Run(ctx, Config{Root: p.root, Bins: p.bins, Small: true, Load: time.Second, Out: cancelAt{"accepted", cancel}})
+	err := Run(ctx, Config{Root: root, Bins: bins, Small: true, Load: time.Second, Out: cancelAt{"accepted", cancel}})
 	is.True(errors.Is(err, &status.Error{Code: status.CodeCanceled}))
 	left, err := filepath.Glob(filepath.Join(tmp, "*"))
 	is.NoErr(err)
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -30,12 +30,24 @@
 		return
 	}
 	if ce := o.log.Check(zap.InfoLevel, "call "+h.Outcome.String()); ce != nil {
-		ce.Write(zap.Stringer("hop", h.Kind), zaplog.Request(h.ID), zaplog.Service(h.Service),
-			zaplog.Class(h.Class), zaplog.Tenant(h.Tenant), zap.String("code", string(h.Code)),
-			zap.Int("attempts", h.Attempt), zap.String("retry", h.Retry), zap.Duration("took", h.End.Sub(h.Start)))
+		ce.Write(fieldsHop(h)...)
 	}
 }
 
+// fieldsHop describes a hop for the log; a retry's reason only where one was
+// decided on.
+func fieldsHop(h *dataplane.Hop) []zap.Field {
+	fields := []zap.Field{
+		zap.Stringer("hop", h.Kind), zaplog.Request(h.ID), zaplog.Service(h.Service), zaplog.Class(h.Class),
+		zaplog.Tenant(h.Tenant), zaplog.Outcome(h.Outcome), zap.String("code", string(h.Code)),
+		zap.Duration("took", h.End.Sub(h.Start)),
+	}
+	if h.Retry != "" {
+		fields = append(fields, zap.Int("attempts", h.Attempt), zap.String("retry", h.Retry))
+	}
+	return fields
+}
+
 // gauge sets the node's gauges; called on the control goroutine.
 func (n *Node) gauge(c *control) {
 	g := n.metrics.Gauges
