Correct what the settings' page says of regions, instances and log levels

Read against the code: no set can allow calls between regions (a far region's targets are called when the own one has none of the service left); the name of the instance goes to traces only; logs.level debug added no line, though page and comment said a line a call. The first two are corrected, the third is done: calls that complete are logged at debug.

--- a/bench/deploy/deploy.go
+++ b/bench/deploy/deploy.go
@@ -2,6 +2,8 @@
 // processes: instances, availability zones, and what the stand-in targets do
 // for each kind of request. The services' declarations themselves are the
 // configuration sets under examples/.
+//
+// Its functions are pure and return values that their caller owns.
 package deploy
 
 import (
--- a/bench/standin/httpd/httpd.go
+++ b/bench/standin/httpd/httpd.go
@@ -1,6 +1,9 @@
 // Package httpd runs one hertz listener for a stand-in: it opens the port
 // before Start returns, keeps hold of every connection so that faults can be
 // played on them, and leaves no goroutine behind after Close.
+//
+// A Server's methods may be called from any goroutine, handlers run on their
+// connections' goroutines.
 package httpd
 
 import (
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -1,4 +1,7 @@
 // Package daemon is peardriftd's command line: flags, signals, exit codes.
+//
+// The process calls Main once. It checks the settings, binds the listeners and
+// runs the node on the calling goroutine; another one waits for signals.
 package daemon
 
 import (
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -26,14 +26,26 @@
 func (o *observer) Hop(h *dataplane.Hop) {
 	o.metrics.Hop(h)
 	o.tracer.Hop(h)
-	if h.Outcome == request.Completed || h.Kind == dataplane.HopAttempt {
-		return
+	if h.Kind == dataplane.HopAttempt {
+		return // its call's own hop tells of it
 	}
-	if ce := o.log.Check(zap.InfoLevel, "call "+h.Outcome.String()); ce != nil {
+	level := zap.InfoLevel
+	if h.Outcome == request.Completed {
+		level = zap.DebugLevel
+	}
+	if ce := o.log.Check(level, messages[h.Outcome]); ce != nil {
 		ce.Write(fieldsHop(h)...)
 	}
 }
 
+// messages are the log's, by outcome.
+var messages = map[request.Outcome]string{
+	request.Completed: "call completed",
+	request.Refused:   "call refused",
+	request.Failed:    "call failed",
+	request.Unknown:   "call unknown",
+}
+
 // fieldsHop describes a hop for the log; a retry's reason only where one was
 // decided on.
 func fieldsHop(h *dataplane.Hop) []zap.Field {
--- a/internal/settings/observe.go
+++ b/internal/settings/observe.go
@@ -5,7 +5,8 @@
 // Logs says what is logged and where.
 type Logs struct {
 	// Level is the least level that is logged: debug, info, warn or error.
-	// Default info. debug adds a line a call; error hides refusals.
+	// Default info. debug adds a line for each call that completes; warn and
+	// error hide refusals.
 	Level string `yaml:"level" validate:"oneof=debug info warn error"`
 
 	// File is where lines are appended. Default: standard error. Its folder must
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,14 +31,14 @@
 	Name string `yaml:"name" validate:"required,max=128,printascii,excludesall= "`
 
 	// Region is the region's name; required. Nodes of other regions are called
-	// only where the configuration set allows it.
+	// only for services of which the own region has no target left.
 	Region string `yaml:"region" validate:"required,max=64,printascii,excludesall= "`
 
 	// Zone is the availability zone's name; required. Targets of the own zone
 	// are preferred.
 	Zone string `yaml:"zone" validate:"required,max=64,printascii,excludesall= "`
 
-	// Instance names the instance that the node runs on, for logs and traces.
+	// Instance names the instance that the node runs on, for traces.
 	// Default: Name.
 	Instance string `yaml:"instance" validate:"max=128,printascii,excludesall= "`
 }
--- a/internal/settings/traffic.go
+++ b/internal/settings/traffic.go
@@ -5,7 +5,8 @@
 // Traffic bounds what one call, one connection and all calls together may use.
 type Traffic struct {
 	// MaxHeaderBytes bounds a request's header. Default 65536. Larger ones are
-	// refused before they run.
+	// refused before they run. Lower refuses callers with many cookies; higher
+	// lets each connection take as much memory.
 	MaxHeaderBytes int `yaml:"maxHeaderBytes" validate:"min=4096,max=1048576"`
 
 	// MaxBodyBytes bounds a request's body, beside its class's bound. Default
@@ -20,12 +21,13 @@
 	BufferBytes int `yaml:"bufferBytes" validate:"min=4096,max=16777216"`
 
 	// MaxCalls bounds the calls in flight in the node, all faces together.
-	// Default 4096. Calls above it are refused. Higher costs BufferBytes and a
-	// goroutine each.
+	// Default 4096. Calls above it are refused. Lower refuses while targets could
+	// still serve; higher costs BufferBytes and a goroutine each.
 	MaxCalls int `yaml:"maxCalls" validate:"min=16,max=1000000"`
 
 	// MaxConnections bounds the open connections of all listeners together.
-	// Default 8192. Connections above it are closed at once.
+	// Default 8192. Connections above it are closed at once. Lower turns callers
+	// away while there is room; higher takes memory and a file descriptor each.
 	MaxConnections int `yaml:"maxConnections" validate:"min=16,max=1000000"`
 
 	// UploadTimeout bounds the time for a whole request body to arrive.
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -4,6 +4,8 @@
 //
 // Each failure that can reach a caller or an operator is an *Error. Codes are
 // part of the product's interface: they are added, never renamed.
+//
+// An Error is not changed once it is made, and may be read from any goroutine.
 package status
 
 import (
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -4,6 +4,8 @@
 // Between nodes a call carries, besides the caller's own headers, its trace
 // (traceparent) and the headers named here. Headers with Prefix never pass a
 // caller face or a target face inwards, nor reach a target.
+//
+// Traffic goroutines call it for the messages that they own; it keeps nothing.
 package wire
 
 import (
