Log why a node can't fetch its configuration

Found with the platform stopped and a node started: what a read of heads, tenants or sets at the platform failed by went to the core alone, which asks again; a node without the right to read objects would sit at an old version with a silent log. TestFetchThatFailsIsLogged failed before (no line). Peers that don't answer are logged at debug only, since another is asked.

--- a/internal/node/conf.go
+++ b/internal/node/conf.go
@@ -14,6 +14,7 @@
 	"peardrift/internal/core/inforce"
 	"peardrift/internal/core/member"
 	"peardrift/internal/port"
+	"peardrift/internal/status"
 )
 
 // configuration carries out what the inforce core decides: it asks peers, reads
@@ -125,12 +126,25 @@
 		defer cancel()
 		outcome, err := call(ctx)
 		if err != nil {
+			c.logFailure(err)
 			outcome = func() []inforce.Action { return c.state.HandleFailure(c.now(), id) }
 		}
 		c.post(func() { c.do(outcome()) })
 	})
 }
 
+// logFailure tells of a fetch that failed. Without it a node that can't get the
+// newest version, for want of a right at the platform for example, looks like
+// one that takes long. A peer that doesn't answer is common: another is asked.
+func (c *configuration) logFailure(err error) {
+	level := zap.WarnLevel
+	switch status.CodeOf(err) {
+	case status.CodeConnectionLost, status.CodeDeadlineExceeded: // a peer's
+		level = zap.DebugLevel
+	}
+	c.log.Log(level, "configuration not fetched", zaplog.Failure(err))
+}
+
 func (c *configuration) ask(ctx context.Context, a inforce.AskPeer) (func() []inforce.Action, error) {
 	var reply inforce.Reply
 	if err := c.calls.CallOnce(ctx, a.To.Addr, methodAsk, &a.Ask, &reply); err != nil {
--- /dev/null
+++ b/internal/node/conf_test.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	zapobserver "go.uber.org/zap/zaptest/observer"
+
+	"peardrift/internal/core/inforce"
+	"peardrift/internal/port"
+	"peardrift/internal/status"
+)
+
+// Symptom: a node stays at an old version and its log is silent. Events: it has
+// no right to read the objects, or they aren't there; each fetch fails. Cause:
+// the failure went to the core alone, which asks again.
+func TestFetchThatFailsIsLogged(t *testing.T) {
+	for _, tt := range []struct {
+		err   error
+		level string
+	}{
+		{port.ErrUnavailable, "warn"},
+		// A peer's: another one is asked.
+		{status.New(status.CodeConnectionLost, "a peer"), "debug"},
+		{status.New(status.CodeDeadlineExceeded, "a peer"), "debug"},
+	} {
+		is := is.New(t)
+		core, logs := zapobserver.New(zap.DebugLevel)
+		c := &configuration{
+			log:    zap.New(core),
+			state:  inforce.New(inforce.DefaultConfig(), inforce.Peer{}, rand.New(rand.NewPCG(1, 2)), 0),
+			submit: func(f func()) error { f(); return nil },
+			post:   func(f func()) { f() },
+			now:    func() time.Duration { return 0 },
+		}
+		c.background(1, func(context.Context) (func() []inforce.Action, error) { return nil, tt.err })
+		is.Equal(logs.Len(), 1)
+		is.Equal(logs.All()[0].Message, "configuration not fetched")
+		is.Equal(logs.All()[0].Level.String(), tt.level)
+	}
+}
