Play failures on real processes whose claims share rows

The lab can be opened with a layout that holds for all dated keys, and the stand-in client send such keys; five scenarios are played with them, and it is held that ops did go between nodes.

The client takes completed-answer-not-kept for completed where its keys are dated: shared rows keep no answers.

--- /dev/null
+++ b/bench/faults/claims.go
@@ -0,0 +1,68 @@
+package faults
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+
+	"peardrift/bench/harness"
+	"peardrift/internal/adapter/awstable"
+	"peardrift/internal/adapter/awstable/awscall"
+	"peardrift/internal/core/claim/batch"
+	"peardrift/internal/port"
+	"peardrift/internal/status"
+)
+
+// shareClaims writes the layout that holds for all dated keys. That is safe only
+// here: no set is in force, so that no node takes calls. Operators announce it
+// two hours ahead.
+func (l *Lab) shareClaims(ctx context.Context) error {
+	cfg := awscall.DefaultConfig()
+	cfg.Endpoint, cfg.AccessKey, cfg.SecretKey = l.Fleet.URL, "lab", "lab" // the stand-in takes any
+	table := awstable.New(cfg, "peardrift")
+	defer table.Close()
+	rows := batch.DefaultConfig()
+	value, err := batch.Layouts{{From: 1, Slot: rows.Slot, Shards: rows.Shards}}.Encode()
+	if err != nil {
+		return err
+	}
+	item := port.Item{Key: batch.LayoutKey, Version: 1, Value: value, Token: "lab"}
+	return table.Put(ctx, port.Put{Item: item})
+}
+
+// OfClaims returns the scenarios that are played with shared rows too.
+func OfClaims() []Scenario {
+	return []Scenario{
+		{"node killed", nodeKilled},
+		{"node frozen for 3 s", nodeFrozen},
+		{"platform down for 3 s", platformDown},
+		{"writes applied, answers lost", answersLost},
+		{"node stopped in overload", stopInOverload},
+		{"claims went between nodes", claimsWentBetween},
+	}
+}
+
+// claimsWentBetween holds that the scenarios before it were about shared rows:
+// some node was answered by another that batched a row.
+func claimsWentBetween(ctx context.Context, l *Lab) (Row, error) {
+	for _, h := range l.Fleet.Hosts {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.Addr.Ops+"/metrics", nil)
+		if err != nil {
+			return Row{}, status.Wrap(harness.CodeHarness, err, "metrics of %s", h.Name)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return Row{}, status.Wrap(harness.CodeHarness, err, "metrics of %s", h.Name)
+		}
+		page, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err != nil {
+			return Row{}, status.Wrap(harness.CodeHarness, err, "metrics of %s", h.Name)
+		}
+		if strings.Contains(string(page), `claims_batch_sent{result="answered"`) {
+			return Row{}, nil
+		}
+	}
+	return Row{}, status.New(CodeBroken, "no node sent a claim to another")
+}
--- a/bench/faults/lab.go
+++ b/bench/faults/lab.go
@@ -23,6 +23,7 @@
 	set     string // folder of the configuration set
 	version int64  // of the set that was accepted last
 	seed    uint64 // of the last load
+	shared  bool   // claims share rows
 }
 
 // configSet declares the lab's services.
@@ -84,12 +85,17 @@
 )
 
 // Open starts a lab from built programs.
-func Open(ctx context.Context, bins harness.Bins) (*Lab, error) {
+func Open(ctx context.Context, bins harness.Bins) (*Lab, error) { return open(ctx, bins, false) }
+
+// OpenShared starts a lab whose publishes have dated keys that share rows.
+func OpenShared(ctx context.Context, bins harness.Bins) (*Lab, error) { return open(ctx, bins, true) }
+
+func open(ctx context.Context, bins harness.Bins, shared bool) (*Lab, error) {
 	f, err := harness.New(bins)
 	if err != nil {
 		return nil, err
 	}
-	l := &Lab{Fleet: f, Links: make(map[string]*link.Link), set: filepath.Join(f.Dir, "set")}
+	l := &Lab{Fleet: f, Links: make(map[string]*link.Link), set: filepath.Join(f.Dir, "set"), shared: shared}
 	if err := l.start(ctx); err != nil {
 		l.Close()
 		return nil, err
@@ -124,6 +130,11 @@
 	if err := l.Fleet.Start(); err != nil {
 		return err
 	}
+	if l.shared {
+		if err := l.shareClaims(ctx); err != nil {
+			return err
+		}
+	}
 	if err := l.apply(ctx, 0); err != nil {
 		return err
 	}
--- a/bench/faults/load.go
+++ b/bench/faults/load.go
@@ -42,6 +42,9 @@
 func (l *Lab) begin(ctx context.Context, urls []string, cs []client.Class) *load {
 	l.seed++
 	ld := &load{lab: l, done: make(chan error, 1), attempts: make(map[string][]client.Attempt)}
+	for i := range cs {
+		cs[i].Dated = cs[i].Key && l.shared
+	}
 	ctx, ld.stop = context.WithCancel(ctx)
 	cfg := client.Config{URLs: urls, Seed: l.seed, Duration: time.Hour, Classes: cs, Observe: ld.observe}
 	go func() {
--- a/bench/standin/client/attempt.go
+++ b/bench/standin/client/attempt.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
+
 	"peardrift/bench/standin/target"
 	"peardrift/internal/core/request"
 	"peardrift/internal/status"
@@ -22,12 +24,12 @@
 )
 
 // attempt sends a request once and tells what came of it.
-func (r *runner) attempt(ctx context.Context, c Class, mark string, n int) (a Attempt) {
+func (r *runner) attempt(ctx context.Context, c Class, mark, key string, n int) (a Attempt) {
 	a = Attempt{Class: c.Name, Mark: mark, N: n, At: time.Now(), Result: Unknown}
 	defer func() { a.Took = time.Since(a.At) }()
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	req, err := r.newRequest(ctx, c, mark)
+	req, err := r.newRequest(ctx, c, mark, key)
 	if err != nil {
 		a.Err = err
 		return a
@@ -53,13 +55,16 @@
 		a.retryAfter = time.Duration(s) * time.Second
 	}
 	a.Result = told(resp)
+	if a.Result == Completed && c.Dated && a.Code == string(status.CodeAnswerNotKept) {
+		return a // an earlier attempt's, which shared rows don't keep
+	}
 	if a.Result == Completed {
 		a.Result, a.Degraded, a.Err = verify(c, body, mark)
 	}
 	return a
 }
 
-func (r *runner) newRequest(ctx context.Context, c Class, mark string) (*http.Request, error) {
+func (r *runner) newRequest(ctx context.Context, c Class, mark, key string) (*http.Request, error) {
 	base := r.cfg.URLs[r.next.Add(1)%uint64(len(r.cfg.URLs))]
 	body := strings.NewReader(strings.Repeat(bodyByte, c.Body))
 	req, err := http.NewRequestWithContext(ctx, c.Method, base+c.Path, body)
@@ -71,11 +76,19 @@
 	if c.Key {
 		// In lower case: by the usual spelling net/http takes the request as
 		// safe to repeat, and would add attempts that nobody counts.
-		req.Header[strings.ToLower(wire.HeaderIdempotencyKey)] = []string{"key-" + mark}
+		req.Header[strings.ToLower(wire.HeaderIdempotencyKey)] = []string{key}
 	}
 	return req, nil
 }
 
+// keyOf returns the key of a request and all its attempts.
+func keyOf(c Class, mark string) string {
+	if c.Dated {
+		return uuid.Must(uuid.NewV7()).String()
+	}
+	return "key-" + mark
+}
+
 // told is the result that an answer claims: by the node's outcome or, where
 // there is no node, by the status.
 func told(resp *http.Response) Result {
--- a/bench/standin/client/client.go
+++ b/bench/standin/client/client.go
@@ -88,9 +88,10 @@
 	n := r.seq.Add(1)
 	rng := rand.New(rand.NewPCG(r.cfg.Seed, n))
 	mark := fmt.Sprintf("%s-%x-%d", c.Name, r.cfg.Seed, n)
+	key := keyOf(c, mark)
 	r.rec.update(c.Name, func(s *Stats) { s.Sent++ })
 	for k := 1; ; k++ {
-		a := r.attempt(ctx, c, mark, k)
+		a := r.attempt(ctx, c, mark, key, k)
 		pause := c.wait(k, a.retryAfter, rng)
 		a.Final = a.Result == Completed || k >= c.Attempts || ctx.Err() != nil || c.tired(time.Since(due)+pause)
 		r.rec.update(c.Name, func(s *Stats) { s.Attempts++ })
--- a/bench/standin/client/config.go
+++ b/bench/standin/client/config.go
@@ -31,6 +31,7 @@
 	Path   string
 	Body   int  // bytes to upload
 	Key    bool // send an Idempotency-Key
+	Dated  bool // whose key is a UUID of version 7
 
 	// Phases are an open loop's arrivals, one after the other.
 	Phases []Phase
