--- /dev/null
+++ b/bench/scale/conf_test.go
@@ -0,0 +1,24 @@
+package scale
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peardrift/internal/core/member"
+)
+
+// TestBusyRunsRepeat: the same as TestRunsRepeat, with the configuration.
+func TestBusyRunsRepeat(t *testing.T) {
+	is := is.New(t)
+	run := func() Busy {
+		f := New(member.DefaultConfig(), 40, 7)
+		is.NoErr(f.Configure(3, time.Minute))
+		b, err := f.BusyTime(10*time.Second, 432*time.Millisecond, time.Minute)
+		is.NoErr(err)
+		b.Cost.CPU, b.Worst.CPU = 0, 0
+		return b
+	}
+	is.Equal(run(), run())
+}
