--- a/bench/replay/call.go
+++ b/bench/replay/call.go
@@ -73,6 +73,7 @@
 	gated   bool // admitted by the gate
 	over    bool
 	timer   *event
+	expiry  *event
 	subs    []*call
 	again   bool          // another execution of the call may have come before
 	used    uint64        // bit set of the services called
--- a/bench/replay/core.go
+++ b/bench/replay/core.go
@@ -24,6 +24,12 @@
 func newCoreGate(n *node) *coreGate {
 	cfg := admission.DefaultConfig()
 	cfg.Slots = n.target.slots
+	if !n.w.pol.Queue {
+		cfg.MaxWait = time.Nanosecond
+	}
+	if !n.w.pol.Level {
+		cfg.StandFor = math.MaxInt64 // no queue ever stands for as long
+	}
 	g := &coreGate{n: n, core: admission.New(cfg, n.w.rng), due: math.MaxInt64}
 	return g
 }
@@ -31,15 +37,23 @@
 func (g *coreGate) arrive(a *attempt) {
 	d, actions := g.core.Arrive(g.n.w.now, admission.Arrival{
 		Ticket:   admission.Ticket(a.seq),
-		Priority: g.n.w.priority(a.call.tree, g.n.svc),
+		Priority: g.priority(a),
 		Tenant:   g.n.w.tenant(a.call.tree.class.Tenant),
 		Deadline: a.call.deadline,
-		Deep:     g.n.w.pol.DeepFirst && a.call.depth > 0,
+		Deep:     g.n.w.pol.DeepFirst && g.n.w.pol.Order && a.call.depth > 0,
 	}, g.actions[:0])
 	g.settle(a, d)
 	g.act(actions)
 }
 
+// priority is a call's place in the queue; equals run in the order of arrival.
+func (g *coreGate) priority(a *attempt) request.Priority {
+	if !g.n.w.pol.Order {
+		return 0
+	}
+	return g.n.w.priority(a.call.tree, g.n.svc)
+}
+
 // settle carries out a decision on a call.
 func (g *coreGate) settle(a *attempt, d admission.Decision) {
 	switch d.Verdict {
--- a/bench/replay/policy.go
+++ b/bench/replay/policy.go
@@ -30,6 +30,9 @@
 	Cancel     bool // work for a caller that has gone is stopped
 	ChainOrder bool // one hashed order for all hops; else each hop draws its own
 	DeepFirst  bool // depth decides within an importance
+	Queue      bool // calls wait for a slot; else they run at once or are refused
+	Level      bool // the gate sets a level, which callers learn
+	Order      bool // the queue is in the order of importance; else of arrival
 }
 
 // whole is peardrift with all its parts.
@@ -37,7 +40,7 @@
 	return Policy{
 		Name: "peardrift", About: "all parts", Gate: GateCore, CorePick: true, CoreRetry: true, HopTries: baselineTries,
 		Early: true, ChainLevel: true, Allowance: true, Brake: true, Deadlines: true, Cancel: true,
-		ChainOrder: true, DeepFirst: true,
+		ChainOrder: true, DeepFirst: true, Queue: true, Level: true, Order: true,
 	}
 }
 
@@ -74,6 +77,10 @@
 		without("time-bounds", func(p *Policy) { p.Deadlines, p.Cancel = false, false }),
 		without("cancel", func(p *Policy) { p.Cancel = false }),
 		without("deep-first", func(p *Policy) { p.DeepFirst = false }),
+		without("queue", func(p *Policy) { p.Queue = false }),
+		without("level", func(p *Policy) { p.Level = false }),
+		// A level cuts the order of importance, so there is none without it.
+		without("order", func(p *Policy) { p.Order, p.Level = false, false }),
 		without("route", func(p *Policy) { p.CorePick = false }),
 	}
 }
