Give a class that declares no attempts the allowance that was measured

confset.DefaultAttempts was 1, retry's default 6: which of the two held depended on whether operators left the field out. The proved bound, calls of the graph plus the allowance, is now graph + 6 by default.

TestClassesHaveTheAllowanceThatWasMeasured failed first (1 != 6).

--- a/internal/core/confset/set.go
+++ b/internal/core/confset/set.go
@@ -86,7 +86,7 @@
 // What a class has where its operators declare nothing.
 const (
 	DefaultDeadline       = 2 * time.Second
-	DefaultAttempts       = 1
+	DefaultAttempts       = 6
 	DefaultRemember       = 24 * time.Hour
 	DefaultMaxBody  int64 = 1 << 20
 )
