--- a/internal/core/limit/delay.go
+++ b/internal/core/limit/delay.go
@@ -40,22 +40,30 @@
 	usual  spread // while nothing seems to wait
 	recent spread
 	whole  float64 // recent mean time in the target, waiting for calls below included
+	last   float64 // logarithm of the last time
 	done   int     // completions in this window
 }
 
 // spread is a mean time in seconds, and half the mean square of the difference
 // between the logarithms of one time and the next: their variance, without what
 // a wait that grows or falls slowly would add.
-type spread struct{ mean, last, variance float64 }
+type spread struct{ mean, variance float64 }
 
-func (s *spread) add(x, weight float64) {
+func (s *spread) add(x, half, weight float64) {
 	s.mean += weight * (x - s.mean)
+	s.variance += weight * (half - s.variance)
+}
+
+// step returns half the square of the difference between the logarithm of a time
+// and that of the one before.
+func (k *kind) step(x float64) float64 {
 	l := math.Log(x)
-	if s.last != 0 {
-		step := l - s.last
-		s.variance += weight * (step*step/2 - s.variance)
+	d := l - k.last
+	k.last = l
+	if k.n <= 1 {
+		return 0
 	}
-	s.last = l
+	return d * d / 2
 }
 
 // NewDelay returns a Delay for n kinds of request.
@@ -79,9 +87,10 @@
 	k, x := &d.kinds[of], own.Seconds()
 	k.n++
 	weight := max(recentWeight, 1/float64(k.n))
-	k.recent.add(x, weight)
+	half := k.step(x)
+	k.recent.add(x, half, weight)
 	k.whole += weight * (whole.Seconds() - k.whole)
-	k.usual.add(x, k.weight())
+	k.usual.add(x, half, k.weight())
 }
 
 // weight returns how much a sample counts in what is usual.
