--- a/bench/harness/direct.go
+++ b/bench/harness/direct.go
@@ -6,11 +6,15 @@
 )
 
 // AddDirect plans targets like those of a deployment, without nodes: their
-// calls go straight to one another, in turn. They are the baseline beside which
+// calls go straight to one another and to those of deployments that were added
+// before, in turn. They are the baseline beside which
 // the nodes' cost is measured in the same run.
 func (f *Fleet) AddDirect(d deploy.Deployment) error {
 	var hosts []*Host
 	urls := make(map[string][]string)
+	for _, h := range f.Direct { // of other tenants, which may be called too
+		urls[h.Service] = append(urls[h.Service], "http://"+h.Addr.Target)
+	}
 	for _, s := range d.Services {
 		for i := range s.Targets {
 			name, zone := d.Instance(s, i)
