Don't try fewer slots where only a target's calls take longer

Cause: the limit tries six tenths of the slots once requests have taken twice their best time for 10 s. The time counted was that in the target with its waiting for calls of its own, so each service above a slow one was tried too, served less than it could, and went on doing so for seconds after the slow one was well.

Now the target's own time decides whether there is a reason for a trial; the gate knows the waiting for calls since it looks at how times spread.

Ruled out: taking the best time without calls as well (a window whose completions waited longer than it lasted gives an own time of 0).

Test: TestSlowCallsAreNoQueue failed before ("24 != 40").

--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -189,6 +189,9 @@
 	if r == OK {
 		g.noteTime(now, &g.pool.entries[i], below)
 	}
+	if r != Overloaded {
+		g.window.below += below
+	}
 	g.leave(now, i, r)
 	return g.dispatch(now, out)
 }
--- a/internal/core/admission/window.go
+++ b/internal/core/admission/window.go
@@ -13,6 +13,7 @@
 	since      time.Duration
 	marked     time.Duration // instant up to which busy and full are counted
 	busy       time.Duration // time in the target, summed over requests
+	below      time.Duration // time that the completed requests waited for the target's own calls
 	full       time.Duration // time during which no slot was free
 	arrivals   int
 	completed  int
@@ -66,6 +67,7 @@
 	g.limiter.Observe(limit.Window{
 		Length:     length,
 		Busy:       w.busy,
+		Below:      w.below,
 		Completed:  w.completed,
 		Overloaded: w.overloaded,
 		Saturated:  g.saturated(length),
--- a/internal/core/limit/limit.go
+++ b/internal/core/limit/limit.go
@@ -6,6 +6,7 @@
 type Window struct {
 	Length     time.Duration // of the window; windows follow each other without gaps
 	Busy       time.Duration // time in the target, summed over the requests in flight
+	Below      time.Duration // time that the completed ones spent waiting for the target's own calls
 	Completed  int           // requests that left the target with an answer of any kind but a shed
 	Overloaded int           // requests that the target shed
 	Saturated  time.Duration // part of Length in which there was more work than the limit let in
@@ -30,6 +31,7 @@
 	w.Overloaded += next.Overloaded
 	w.Saturated += next.Saturated
 	w.Needed += next.Needed
+	w.Below += next.Below
 }
 
 // inFlight returns the mean number of requests in flight.
@@ -49,3 +51,12 @@
 	}
 	return w.Busy / time.Duration(w.Completed)
 }
+
+// ownTime returns the mean time that the target itself spent on a request,
+// without waiting for its calls. 0 if nothing completed.
+func (w *Window) ownTime() time.Duration {
+	if w.Completed == 0 {
+		return 0
+	}
+	return max(0, w.Busy-w.Below) / time.Duration(w.Completed)
+}
--- a/internal/core/limit/limit_test.go
+++ b/internal/core/limit/limit_test.go
@@ -145,6 +145,32 @@
 	}
 }
 
+// Symptom: a service refuses half of what it could serve while one below it is
+// slow, and for seconds after that.
+// Events: the calls of its requests take four times as long for 20 s.
+// Cause: the waiting for calls is held for a queue inside the target, and fewer
+// slots are tried.
+func TestSlowCallsAreNoQueue(t *testing.T) {
+	is := is.New(t)
+	p := NewProbe(DefaultConfig(), 40)
+	const own, quick, slow = 5 * time.Millisecond, 50 * time.Millisecond, 200 * time.Millisecond
+	begun := 0.0
+	for now := time.Duration(0); now < 40*time.Second; now += window {
+		below := quick
+		if now > 10*time.Second && now < 30*time.Second {
+			below = slow
+		}
+		begun += float64(p.Limit()) * window.Seconds() / (own + below).Seconds()
+		done := int(begun)
+		begun -= float64(done)
+		p.Observe(Window{Length: window, Saturated: window, Busy: time.Duration(p.Limit()) * window,
+			Below: time.Duration(done) * below, Completed: done})
+		if now > 10*time.Second {
+			is.Equal(p.Limit(), 40)
+		}
+	}
+}
+
 func TestLimitStaysInBounds(t *testing.T) {
 	is := is.New(t)
 	p := NewProbe(DefaultConfig(), 3)
--- a/internal/core/limit/probe.go
+++ b/internal/core/limit/probe.go
@@ -58,6 +58,7 @@
 	limit  int
 	flight float64       // mean requests in flight
 	took   time.Duration // mean time in the target
+	own    time.Duration // the same without its waiting for the target's calls
 }
 
 // NewProbe returns an algorithm for a target that declares slots.
@@ -121,7 +122,7 @@
 }
 
 func (p *Probe) judge(m Window) {
-	r := reading{limit: p.limit, flight: m.inFlight(), took: m.timeInTarget()}
+	r := reading{limit: p.limit, flight: m.inFlight(), took: m.timeInTarget(), own: m.ownTime()}
 	p.remember(r, m.Length)
 	if m.Saturated < m.Length/2 {
 		p.idle(r)
@@ -193,8 +194,12 @@
 	p.move(2*p.limit, r)
 }
 
+// inflated reports whether requests take that much longer than at their best by
+// the target's own doing. A target whose calls take longer has no queue inside:
+// each service above a slow one would try fewer slots, refuse with the rest what
+// it could serve, and do so for seconds after the slow one is well again.
 func (p *Probe) inflated(r reading, by float64) bool {
-	return float64(r.took) > by*float64(p.best)
+	return float64(r.own) > by*float64(p.best)
 }
 
 // cutInflation is how much longer than at their best requests may take for a
