--- a/bench/cmd/rollout/drain.go
+++ b/bench/cmd/rollout/drain.go
@@ -78,7 +78,7 @@
 		cfg.Classes[0].Phases[0].Rate, targets, before, beforeDrain, after, last.Round(time.Millisecond))
 	// The answers of lean targets carry no mark, so the caller can't tell whose
 	// they are.
-	answered := s.ByResult[client.Completed] + s.ByResult[client.Wrong]
+	answered := s.Sent - s.ByResult[client.Refused] - s.ByResult[client.Failed] - s.ByResult[client.Unknown]
 	fmt.Printf("Of %d calls %d were answered, %d refused, %d failed, %d unknown; the node ended with code %d.\n", s.Sent,
 		answered, s.ByResult[client.Refused], s.ByResult[client.Failed], s.ByResult[client.Unknown], h.Node.Exited())
 	return nil
