--- a/bench/e2e/cluster_test.go
+++ b/bench/e2e/cluster_test.go
@@ -51,6 +51,7 @@
 	wrap  func(dataplane.Transport) dataplane.Transport // may be nil
 	local func(*hertzhttp.ClientConfig)                 // of clients of targets; may be nil
 	bare  bool                                          // answers of earlier calls are not kept
+	obs   dataplane.Observer                            // of all engines; may be nil
 }
 
 // claimAll runs every request: claims have tests of their own.
@@ -120,9 +121,9 @@
 		local.Close()
 	})
 	if c.wrap != nil {
-		return dataplane.New(dc, self, c.wrap(peers), c.wrap(local), cl, nil)
+		return dataplane.New(dc, self, c.wrap(peers), c.wrap(local), cl, c.obs)
 	}
-	return dataplane.New(dc, self, peers, local, cl, nil)
+	return dataplane.New(dc, self, peers, local, cl, c.obs)
 }
 
 func (c *cluster) link(to string) *link.Link {
--- a/internal/adapter/hertzhttp/client_test.go
+++ b/internal/adapter/hertzhttp/client_test.go
@@ -362,3 +362,24 @@
 	}
 	return nil
 }
+
+// Symptom: a node accepts more connections than it may.
+// Events: a connection is closed twice, by its request's end and by its server.
+// Cause: its place is given back each time.
+func TestPlaceIsGivenBackOnce(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	limit := NewConnLimit(2)
+	limited := &limitedListener{Listener: ln, limit: limit}
+	defer limited.Close()
+	out, err := net.Dial("tcp", ln.Addr().String())
+	is.NoErr(err)
+	defer out.Close()
+	c, err := limited.Accept()
+	is.NoErr(err)
+	is.Equal(limit.Open(), 1)
+	_ = c.Close()
+	_ = c.Close()
+	is.Equal(limit.Open(), 0)
+}
--- a/internal/adapter/hertzhttp/stray_test.go
+++ b/internal/adapter/hertzhttp/stray_test.go
@@ -65,3 +65,33 @@
 	is.True(!c.unwatch())
 	cl.pool(addr).end(c, conn.Aborted)
 }
+
+// Symptom: a HEAD request hangs until its deadline, or takes the next answer's bytes
+// for its body.
+// Events: its answer states the length that a GET's body would have.
+// Cause: the length is taken for that of bytes to come.
+func TestHeadHasNoBody(t *testing.T) {
+	is := is.New(t)
+	addr := peer(t, func(n int, c net.Conn, r *http.Request) {
+		if n > 0 {
+			return // all on one connection
+		}
+		answer := okAnswer
+		if r.Method == http.MethodHead {
+			answer = "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n"
+		}
+		write(c, answer)
+	})
+	cl := NewClient(DefaultClientConfig())
+	defer cl.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	head := get("/")
+	head.Header.SetMethod(http.MethodHead)
+	for _, req := range []*protocol.Request{head, get("/")} {
+		var resp protocol.Response
+		_, err := cl.Do(ctx, addr, req, &resp)
+		is.NoErr(err)
+		is.True(req.Header.IsHead() || string(resp.Body()) == "ok")
+	}
+}
