Keep a node reachable through floods of connections and shortages of files

Found by opening 120 connections to a node that may open 60 files: after they had been closed again /ready said "ready", and callers, or on the control listener other nodes and the tool, got no answer ever again. hertz and the control server both take a failed accept for the end of their listener, and nobody looks.

- The control listener waits through EMFILE and its like (internal/adapter/listen).
- The bound of connections fits the process's descriptors, four a connection, with a line in the log where that is less than traffic.maxConnections.
- The bound was one for all listeners: callers that held all of it idle cut the node off from other nodes, its target and operators (0 bytes in place of an answer at the nodes' listener).
Callers have it for themselves now, nodes and target one of their own, operators 64.

Left: the HTTP listeners themselves still end at a failed accept, if connections to others take all descriptors; hertzhttp.Listen should open them by listen.Open.

--- a/bench/badinput/operate_test.go
+++ b/bench/badinput/operate_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"peardrift/bench/harness/harnesstest"
 	"peardrift/internal/daemon"
 	"peardrift/internal/settings"
 )
@@ -47,7 +48,8 @@
 // and no set declares its service, for example since the name is mistyped.
 // Cause: /ready said "not ready" whatever was the matter.
 func TestNodeSaysWhyItIsNotReady(t *testing.T) {
-	f, _ := emptyNode(t)
+	_, bins := harnesstest.Programs(t)
+	f, _ := emptyNode(t, bins)
 	const why = "no set in force declares the target's service"
 	h := f.Hosts[0]
 	await(t, func() bool {
--- a/bench/badinput/requests_test.go
+++ b/bench/badinput/requests_test.go
@@ -49,7 +49,15 @@
 // settings changed by tune, and applies the set.
 func oneNode(t *testing.T, tune ...func(*settings.Settings)) (*harness.Host, *recorder) {
 	t.Helper()
-	f, rec := emptyNode(t, tune...)
+	_, bins := harnesstest.Programs(t)
+	f, rec := emptyNode(t, bins, tune...)
+	serveSet(t, f)
+	return f.Hosts[0], rec
+}
+
+// serveSet applies the set and waits until the node serves it.
+func serveSet(t *testing.T, f *harness.Fleet) {
+	t.Helper()
 	root, _ := harnesstest.Programs(t)
 	if err := f.Apply(t.Context(), root, deploy.Khaosan().Tenant, 0); err != nil {
 		t.Fatal(err)
@@ -57,16 +65,14 @@
 	if err := f.Ready(time.Minute); err != nil {
 		t.Fatal(err)
 	}
-	return f.Hosts[0], rec
 }
 
-// emptyNode is oneNode without a set.
-func emptyNode(t *testing.T, tune ...func(*settings.Settings)) (*harness.Fleet, *recorder) {
+// emptyNode is oneNode without a set, by the given programs.
+func emptyNode(t *testing.T, bins harness.Bins, tune ...func(*settings.Settings)) (*harness.Fleet, *recorder) {
 	t.Helper()
 	rec := &recorder{}
 	target := httptest.NewServer(rec)
 	t.Cleanup(target.Close)
-	_, bins := harnesstest.Programs(t)
 	f, err := harness.New(bins)
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/node/listen.go
@@ -0,0 +1,82 @@
+package node
+
+import (
+	"errors"
+	"syscall"
+
+	"go.uber.org/zap"
+
+	"peardrift/internal/adapter/hertzhttp"
+	"peardrift/internal/adapter/listen"
+	"peardrift/internal/status"
+)
+
+// listen opens all listeners, or fails with each that can't be opened.
+func (n *Node) listen() error {
+	cfg := hertzhttp.DefaultServerConfig()
+	cfg.IdleTimeout, cfg.MaxHeaderBytes = n.set.Traffic.IdleTimeout, n.set.Traffic.MaxHeaderBytes
+	most := n.mostConnections()
+	callers := hertzhttp.NewConnLimit(most)
+	inner := hertzhttp.NewConnLimit(most)
+	ops := hertzhttp.NewConnLimit(min(most, opsConnections))
+	l := n.set.Listen
+	var failed []error
+	for _, f := range []struct {
+		key, addr string
+		to        **hertzhttp.Server
+		handle    hertzhttp.Handler
+		conns     *hertzhttp.ConnLimit
+	}{
+		{"listen.callers", l.Callers, &n.faces.callers, n.engine.ServeCaller, callers},
+		{"listen.nodes", l.Nodes, &n.faces.nodes, n.engine.ServeNode, inner},
+		{"listen.target", l.Target, &n.faces.target, n.engine.ServeTarget, inner},
+		{"listen.ops", l.Ops, &n.faces.ops, n.serveOps, ops},
+	} {
+		cfg.Conns = f.conns
+		s, err := hertzhttp.Listen(f.addr, cfg, f.handle)
+		if err != nil {
+			failed = append(failed, status.Wrap(status.CodeListen, status.From(err).Cause, "%s", f.key))
+			continue
+		}
+		*f.to = s
+	}
+	var err error
+	if n.ln, err = listen.Open(l.Control); err != nil {
+		failed = append(failed, status.Wrap(status.CodeListen, status.From(err).Cause, "listen.control"))
+	}
+	return errors.Join(failed...)
+}
+
+const (
+	// opsConnections bounds the operators' connections, which have a place of
+	// their own: callers that open all theirs must not hide the node from those
+	// who want to see what is the matter.
+	opsConnections = 64
+	// spareFiles are descriptors for what isn't traffic.
+	spareFiles = 64
+	// filesPerConnection is how many descriptors stand behind each connection of
+	// the bound: one for a caller, one for a node or the target, and as many for
+	// the connections that their calls go out on.
+	filesPerConnection = 4
+	leastConnections   = 8
+)
+
+// mostConnections bounds the connections of callers, and those of nodes and the
+// target, each. A node that runs out of descriptors can open no connection to its
+// own target or to others, so the bound is lower where the process may open fewer
+// files than the settings would need.
+func (n *Node) mostConnections() int {
+	most := n.set.Traffic.MaxConnections
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil {
+		return most
+	}
+	have := (int(min(files.Cur, 1<<31)) - spareFiles) / filesPerConnection
+	if have >= most {
+		return most
+	}
+	have = max(have, leastConnections)
+	n.log.Warn("fewer connections than traffic.maxConnections, for want of file descriptors",
+		zap.Uint64("descriptors", files.Cur), zap.Int("connections", have))
+	return have
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"errors"
 	"math/rand/v2"
 	"net"
 	"strings"
@@ -148,37 +147,6 @@
 	n.engine = dataplane.New(cfg, n.self, n.peers, n.local, n.claims, obs)
 }
 
-// listen opens all listeners, or fails with each that can't be opened.
-func (n *Node) listen() error {
-	cfg := hertzhttp.DefaultServerConfig()
-	cfg.IdleTimeout, cfg.MaxHeaderBytes = n.set.Traffic.IdleTimeout, n.set.Traffic.MaxHeaderBytes
-	cfg.Conns = hertzhttp.NewConnLimit(n.set.Traffic.MaxConnections)
-	l := n.set.Listen
-	var failed []error
-	for _, f := range []struct {
-		key, addr string
-		to        **hertzhttp.Server
-		handle    hertzhttp.Handler
-	}{
-		{"listen.callers", l.Callers, &n.faces.callers, n.engine.ServeCaller},
-		{"listen.nodes", l.Nodes, &n.faces.nodes, n.engine.ServeNode},
-		{"listen.target", l.Target, &n.faces.target, n.engine.ServeTarget},
-		{"listen.ops", l.Ops, &n.faces.ops, n.serveOps},
-	} {
-		s, err := hertzhttp.Listen(f.addr, cfg, f.handle)
-		if err != nil {
-			failed = append(failed, status.Wrap(status.CodeListen, status.From(err).Cause, "%s", f.key))
-			continue
-		}
-		*f.to = s
-	}
-	var err error
-	if n.ln, err = net.Listen("tcp", l.Control); err != nil {
-		failed = append(failed, status.Wrap(status.CodeListen, err, "listen.control"))
-	}
-	return errors.Join(failed...)
-}
-
 // epoch2020 is where incarnations count from, in seconds.
 var epoch2020 = time.Date(2020, 1, 1, 0, 0, 0, 0, time.UTC)
 
--- a/internal/settings/traffic.go
+++ b/internal/settings/traffic.go
@@ -25,9 +25,11 @@
 	// still serve; higher costs BufferBytes and a goroutine each.
 	MaxCalls int `yaml:"maxCalls" validate:"min=16,max=1000000"`
 
-	// MaxConnections bounds the open connections of all listeners together.
-	// Default 8192. Connections above it are closed at once. Lower turns callers
-	// away while there is room; higher takes memory and a file descriptor each.
+	// MaxConnections bounds the open connections of callers, and as many of nodes
+	// and the own target together. Default 8192; less where the process may open
+	// fewer than four files for each. Connections above it are closed at once.
+	// Lower turns callers away while there is room; higher takes memory and file
+	// descriptors.
 	MaxConnections int `yaml:"maxConnections" validate:"min=16,max=1000000"`
 
 	// UploadTimeout bounds the time for a whole request body to arrive.
