Ask and tell several nodes at a time

"peardrift status" and "apply" went through the nodes one after the other, each with up to 3 s of the command's 20 s: with seven nodes down, all that were named after them looked down too, just when one looks. They are called 32 at a time. TestNodesThatAreDownDoNotHideOthers failed before (virtual time).

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -25,7 +25,8 @@
 	ExitUnknown     = 6 // the set may have been accepted; ask again
 )
 
-// Nodes tells and asks nodes at their control addresses.
+// Nodes tells and asks nodes at their control addresses. It is called from
+// several goroutines at a time.
 type Nodes interface {
 	Head(ctx context.Context, addr string, args adminapi.HeadArgs) (adminapi.HeadReply, error)
 	Status(ctx context.Context, addr string) (adminapi.StatusReply, error)
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -21,7 +22,10 @@
 )
 
 // fakeNodes answers for one node and has no other.
-type fakeNodes struct{ heads []adminapi.HeadArgs }
+type fakeNodes struct {
+	mu    sync.Mutex
+	heads []adminapi.HeadArgs
+}
 
 const knownNode = "127.0.0.1:1"
 
@@ -29,6 +33,8 @@
 	if addr != knownNode {
 		return adminapi.HeadReply{}, status.New(status.CodeConnectionLost, "no node at %s", addr)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.heads = append(f.heads, args)
 	return adminapi.HeadReply{InForce: args.Version - 1}, nil
 }
--- a/internal/cli/doc.go
+++ b/internal/cli/doc.go
@@ -3,5 +3,6 @@
 //
 // Run is the whole program but for the process around it: what it touches
 // outside (platform, nodes, output) comes in by Env, so tests run it in memory.
-// It starts no goroutine of its own; a Run has its Env to itself.
+// A Run has its Env to itself; it calls Env.Nodes from several goroutines, all
+// else from one.
 package cli
--- a/internal/cli/nodes.go
+++ b/internal/cli/nodes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"peardrift/internal/adapter/rpc"
@@ -26,6 +27,25 @@
 // hold up the report of an apply that was accepted.
 const nodeTimeout = 3 * time.Second
 
+// nodesAtOnce bounds the nodes that are called at a time.
+const nodesAtOnce = 32
+
+// each calls f for each address and returns when all calls have. One after the
+// other, a few nodes that are down would use up the command's time, and those
+// named after them look down too.
+func each(addrs []string, f func(i int, addr string)) {
+	var wg sync.WaitGroup
+	free := make(chan struct{}, nodesAtOnce)
+	for i, addr := range addrs {
+		free <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-free }()
+			f(i, addr)
+		})
+	}
+	wg.Wait()
+}
+
 // RPCNodes calls nodes by net/rpc; for Env.Nodes.
 type RPCNodes struct{ pool *rpc.Pool }
 
--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -5,12 +5,18 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
+	"peardrift/internal/adapter/rpc/adminapi"
+	"peardrift/internal/apply"
 	"peardrift/internal/port/porttest"
+	"peardrift/internal/settings"
 	"peardrift/internal/status"
 )
 
@@ -121,6 +127,41 @@
 	}
 }
 
+// downNodes has one node that answers; all others keep their caller waiting.
+type downNodes struct{ fakeNodes }
+
+func (d *downNodes) Status(ctx context.Context, addr string) (adminapi.StatusReply, error) {
+	if addr != knownNode {
+		time.Sleep(nodeTimeout)
+	}
+	if ctx.Err() != nil {
+		return adminapi.StatusReply{}, status.New(status.CodeDeadlineExceeded, "no time left")
+	}
+	return d.fakeNodes.Status(ctx, addr)
+}
+
+// Symptom: in an outage "status" shows nodes as down that are not. Events: ten
+// nodes that don't answer are named before one that does. Cause: they were asked
+// one after the other, within the time of the whole command.
+func TestNodesThatAreDownDoNotHideOthers(t *testing.T) {
+	b := newBench(t)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		args := []string{"status"}
+		for i := range 10 {
+			args = append(args, "--node", "10.0.0.1:"+strconv.Itoa(7000+i))
+		}
+		code := Run(context.Background(), append(args, "--node", knownNode), Env{
+			Stdout: &b.out, Stderr: &b.err, Nodes: &downNodes{},
+			Open: func(settings.Platform) (*apply.Store, func(), error) {
+				return apply.New(b.table, b.objects, apply.DefaultConfig()), func() {}, nil
+			},
+		})
+		is.Equal(code, ExitFailure)
+		is.True(strings.Contains(b.out.String(), "node "+knownNode+": feed-1"))
+	})
+}
+
 func TestStatusTellsOfOverloadAndReadiness(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t)
--- a/internal/cli/show.go
+++ b/internal/cli/show.go
@@ -75,9 +75,10 @@
 	var out statusResult
 	var failed error
 	out.Accepted, failed = c.accepted()
-	for _, addr := range c.Nodes {
-		n, err := c.ask(addr)
-		out.Nodes = append(out.Nodes, n)
+	out.Nodes = make([]nodeStatus, len(c.Nodes))
+	faults := make([]error, len(c.Nodes))
+	each(c.Nodes, func(i int, addr string) { out.Nodes[i], faults[i] = c.ask(addr) })
+	for _, err := range faults {
 		if failed == nil {
 			failed = err
 		}
--- a/internal/cli/submit.go
+++ b/internal/cli/submit.go
@@ -120,15 +120,14 @@
 }
 
 func (c *applyCommand) tell(args adminapi.HeadArgs) []told {
-	var out []told
-	for _, addr := range c.Nodes {
+	out := make([]told, len(c.Nodes))
+	each(c.Nodes, func(i int, addr string) {
 		reply, err := c.env.Nodes.Head(c.ctx, addr, args)
-		t := told{Addr: addr, InForce: reply.InForce}
+		out[i] = told{Addr: addr, InForce: reply.InForce}
 		if err != nil {
-			t.Error = err.Error()
+			out[i].Error = err.Error()
 		}
-		out = append(out, t)
-	}
+	})
 	return out
 }
 
