--- a/internal/adapter/yamlset/load.go
+++ b/internal/adapter/yamlset/load.go
@@ -51,7 +51,23 @@
 		names = append(names, found...)
 	}
 	slices.Sort(names)
-	return names, nil
+	return names, regular(names)
+}
+
+// regular refuses what isn't a file among the files of a directory: to open a
+// pipe that nobody writes to takes for ever, and no time-out ends it. A pipe that
+// is named by itself is its caller's wish.
+func regular(names []string) error {
+	for _, name := range names {
+		info, err := os.Stat(name)
+		if err != nil {
+			return status.Wrap(status.CodeInvalidSettings, err, "cannot read the set")
+		}
+		if !info.Mode().IsRegular() {
+			return status.New(status.CodeInvalidSettings, "cannot read the set: %s is not a regular file", name)
+		}
+	}
+	return nil
 }
 
 // read reads at most one byte more than a file may have, so that a huge or
