--- a/bench/cmd/demo/main.go
+++ b/bench/cmd/demo/main.go
@@ -8,42 +8,22 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
+	"peardrift/bench/command"
 	"peardrift/bench/harness"
 	"peardrift/bench/mainjob"
 	"peardrift/internal/status"
 )
 
-const exitUsage = 2
-
 type options struct {
 	Seconds float64 `long:"seconds" default:"5" description:"length of the mixed load"`
 	Small   bool    `long:"small" description:"two targets of each service, at half the load"`
 	Keep    bool    `long:"keep" description:"keep the fleet's folder (settings, logs, traces) and print its name"`
 }
 
-func main() {
-	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(exitUsage)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	if err := run(ctx, o); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+func main() { command.Main(run) }
 
 func run(ctx context.Context, o options) error {
 	root, err := harness.Root()
--- a/bench/cmd/rollout/main.go
+++ b/bench/cmd/rollout/main.go
@@ -9,14 +9,11 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"strconv"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
+	"peardrift/bench/command"
 	"peardrift/bench/deploy"
 	"peardrift/bench/harness"
 	"peardrift/internal/core/request"
@@ -35,18 +32,7 @@
 	example = "khaosan"
 )
 
-func main() {
-	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		os.Exit(2)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	if err := run(ctx, o); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+func main() { command.Main(run) }
 
 func run(ctx context.Context, o options) error {
 	bin, err := os.MkdirTemp("", "peardrift-bin-")
--- a/bench/cmd/standin-lean/main.go
+++ b/bench/cmd/standin-lean/main.go
@@ -3,35 +3,20 @@
 package main
 
 import (
-	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
-
-	"github.com/jessevdk/go-flags"
+	"context"
 
+	"peardrift/bench/command"
 	"peardrift/bench/latency"
 	"peardrift/bench/standin/target"
 )
 
-const exitUsage = 2
-
 type options struct {
 	Config string `long:"config" required:"true" description:"YAML file with the target's settings"`
 }
 
-func main() {
-	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		os.Exit(exitUsage)
-	}
-	if err := run(o); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+func main() { command.Main(run) }
 
-func run(o options) error {
+func run(ctx context.Context, o options) error {
 	cfg, err := target.Load(o.Config, nil)
 	if err != nil {
 		return err
@@ -40,8 +25,6 @@
 	if err != nil {
 		return err
 	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	<-stop
+	<-ctx.Done()
 	return t.Close()
 }
--- a/bench/cmd/standin-target/main.go
+++ b/bench/cmd/standin-target/main.go
@@ -3,19 +3,18 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
+	"peardrift/bench/command"
 	"peardrift/bench/standin/target"
 )
 
 const (
-	exitUsage = 2
 	exitCrash = 3
 	drainPoll = 10 * time.Millisecond
 	// quiet is longer than the pauses of callers that haven't heard of a drain,
@@ -34,18 +33,9 @@
 	Seed    uint64 `long:"seed" description:"overrides seed"`
 }
 
-func main() {
-	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		os.Exit(exitUsage)
-	}
-	if err := run(o); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+func main() { command.Main(run) }
 
-func run(o options) error {
+func run(ctx context.Context, o options) error {
 	cfg, err := o.load()
 	if err != nil {
 		return err
@@ -59,11 +49,11 @@
 		return err
 	}
 	fmt.Println("listening", s.Addr())
-	stop := make(chan os.Signal, 2)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	<-stop
+	<-ctx.Done()
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGTERM, os.Interrupt)
 	s.Drain()
-	awaitIdle(s, stop)
+	awaitIdle(s, again)
 	return s.Close()
 }
 
@@ -93,7 +83,7 @@
 // sender can't tell that from a crash in the middle of a run: now and then an
 // upload was in doubt after a planned stop. Until callers have heard of the drain,
 // a target that drains answers them that it does.
-func awaitIdle(s *target.Server, stop <-chan os.Signal) {
+func awaitIdle(s *target.Server, again <-chan os.Signal) {
 	t := time.NewTicker(drainPoll)
 	defer t.Stop()
 	began := time.Now()
@@ -107,7 +97,7 @@
 			return
 		}
 		select {
-		case <-stop:
+		case <-again:
 			return
 		case <-t.C:
 		}
