Skip through all MessagePack of others before making its lists

Cause: as of the layouts of claims. Sets, deltas and rows of claims were read the same way: a peer's cut patch, or an object that something else wrote, could ask for hundreds of gigabytes, one list within another.

The rule now stands once, in internal/mpack, and its test ended with "cannot allocate-byte block" without it.

--- a/internal/core/claim/batch/layout.go
+++ b/internal/core/claim/batch/layout.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"peardrift/internal/core/claim"
+	"peardrift/internal/mpack"
 	"peardrift/internal/status"
 )
 
@@ -129,18 +130,9 @@
 
 // DecodeLayouts reads what Encode wrote; it fails with status.CodeProtocol on
 // anything else.
-//
-// The value is first read as a whole: the library makes a list as long as its head
-// says, and ten bytes were seen to ask for 60 GB. Of a value that is complete, each
-// element has at least one byte.
 func DecodeLayouts(b []byte) (Layouts, error) {
-	var raw msgpack.RawMessage
 	var v layoutsValue
-	err := msgpack.Unmarshal(b, &raw)
-	if err == nil {
-		err = msgpack.Unmarshal(raw, &v)
-	}
-	if err != nil {
+	if err := mpack.Unmarshal(b, &v); err != nil {
 		return nil, status.Wrap(status.CodeProtocol, err, "decode layouts of claims")
 	}
 	if v.Format != layoutsFormat {
--- a/internal/core/claim/batch/row.go
+++ b/internal/core/claim/batch/row.go
@@ -7,6 +7,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"peardrift/internal/mpack"
 	"peardrift/internal/status"
 )
 
@@ -39,7 +40,7 @@
 // else.
 func Decode(b []byte) (map[string]Entry, error) {
 	var v value
-	if err := msgpack.Unmarshal(b, &v); err != nil {
+	if err := mpack.Unmarshal(b, &v); err != nil {
 		return nil, status.Wrap(status.CodeProtocol, err, "decode a row of claims")
 	}
 	if v.Format != rowFormat {
--- a/internal/core/claim/row.go
+++ b/internal/core/claim/row.go
@@ -6,6 +6,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"peardrift/internal/core/request"
+	"peardrift/internal/mpack"
 	"peardrift/internal/status"
 )
 
@@ -107,7 +108,7 @@
 // that Encode did not write.
 func Decode(version int64, token string, b []byte) (Row, error) {
 	var v value
-	if err := msgpack.Unmarshal(b, &v); err != nil {
+	if err := mpack.Unmarshal(b, &v); err != nil {
 		return Row{}, status.Wrap(status.CodeProtocol, err, "decode a claim")
 	}
 	if v.Format != rowFormat {
--- a/internal/core/confset/encode.go
+++ b/internal/core/confset/encode.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"peardrift/internal/core/request"
+	"peardrift/internal/mpack"
 	"peardrift/internal/status"
 )
 
@@ -117,7 +118,7 @@
 	if len(body) > MaxEncoded {
 		return status.New(status.CodeTooLarge, "%d bytes, at most %d are allowed", len(body), MaxEncoded)
 	}
-	if err := msgpack.Unmarshal(body, v); err != nil {
+	if err := mpack.Unmarshal(body, v); err != nil {
 		return status.Wrap(status.CodeProtocol, err, "undecodable set")
 	}
 	return nil
--- a/internal/core/confset/patch.go
+++ b/internal/core/confset/patch.go
@@ -5,8 +5,6 @@
 	"cmp"
 	"slices"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"peardrift/internal/status"
 )
 
@@ -15,6 +13,9 @@
 // bytes between what both versions begin and end with; whether the result is
 // right shows by the set's digest.
 type Patch struct {
+	// An array: the fields' names would be a quarter of it.
+	_msgpack struct{} `msgpack:",as_array"` //lint:ignore U1000 read by the codec
+
 	Name   string
 	Begin  int    // bytes kept at the beginning
 	End    int    // bytes kept at the end
@@ -30,17 +31,6 @@
 	Sum []byte
 }
 
-// EncodeMsgpack implements msgpack.CustomEncoder: without names of the fields,
-// which would be a quarter of it.
-func (d Patch) EncodeMsgpack(e *msgpack.Encoder) error {
-	return e.EncodeMulti(d.Name, d.Begin, d.End, d.Middle, d.Changed, d.Sum)
-}
-
-// DecodeMsgpack implements msgpack.CustomDecoder.
-func (d *Patch) DecodeMsgpack(m *msgpack.Decoder) error {
-	return m.DecodeMulti(&d.Name, &d.Begin, &d.End, &d.Middle, &d.Changed, &d.Sum)
-}
-
 // sumSize is the length of Patch.Sum in bytes.
 const sumSize = 4
 
