--- a/bench/scale/conf.go
+++ b/bench/scale/conf.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -164,12 +165,15 @@
 	f.shared = sharedPeers{view: v, near: make(map[string][]inforce.Peer)}
 	v.All(func(m member.Member) bool {
 		if m.Status == member.Alive || m.Status == member.Suspect {
-			p := inforce.Peer{ID: m.ID, Region: m.Region, Addr: m.Control}
-			f.shared.all = append(f.shared.all, p)
-			f.shared.near[m.Region] = append(f.shared.near[m.Region], p)
+			f.shared.all = append(f.shared.all, inforce.Peer{ID: m.ID, Region: m.Region, Addr: m.Control})
 		}
 		return true
 	})
+	// A view is in no particular order, and peers are drawn from it.
+	slices.SortFunc(f.shared.all, func(a, b inforce.Peer) int { return cmp.Compare(a.ID, b.ID) })
+	for _, p := range f.shared.all {
+		f.shared.near[p.Region] = append(f.shared.near[p.Region], p)
+	}
 }
 
 func (f *Fleet) doConf(n *Node, actions []inforce.Action) {
--- a/bench/scale/conf_test.go
+++ b/bench/scale/conf_test.go
@@ -21,4 +21,12 @@
 		return b
 	}
 	is.Equal(run(), run())
+	outage := func() Reads {
+		f := New(member.DefaultConfig(), 40, 7)
+		is.NoErr(f.Configure(3, time.Minute))
+		r, err := f.ReadsAfterOutage(time.Minute, 20*time.Second)
+		is.NoErr(err)
+		return r
+	}
+	is.Equal(outage(), outage())
 }
