Let the test of bytes between take and send meet a connection that is watched

Cause: TestBytesBetweenTakeAndSend hung in five of five runs with a time limit of 8 s since idle connections are watched after a second only: the test takes the connection before that, and waited for ever for what a watch would have seen. It now has connections watched at once and waits until this one is. What it asks is unchanged. Run: the package five times under -race, and by its finder 300 times on one processor.

--- a/internal/adapter/hertzhttp/stray_test.go
+++ b/internal/adapter/hertzhttp/stray_test.go
@@ -51,19 +51,33 @@
 		<-stray
 		write(c, okAnswer)
 	})
-	cl := NewClient(DefaultClientConfig())
+	cfg := DefaultClientConfig()
+	cfg.WatchAfter = 0 // at once
+	cl := NewClient(cfg)
 	defer cl.Close()
 	var resp protocol.Response
 	_, err := cl.Do(context.Background(), addr, get("/"), &resp)
 	is.NoErr(err)
-	c, offer := cl.pool(addr).take("")
+	p := cl.pool(addr)
+	for !isWatched(p) { // the sweep runs on a goroutine of its own
+		time.Sleep(time.Millisecond)
+	}
+	c, offer := p.take("")
 	is.Equal(offer, conn.Reuse)
 	close(stray)
 	for len(c.watched) == 0 { // until the watch has seen the bytes
 		time.Sleep(time.Millisecond)
 	}
 	is.True(!c.unwatch())
-	cl.pool(addr).end(c, conn.Aborted)
+	p.end(c, conn.Aborted)
+}
+
+// isWatched reports whether the one connection of a pool is watched.
+func isWatched(p *pool) bool {
+	c := only(p)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return c.watching
 }
 
 // Symptom: a HEAD request hangs until its deadline, or takes the next answer's bytes
