Let HTTP listeners outlast a shortage of file descriptors too

Cause: hertz ends its listener at the first accept that fails, as net/rpc did: with no descriptor left for a moment a node looked ready and answered no caller any more.

TestAcceptOutlastsAShortage of internal/adapter/listen holds the rule itself; the faces have no test of their own for it. Run: go test ./internal/adapter/hertzhttp ./internal/node.

--- a/internal/adapter/hertzhttp/server.go
+++ b/internal/adapter/hertzhttp/server.go
@@ -12,6 +12,7 @@
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 
+	listener "peardrift/internal/adapter/listen"
 	"peardrift/internal/status"
 )
 
@@ -62,9 +63,9 @@
 // Listen binds addr and returns a server that doesn't accept yet. Binding
 // first lets a process find a busy port before it has announced anything.
 func Listen(addr string, cfg ServerConfig, handle Handler) (*Server, error) {
-	ln, err := net.Listen("tcp", addr)
+	ln, err := listener.Open(addr)
 	if err != nil {
-		return nil, status.Wrap(status.CodeListen, err, "cannot listen on %s", addr)
+		return nil, err
 	}
 	if cfg.Conns != nil {
 		ln = &limitedListener{Listener: ln, limit: cfg.Conns}
