End work at its deadline in the replay only where cancellations are lost

Where cancellations arrive the event did nothing else, since the caller gives up at the same instant.

--- a/bench/replay/call.go
+++ b/bench/replay/call.go
@@ -73,7 +73,6 @@
 	gated   bool // admitted by the gate
 	over    bool
 	timer   *event
-	expiry  *event
 	subs    []*call
 	again   bool          // another execution of the call may have come before
 	used    uint64        // bit set of the services called
@@ -138,14 +137,19 @@
 	c.ended(a, result{outcome: request.Unknown, code: status.CodeDeadlineExceeded})
 }
 
-// drop stops waiting for an attempt; with cancellation its work is stopped too.
+// drop stops waiting for an attempt; with cancellation its work is stopped too. If
+// that is lost, the callee's node ends the work at its deadline by itself.
 func (c *call) drop(a *attempt) {
 	if a == nil || a.gone {
 		return
 	}
 	a.gone = true
-	if c.n.w.pol.Cancel {
-		c.n.w.after(a.delay, func() { a.to.cancel(a) })
+	w := c.n.w
+	switch {
+	case w.pol.Cancel:
+		w.after(a.delay, func() { a.to.cancel(a) })
+	case w.pol.Deadlines && c.deadline > 0:
+		w.at(c.deadline, func() { a.to.cancel(a) })
 	}
 }
 
--- a/bench/replay/node.go
+++ b/bench/replay/node.go
@@ -58,11 +58,6 @@
 	a.gated = true
 	n.w.m.decide(decidedAdmit)
 	n.chain.Served(n.w.now, workOf(a.call.tree))
-	// A node ends what runs at its deadline by itself: the caller's cancellation
-	// may be lost.
-	if n.w.pol.Deadlines && a.call.deadline > 0 {
-		a.expiry = n.w.at(a.call.deadline, func() { n.cancel(a) })
-	}
 	n.offer(a)
 }
 
@@ -92,7 +87,6 @@
 	a.over = true
 	delete(n.live, a.seq)
 	a.timer.cancel()
-	a.expiry.cancel()
 	r.work = a.useful
 	if a.running {
 		r.work += n.w.now - a.began
