--- a/internal/adapter/hertzhttp/stray_test.go
+++ b/internal/adapter/hertzhttp/stray_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"peardrift/internal/core/conn"
+	"peardrift/internal/status"
 )
 
 const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -109,3 +111,19 @@
 		is.True(req.Header.IsHead() || string(resp.Body()) == "ok")
 	}
 }
+
+// Symptom: a target is avoided, or blamed for a crash, that did nothing wrong.
+// Events: a caller breaks off its upload. Cause: the connection, which is closed for
+// it, is taken for broken by the peer.
+func TestOwnBodysFailureIsNotThePeers(t *testing.T) {
+	is := is.New(t)
+	addr := peer(t, func(int, net.Conn, *http.Request) {})
+	cl := NewClient(DefaultClientConfig())
+	defer cl.Close()
+	req := get("/")
+	req.Header.SetMethod(http.MethodPost)
+	const stated = 100_000
+	req.SetBodyStream(strings.NewReader("half"), stated)
+	_, err := cl.Do(context.Background(), addr, req, &protocol.Response{})
+	is.Equal(status.CodeOf(err), status.CodeCanceled)
+}
