--- a/bench/faults/faults_test.go
+++ b/bench/faults/faults_test.go
@@ -17,9 +17,6 @@
 
 func playAll(t *testing.T, open func(context.Context, harness.Bins) (*Lab, error), scenarios []Scenario) {
 	t.Helper()
-	if testing.Short() {
-		t.Skip("starts processes")
-	}
 	end, err := harness.Turn()
 	if err != nil {
 		t.Fatal(err)
--- a/bench/overload/overload_test.go
+++ b/bench/overload/overload_test.go
@@ -22,9 +22,6 @@
 // than twenty: in a run at a load average of 106, 3% of the least important class
 // were served, 75 and 100% of the important ones.
 func TestWorstCaseOnProcesses(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts processes")
-	}
 	is := is.New(t)
 	end, err := harness.Turn()
 	is.NoErr(err)
