--- a/bench/latency/stack.go
+++ b/bench/latency/stack.go
@@ -144,7 +144,7 @@
 	set.Platform.AccessKey, set.Platform.SecretKey = "bench", "bench"
 	set.Logs.File = filepath.Join(s.dir, "log")
 	set.Shutdown.Announce = time.Millisecond
-	n, err := node.New(set)
+	n, err := node.New(set, nil)
 	if err != nil {
 		return set, err
 	}
--- a/internal/adapter/hertzhttp/client.go
+++ b/internal/adapter/hertzhttp/client.go
@@ -39,6 +39,14 @@
 	GiveUp time.Duration
 	// Prober asks peers for silent calls; nil if they can't be asked.
 	Prober Prober
+	// Check says whether an answer, by its head, is that to the request; nil: all
+	// are. It sees the peer's word only, so it can't replace keeping calls apart
+	// by their connections; it finds what a peer has sent twice.
+	Check func(req *protocol.RequestHeader, resp *protocol.ResponseHeader) Match
+	// Unframed takes answers that state no length and end with their connection.
+	// Without it they are refused: one that a peer breaks off looks like a whole
+	// one, unless the connection is reset.
+	Unframed bool
 	// WatchAfter is how long a connection is idle before a goroutine waits for
 	// its end (default 1 s). Before each call it is looked for, too, and for
 	// bytes that nobody asked for. Lower closes connections that peers have
@@ -168,12 +176,12 @@
 		_ = cc.SetReadDeadline(time.Now().Add(earlyAnswer))
 	}
 	resp.SkipBody = req.Header.IsHead()
-	if err := http1resp.ReadHeaders(resp, cc); err != nil {
+	if err := c.readHead(cc, req, resp); err != nil {
 		return cmp.Or(sent, err)
 	}
 	n := resp.Header.ContentLength()
 	if n < -1 && !resp.MustSkipBody() {
-		return status.New(status.CodeProtocol, "an answer of no stated length can't be told from a broken one")
+		return c.readUnframed(cc, resp)
 	}
 	if resp.MustSkipBody() || (n >= 0 && n <= c.cfg.BufferBytes) {
 		return c.readWhole(cc, resp, stop, sent == nil)
@@ -190,6 +198,71 @@
 	return nil
 }
 
+// Match is what an answer is to a request.
+type Match uint8
+
+const (
+	// Own is the answer to the request.
+	Own Match = iota
+	// Other is the answer to an earlier request, which the peer has sent again;
+	// that to this one may follow.
+	Other
+	// Foreign is no answer of the peer's; nothing that follows can be believed.
+	Foreign
+)
+
+// maxOthers is how many answers to earlier requests are passed over.
+const maxOthers = 2
+
+// readHead reads the head of the answer to req. Answers to earlier requests that
+// came late are passed over: taken for this one's they would hand one caller's
+// answer to another, and so would each that follows on the connection.
+func (c *Client) readHead(cc *clientConn, req *protocol.Request, resp *protocol.Response) error {
+	for others := 0; ; others++ {
+		if err := http1resp.ReadHeaders(resp, cc); err != nil {
+			return err
+		}
+		if c.cfg.Check == nil {
+			return nil
+		}
+		m := c.cfg.Check(&req.Header, &resp.Header)
+		if m == Own {
+			return nil
+		}
+		n := resp.Header.ContentLength()
+		if m == Foreign || others == maxOthers || n < 0 || n > c.cfg.BufferBytes {
+			return status.New(status.CodeTargetFailed, "%s sent what is no answer to the request", cc.pool.addr)
+		}
+		if err := http1resp.ReadRespBody(resp, cc, 0); err != nil {
+			return err
+		}
+		resp.Reset()
+	}
+}
+
+// maxUnframed bounds an answer of no stated length, in bytes: it is held whole,
+// since only its end shows that it is.
+const maxUnframed = 4 << 20
+
+// readUnframed reads an answer that ends with its connection. One that is reset
+// is not whole.
+func (c *Client) readUnframed(cc *clientConn, resp *protocol.Response) error {
+	if !c.cfg.Unframed {
+		return status.New(status.CodeProtocol, "an answer of no stated length can't be told from a broken one")
+	}
+	body, err := io.ReadAll(io.LimitReader(cc, maxUnframed+1))
+	if err != nil {
+		return err
+	}
+	if len(body) > maxUnframed {
+		return status.New(status.CodeTooLarge, "an answer of no stated length has more than %d bytes", maxUnframed)
+	}
+	resp.SetBody(body)
+	resp.Header.SetContentLength(len(body))
+	cc.pool.end(cc, conn.WholeLast)
+	return nil
+}
+
 // earlyAnswer is how long the answer of a peer that took no more of a request
 // is waited for; it is here already, or never comes.
 const earlyAnswer = 10 * time.Millisecond
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -293,6 +293,9 @@
 	return out
 }
 
+// Resume ends a drain: the target takes calls again, in another lifetime.
+func (g *Gate) Resume() { g.draining = false }
+
 // SetShares sets the tenants' weights by index; tenants without one have 1.
 func (g *Gate) SetShares(weights []float64) { g.ledger.SetWeights(weights) }
 
--- a/internal/core/confset/encode.go
+++ b/internal/core/confset/encode.go
@@ -97,6 +97,8 @@
 func canonicalService(s Service) Service {
 	s.Calls = slices.Sorted(slices.Values(s.Calls))
 	s.Allow = slices.Sorted(slices.Values(s.Allow))
+	s.Routes = slices.Clone(s.Routes)
+	slices.SortStableFunc(s.Routes, func(a, b Route) int { return cmp.Compare(a.Name, b.Name) })
 	s.Classes = slices.Clone(s.Classes)
 	slices.SortStableFunc(s.Classes, func(a, b Class) int { return cmp.Compare(a.Name, b.Name) })
 	return s
--- a/internal/core/confset/index.go
+++ b/internal/core/confset/index.go
@@ -14,6 +14,7 @@
 type Index struct {
 	services map[request.Service]*ServiceInfo
 	tenants  map[request.Tenant]tenantInfo
+	routes   map[string][]*RouteInfo // by host, longest prefix first
 }
 
 type tenantInfo struct {
@@ -51,6 +52,7 @@
 		info := newServiceInfo(s.Tenant, svc)
 		next.services[info.Name] = info
 	}
+	next.routes = routesOf(next.services)
 	return next
 }
 
@@ -105,6 +107,7 @@
 	Calls       []request.Service
 	Allow       []request.Tenant
 	Classes     []Class // longest path first
+	Routes      []Route
 }
 
 func newServiceInfo(t request.Tenant, s Service) *ServiceInfo {
@@ -116,6 +119,7 @@
 		Calls:       slices.Clone(s.Calls),
 		Allow:       slices.Clone(s.Allow),
 		Classes:     slices.Clone(s.Classes),
+		Routes:      s.Routes,
 	}
 	slices.SortStableFunc(info.Classes, byPrecedence)
 	return info
--- a/internal/core/confset/set.go
+++ b/internal/core/confset/set.go
@@ -45,6 +45,10 @@
 
 	// Classes says what a request is by its method and path.
 	Classes []Class `msgpack:"k"`
+
+	// Routes lead requests here by host and path. Where a set declares any,
+	// callers name hosts, not services, and services need no classes.
+	Routes []Route `msgpack:"r,omitempty"`
 }
 
 // Class declares one kind of request.
@@ -81,8 +85,31 @@
 
 	// MaxBody bounds a request's body in bytes. DefaultMaxBody if not declared.
 	MaxBody int64 `msgpack:"b"`
+
+	// The rest is of routes only, and never encoded with a class.
+
+	// Objective is the time within which an answer is worth most; 0 if none.
+	Objective time.Duration `msgpack:"-"`
+
+	// Repeat says whether a request may run more than once.
+	Repeat Repeat `msgpack:"-"`
+
+	// Runs is on how many targets a request may run; 0: as its attempts allow.
+	Runs int `msgpack:"-"`
 }
 
+// Repeat says whether a request that may have run may be sent again.
+type Repeat uint8
+
+const (
+	// ByMethod: as the method's definition says (RFC 9110, 9.2.2).
+	ByMethod Repeat = iota
+	// Repeatable requests may run more than once, whatever their method.
+	Repeatable
+	// Once: never, whatever their method.
+	Once
+)
+
 // What a class has where its operators declare nothing.
 const (
 	DefaultDeadline       = 2 * time.Second
--- a/internal/core/confset/validate.go
+++ b/internal/core/confset/validate.go
@@ -68,6 +68,7 @@
 // validator gathers the problems of one set.
 type validator struct {
 	problems []Problem
+	routed   bool // some service of the set declares routes
 }
 
 func (v *validator) fail(field at, format string, args ...any) {
@@ -93,6 +94,8 @@
 		v.fail(root.field("services"), "must have 1 to %d services, not %d", MaxServices, n)
 	}
 	known := make(map[string]bool, len(s.Services))
+	v.routed = slices.ContainsFunc(s.Services, func(svc Service) bool { return len(svc.Routes) > 0 })
+	routes := make(map[request.Class]Route)
 	for i, svc := range s.Services {
 		field := at{service: i, class: -1, item: -1}
 		if known[svc.Name] {
@@ -100,6 +103,7 @@
 		}
 		known[svc.Name] = true
 		v.service(field, svc)
+		v.routes(field, svc.Routes, routes)
 	}
 	for i, svc := range s.Services {
 		v.calls(at{service: i, class: -1, key: "calls"}, s.Tenant, svc, known)
@@ -115,7 +119,7 @@
 		v.fail(field.field("connections"), "must be at least the %d slots, or some can never be used", s.Slots)
 	}
 	v.allow(field.field("allow"), s.Allow)
-	if n := len(s.Classes); n == 0 || n > MaxClasses {
+	if n := len(s.Classes); n == 0 && !v.routed || n > MaxClasses {
 		v.fail(field.field("classes"), "must have 1 to %d classes, not %d", MaxClasses, n)
 		return
 	}
--- /dev/null
+++ b/internal/core/lifetime/tracker.go
@@ -0,0 +1,89 @@
+package lifetime
+
+import (
+	"time"
+
+	"peardrift/internal/port"
+)
+
+// State is what is known of the target.
+type State struct {
+	Instance string // empty: none is known
+	Slots    int
+	Takes    bool // calls may be sent to it
+	Cold     time.Duration
+}
+
+// Tracker follows the lifetimes at one address.
+type Tracker struct {
+	lives   map[string]*life
+	order   []string // by first report
+	current string
+}
+
+type life struct {
+	seq     int64
+	slots   int
+	leaving bool
+	cold    time.Duration
+}
+
+// maxLives bounds the lifetimes that are remembered. A target that starts more
+// often than this while an old report is under way is broken anyhow.
+const maxLives = 64
+
+// New returns a tracker that knows of no lifetime.
+func New() *Tracker { return &Tracker{lives: make(map[string]*life)} }
+
+// State returns what is known now.
+func (t *Tracker) State() State {
+	l := t.lives[t.current]
+	if l == nil {
+		return State{Instance: t.current}
+	}
+	return State{Instance: t.current, Slots: l.slots, Takes: !l.leaving, Cold: l.cold}
+}
+
+// Report takes in what a target says.
+func (t *Tracker) Report(r port.Report) State {
+	l, known := t.lives[r.Instance]
+	if !known {
+		l = t.begin(r.Instance)
+	}
+	if r.Leaving || r.Last {
+		l.leaving = true
+	}
+	if !known || r.Seq > l.seq {
+		l.seq = r.Seq
+		l.cold = r.Cold
+		if r.Slots > 0 {
+			l.slots = r.Slots
+		}
+	}
+	return t.State()
+}
+
+// begin takes in a lifetime that wasn't heard of before. It is taken for the one
+// that serves; should it be an old one whose report was held up, the target's
+// first answer says so, see Answered.
+func (t *Tracker) begin(instance string) *life {
+	if len(t.order) == maxLives {
+		delete(t.lives, t.order[0])
+		t.order = t.order[1:]
+	}
+	l := &life{}
+	t.lives[instance] = l
+	t.order = append(t.order, instance)
+	t.current = instance
+	return l
+}
+
+// Answered takes in that a lifetime other than the current one answers at the
+// address. One that has reported is the current one from now on; of another one
+// nothing is known until it does.
+func (t *Tracker) Answered(instance string) State {
+	if instance != "" {
+		t.current = instance
+	}
+	return t.State()
+}
--- a/internal/core/retry/brake.go
+++ b/internal/core/retry/brake.go
@@ -17,6 +17,8 @@
 type Brake struct {
 	cfg     *Config
 	tokens  float64
+	rate    float64 // attempts a second that come without success
+	burst   float64
 	refused float64 // attempts refused for load, decayed over cfg.Window
 	total   float64 // attempts in all, decayed likewise
 	at      time.Duration
@@ -25,16 +27,41 @@
 // NewBrake returns a brake with a budget of one attempt, so that a node that has
 // just started can't add a burst of its own.
 func NewBrake(cfg *Config, now time.Duration) Brake {
-	return Brake{cfg: cfg, tokens: min(1, cfg.Burst), at: now}
+	return Brake{cfg: cfg, tokens: min(1, cfg.Burst), rate: cfg.MinRate, burst: cfg.Burst, at: now}
 }
 
+// Share sets the part of the fleet's budget that falls to this one of so many
+// nodes, where the fleet has one. The unspent part of a node that fails is lost,
+// never spent twice, so that the sum holds whichever nodes come and go.
+func (b *Brake) Share(nodes int) {
+	if b.cfg.FleetBudget <= 0 || nodes <= 0 {
+		return
+	}
+	share := b.cfg.FleetBudget / float64(nodes)
+	b.rate = share * (1 - burstShare) / b.cfg.FleetWindow.Seconds()
+	b.burst = max(share*burstShare, 1)
+}
+
+// burstShare is the part of a node's budget for one window that it may spend at
+// once; the rest comes evenly.
+const burstShare = 0.5
+
 // Observe takes in the result of one attempt at the service.
 func (b *Brake) Observe(now time.Duration, o request.Outcome, code status.Code) {
+	b.note(now, o, code, b.cfg.Ratio)
+}
+
+// ObserveCall is Observe for an attempt of a call that a target makes.
+func (b *Brake) ObserveCall(now time.Duration, o request.Outcome, code status.Code) {
+	b.note(now, o, code, b.cfg.CallRatio)
+}
+
+func (b *Brake) note(now time.Duration, o request.Outcome, code status.Code, earned float64) {
 	b.advance(now)
 	b.total++
 	switch {
 	case o == request.Completed:
-		b.tokens = min(b.tokens+b.cfg.Ratio, b.cfg.Burst)
+		b.tokens = min(b.tokens+earned, b.burst)
 	case o == request.Refused && forLoad(code):
 		b.refused++
 	}
@@ -52,7 +79,7 @@
 // budget.
 func (b *Brake) Take(now time.Duration, n int) bool {
 	b.advance(now)
-	price := min(float64(n), b.cfg.Burst)
+	price := min(float64(n), b.burst)
 	if b.tokens < price {
 		return false
 	}
@@ -74,7 +101,7 @@
 	}
 	dt := now - b.at
 	b.at = now
-	b.tokens = min(b.tokens+b.cfg.MinRate*dt.Seconds(), b.cfg.Burst)
+	b.tokens = min(b.tokens+b.rate*dt.Seconds(), b.burst)
 	if b.total > 0 {
 		f := math.Exp(-dt.Seconds() / b.cfg.Window.Seconds())
 		b.refused *= f
@@ -83,5 +110,5 @@
 }
 
 func forLoad(c status.Code) bool {
-	return c == status.CodeOverloaded || c == status.CodeOverShare
+	return c == status.CodeOverloaded || c == status.CodeOverShare || c == status.CodeTargetShed
 }
--- a/internal/core/retry/config.go
+++ b/internal/core/retry/config.go
@@ -17,6 +17,18 @@
 	// attempts; a repeat draws those that it will make below too. Default 0.1. Higher allows more extra load on a service that
 	// still succeeds in part; 0 leaves only MinRate.
 	Ratio float64
+	// CallRatio is Ratio for the calls that targets make. Default 0.1. A service
+	// that is mostly called from inside chains has far more of these than whole
+	// requests; where its budget is a share of the latter, 0.
+	CallRatio float64
+	// FleetBudget is the attempts that all nodes together may spend on one service
+	// in FleetWindow beside what they earn; each node has its part. It replaces
+	// MinRate and Burst. Default 0: each node has MinRate and Burst for itself.
+	FleetBudget float64
+	FleetWindow time.Duration
+	// RefusedFree: a refusal that came before the target costs nothing of the
+	// budget. Default false. Where the budget counts what reaches targets, true.
+	RefusedFree bool
 	// MinRate fills the budget without any success, in attempts a second for
 	// each calling node and service. Default 0.2. Higher helps services that
 	// are called rarely; the fleet's extra load grows by it times the nodes.
@@ -58,6 +70,7 @@
 		Attempts:     6,
 		PerCall:      3,
 		Ratio:        0.1,
+		CallRatio:    0.1,
 		MinRate:      0.2,
 		Burst:        10,
 		RefusedShare: 0.5,
--- a/internal/core/retry/decide.go
+++ b/internal/core/retry/decide.go
@@ -70,6 +70,9 @@
 	// (Cost.Below).
 	Left  int
 	Below int
+	// Runs is how many attempts of the call got past a refusal (Call.Runs), and
+	// MaxRuns how many may; 0: as the allowance covers.
+	Runs, MaxRuns int
 	// MayHaveRun says that some attempt of the call got past a refusal
 	// (Call.MayHaveRun): the next attempt is then a repeat.
 	MayHaveRun bool
@@ -114,7 +117,8 @@
 	if r.Deadline != 0 && now+wait+r.Usual >= r.Deadline {
 		return Decision{Reason: Deadline}
 	}
-	if !b.Take(now, d.price(r)) {
+	free := d.cfg.RefusedFree && r.Outcome == request.Refused && r.Code != status.CodeTargetShed
+	if !free && !b.Take(now, d.price(r)) {
 		return Decision{Reason: Budget}
 	}
 	return Decision{Reason: Again, Wait: wait}
@@ -124,7 +128,7 @@
 	if reason := mayRepeat(r); reason != Again {
 		return reason
 	}
-	if r.Attempts >= d.cfg.PerCall {
+	if r.Attempts >= d.cfg.PerCall || r.MaxRuns > 0 && r.Runs >= r.MaxRuns {
 		return PerCall
 	}
 	if r.Left < d.price(r) {
--- a/internal/core/retry/purse.go
+++ b/internal/core/retry/purse.go
@@ -36,12 +36,16 @@
 // The zero value is a call of which no attempt was made.
 type Call struct {
 	attempts int
+	runs     int
 	ran      bool
 }
 
 // Attempts returns the attempts started so far.
 func (c *Call) Attempts() int { return c.attempts }
 
+// Runs returns the attempts that got past a refusal.
+func (c *Call) Runs() int { return c.runs }
+
 // MayHaveRun reports whether some attempt got past a refusal.
 func (c *Call) MayHaveRun() bool { return c.ran }
 
@@ -113,6 +117,7 @@
 	g.open = false
 	if a.Outcome != request.Refused {
 		c.ran = true
+		c.runs++
 	}
 	if p.closed {
 		return
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"peardrift/internal/node"
 	"peardrift/internal/settings"
 	"peardrift/internal/status"
+	"peardrift/platform"
 )
 
 // Exit codes of peardriftd.
@@ -33,6 +34,7 @@
 type options struct {
 	Settings string `short:"s" long:"settings" value-name:"FILE" description:"the node's settings (YAML); needed"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
+	Platform bool   `long:"platform" description:"run on the users' platform: its settings are read in place of a file"`
 	Version  bool   `long:"version" description:"show the node's own version and exit"`
 }
 
@@ -50,6 +52,9 @@
 		fmt.Fprintf(stdout, "peardriftd %s\n", buildinfo.Read())
 		return ExitOK
 	}
+	if opts.Platform {
+		return onPlatform(opts.Check, stdout, stderr)
+	}
 	if opts.Settings == "" {
 		fmt.Fprintln(stderr, status.New(status.CodeInvalidSettings, "--settings FILE is missing"))
 		return ExitUsage
@@ -62,7 +67,20 @@
 		fmt.Fprintf(stdout, "%s: settings are usable\n", opts.Settings)
 		return ExitOK
 	}
-	return serve(set, stderr)
+	return serve(set, nil, stderr)
+}
+
+// onPlatform runs the node with the platform's settings.
+func onPlatform(check bool, stdout, stderr io.Writer) int {
+	set, out, err := platform.Enter()
+	if err != nil {
+		return fail(stderr, err)
+	}
+	if check {
+		fmt.Fprintln(stdout, "the platform's settings are usable")
+		return ExitOK
+	}
+	return serve(set, out, stderr)
 }
 
 func usage(rest []string, err error, stdout, stderr io.Writer) int {
@@ -79,8 +97,8 @@
 }
 
 // serve runs the node until SIGTERM or SIGINT; a second one ends it at once.
-func serve(set settings.Settings, stderr io.Writer) int {
-	tuneGC()
+func serve(set settings.Settings, out *node.Outside, stderr io.Writer) int {
+	tuneGC(set.Limits.MemoryBytes)
 	tuneProcs()
 	// Either signal would end the process with all its calls in the middle.
 	// SIGPIPE comes of a log line written to a standard error whose reader has
@@ -88,7 +106,7 @@
 	// terminal that is closed, or of an operator who wants the settings to be
 	// read again, which takes a restart.
 	signal.Ignore(syscall.SIGPIPE, syscall.SIGHUP)
-	n, err := node.New(set)
+	n, err := node.New(set, out)
 	if err != nil {
 		return fail(stderr, err)
 	}
--- a/internal/daemon/gc.go
+++ b/internal/daemon/gc.go
@@ -15,9 +15,18 @@
 	gcPercent = 400
 )
 
+// memoryShare is the part of the process's memory from which on the collector
+// works harder. The rest is for what isn't on the heap: stacks of the system,
+// bytes received and not yet read.
+const memoryShare = 0.6
+
 // tuneGC lets the heap grow more between collections, unless the environment
-// says by how much.
-func tuneGC() {
+// says by how much, and less as it nears the memory that the process may use; 0:
+// not known.
+func tuneGC(memory int64) {
+	if memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(memory)))
+	}
 	if os.Getenv(envGC) == "" {
 		debug.SetGCPercent(gcPercent)
 	}
--- a/internal/dataplane/answer.go
+++ b/internal/dataplane/answer.go
@@ -40,10 +40,10 @@
 			_ = r.stream.Close()
 			r.stream = nil
 		}
-		writeProblem(to, id, r.failure())
+		e.writeProblem(to, id, r.failure())
 		return
 	}
-	wire.CopyAnswer(&to.Header, &from.Header)
+	e.cfg.Dialect.CopyAnswer(&to.Header, &from.Header)
 	if r.stream != nil {
 		to.SetBodyStream(r.stream, r.length)
 		return
--- a/internal/dataplane/call.go
+++ b/internal/dataplane/call.go
@@ -244,9 +244,11 @@
 		Attempts:   sub.Attempts(),
 		Left:       c.purse.left(),
 		Below:      cl.below(c.class.Name),
+		Runs:       sub.Runs(),
+		MaxRuns:    c.class.Runs,
 		MayHaveRun: sub.MayHaveRun(),
-		AtMostOnce: c.class.AtMostOnce,
-		Idempotent: idempotent(c.req),
+		AtMostOnce: c.class.AtMostOnce || c.class.Repeat == confset.Once,
+		Idempotent: c.class.Repeat == confset.Repeatable || idempotent(c.req),
 	}
 }
 
--- a/internal/dataplane/callee.go
+++ b/internal/dataplane/callee.go
@@ -55,6 +55,7 @@
 		return
 	}
 	cl.gen = v.Gen
+	cl.brake.Share(v.Nodes)
 	peers := v.Peers(name)
 	ts := make([]route.Target, len(peers))
 	before := cl.addrs
@@ -115,7 +116,11 @@
 func (cl *callee) settle(ch choice, c *outgoing, r *result) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	cl.brake.Observe(cl.now(), r.outcome, r.code)
+	if c.parent == nil {
+		cl.brake.Observe(cl.now(), r.outcome, r.code)
+	} else {
+		cl.brake.ObserveCall(cl.now(), r.outcome, r.code)
+	}
 	if r.outcome != request.Completed {
 		return
 	}
@@ -168,7 +173,7 @@
 		}
 	case status.CodeCanceled:
 		return route.Ignored
-	case status.CodeOverloaded, status.CodeOverShare:
+	case status.CodeOverloaded, status.CodeOverShare, status.CodeTargetShed:
 		return route.Shed
 	case status.CodeDraining:
 		return route.Leaves
--- a/internal/dataplane/engine.go
+++ b/internal/dataplane/engine.go
@@ -18,6 +18,7 @@
 	"peardrift/internal/core/retry"
 	"peardrift/internal/core/route"
 	"peardrift/internal/core/suspect"
+	"peardrift/internal/wire"
 )
 
 // Transport sends a call to an address and reads the head of its answer, and
@@ -57,6 +58,8 @@
 	TargetUp bool
 	// Leaving: the target takes no new calls.
 	Leaving bool
+	// Nodes is how many there are, this one included; 0 if not known.
+	Nodes int
 }
 
 // Self says what the node stands beside.
@@ -93,6 +96,9 @@
 	// Sampled says whether a request's spans are recorded, for the flag that
 	// traceparent passes on (default: none are).
 	Sampled func(request.ID) bool
+	// Dialect names the headers by which callers and targets speak (default: the
+	// project's own).
+	Dialect wire.Dialect
 	Retry   retry.Config
 	Route   route.Config
 	Gate    admission.Config
@@ -137,7 +143,10 @@
 	repeats  *repeats
 	calls    atomic.Int64
 	closing  atomic.Bool // callers are to go elsewhere
+	turns    turns
+	lifetime atomic.Pointer[Lifetime] // of the target; nil if it isn't told apart
 	onShed   func()
+	onOther  func(instance string) // another lifetime than expected answered
 
 	mu      sync.Mutex
 	callees map[request.Service]*callee
@@ -153,6 +162,7 @@
 		claims:  cl,
 		obs:     obs,
 		onShed:  func() {},
+		onOther: func(string) {},
 		epoch:   time.Now(),
 		reqs:    newRegistry(),
 		callees: make(map[request.Service]*callee),
@@ -173,7 +183,7 @@
 		e.suspects.up()
 	}
 	if info, ok := v.Index.Service(e.self.Service); ok {
-		e.gate.configure(cmp.Or(e.self.Slots, info.Slots), e.tenants.weights(v.Index))
+		e.gate.configure(cmp.Or(e.lifetimeSlots(), e.self.Slots, info.Slots), e.tenants.weights(v.Index))
 	}
 	if v.Leaving {
 		e.gate.drain()
--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -51,12 +52,40 @@
 	})
 }
 
+// ServeOutbound is the face for callers and the own target where both come to
+// one listener. What a target calls is named after the request that it runs; only
+// the exact name of one that runs here makes a call part of it, so that a caller
+// outside can't claim a place in a chain, and the class that goes with it.
+func (e *Engine) ServeOutbound(ctx context.Context, c *app.RequestContext) {
+	x := e.parentOf(c)
+	if x == nil {
+		e.ServeCaller(ctx, c)
+		return
+	}
+	hop := &Hop{Kind: HopEgress, Span: newSpan(), Start: time.Now(), ID: x.id, Parent: x.span}
+	e.serveOutgoing(ctx, x.ctx, c, hop, func(v *View) (*outgoing, *status.Error) {
+		return e.subCall(v, c, x)
+	})
+}
+
+// parentOf returns the running request that a call is named after; nil if none.
+func (e *Engine) parentOf(c *app.RequestContext) *running {
+	d := &e.cfg.Dialect
+	name := string(c.Request.Header.Peek(d.Request))
+	at := strings.LastIndex(name, d.Chain)
+	if d.Chain == "" || at < 0 {
+		return nil
+	}
+	return e.reqs.named(name[:at])
+}
+
 // serveOutgoing runs one call for a caller or the own target and answers it.
 // The call also ends with the context within, if there is one: that of the
 // request on whose behalf the target calls.
 func (e *Engine) serveOutgoing(ctx, within context.Context, c *app.RequestContext, hop *Hop, prepare func(*View) (*outgoing, *status.Error)) {
 	e.calls.Add(1)
 	defer e.calls.Add(-1)
+	hop.Name = string(c.Request.Header.Peek(e.cfg.Dialect.Request))
 	out, fault := e.admitCall(prepare)
 	if out == nil {
 		e.refuseCall(c, hop, fault)
@@ -116,7 +145,7 @@
 	hop.Outcome, hop.Code = fault.Outcome, fault.Code
 	hop.End = time.Now()
 	e.observe(hop)
-	writeProblem(&c.Response, hop.ID, fault)
+	e.writeProblem(&c.Response, hop.ID, fault)
 	c.Response.Header.Set(wire.HeaderRequest, hop.ID.String())
 }
 
@@ -155,7 +184,7 @@
 		id:       id,
 		sampled:  e.cfg.Sampled(id),
 		priority: request.PriorityOf(class.Importance, id),
-		deadline: e.now() + patience(c, class.Deadline),
+		deadline: e.now() + e.patience(c, class.Deadline),
 		entry:    entryPurse{purse: retry.NewPurse(class.Attempts, false)},
 		meta: wire.Meta{
 			Tenant:     info.Tenant,
@@ -166,6 +195,7 @@
 		},
 	}
 	out.purse = &out.entry
+	e.routed(v, out)
 	if fault := e.fillRequest(out, c); fault != nil {
 		return nil, fault
 	}
@@ -204,7 +234,7 @@
 		id:       x.id,
 		sampled:  x.sampled,
 		priority: x.priority,
-		deadline: min(x.deadline, e.now()+patience(c, class.Deadline)),
+		deadline: min(x.deadline, e.now()+e.patience(c, class.Deadline)),
 		purse:    x,
 		parent:   x,
 		meta:     x.meta,
@@ -214,15 +244,19 @@
 	}
 	out.meta.Depth++
 	out.meta.Origin = e.self.Service
+	e.routed(v, out)
 	if fault := e.fillRequest(out, c); fault != nil {
 		return nil, fault
 	}
 	return out, nil
 }
 
-// lookup finds the service that Host names, and the class of the request. A
-// name without a tenant is one of the own tenant's.
+// lookup finds the service that a route leads to or that Host names, and the
+// class of the request. A name without a tenant is one of the own tenant's.
 func (e *Engine) lookup(v *View, c *app.RequestContext) (*confset.ServiceInfo, *confset.Class, *status.Error) {
+	if v.Index.Routed() {
+		return e.lookupRoute(v, c)
+	}
 	name := hostService(string(c.Request.Header.Host()), e.self.Tenant)
 	info, ok := v.Index.Service(name)
 	if !ok {
@@ -235,6 +269,33 @@
 	return info, class, nil
 }
 
+// lookupRoute finds the route of a request and the service whose turn it is. The
+// path is taken as it was sent: what a codec makes of it may lead elsewhere than
+// the path that the target gets.
+func (e *Engine) lookupRoute(v *View, c *app.RequestContext) (*confset.ServiceInfo, *confset.Class, *status.Error) {
+	host, _, _ := strings.Cut(string(c.Request.Header.Host()), ":")
+	path, _, _ := strings.Cut(string(c.Request.Header.RequestURI()), "?")
+	r, ok := v.Index.Route(strings.ToLower(host), path)
+	if !ok {
+		return nil, nil, status.Refuse(status.CodeUnknownClass, 0, "no route leads %s %s anywhere", host, path)
+	}
+	part := e.turns.next(r)
+	if part == nil {
+		return nil, nil, status.Refuse(status.CodeNoTarget, later(), "route %s has no part with a weight", r.Class.Name)
+	}
+	return part.Service, &r.Class, nil
+}
+
+// routed completes what a call carries where a route has chosen its service. Its
+// origin is then the service beside which it began, whoever made it.
+func (e *Engine) routed(v *View, out *outgoing) {
+	if !v.Index.Routed() {
+		return
+	}
+	out.meta.Service, out.meta.Route = out.info.Name, out.class.Name
+	out.meta.Origin = e.self.Service
+}
+
 // fillRequest makes the message that all attempts send.
 func (e *Engine) fillRequest(out *outgoing, c *app.RequestContext) *status.Error {
 	b, fault := e.takeBody(c, out.class.MaxBody, out.deadline)
@@ -245,8 +306,10 @@
 		return status.Refuse(status.CodeTooLarge, 0, "an at-most-once request may have %d bytes", e.cfg.BufferBytes)
 	}
 	out.req = protocol.AcquireRequest()
-	wire.CopyRequest(&out.req.Header, &c.Request.Header)
-	out.req.Header.SetHost(string(out.info.Name))
+	e.cfg.Dialect.CopyRequest(&out.req.Header, &c.Request.Header)
+	if out.meta.Service == "" {
+		out.req.Header.SetHost(string(out.info.Name))
+	}
 	b.attach(out.req)
 	out.once = b.stream != nil
 	if out.class.AtMostOnce && len(out.req.Header.Peek(wire.HeaderIdempotencyKey)) == 0 {
@@ -274,8 +337,8 @@
 
 // patience is how long the caller waits: what the class allows, or less if the
 // caller says so.
-func patience(c *app.RequestContext, most time.Duration) time.Duration {
-	stated := c.Request.Header.Peek(wire.HeaderTargetDeadline)
+func (e *Engine) patience(c *app.RequestContext, most time.Duration) time.Duration {
+	stated := c.Request.Header.Peek(e.cfg.Dialect.TimeoutHeader())
 	if len(stated) == 0 {
 		return most // few state one, and a failure to parse costs
 	}
--- a/internal/dataplane/gate.go
+++ b/internal/dataplane/gate.go
@@ -141,6 +141,12 @@
 	g.settle()
 }
 
+func (g *gate) resume() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.Resume()
+}
+
 func (g *gate) level(tenant uint16) request.Level {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/dataplane/hop.go
+++ b/internal/dataplane/hop.go
@@ -33,6 +33,7 @@
 type Hop struct {
 	Kind       HopKind
 	ID         request.ID
+	Name       string // by which the caller knows the request; may be empty
 	Span       SpanID
 	Parent     SpanID
 	Start, End time.Time
--- a/internal/dataplane/inflight.go
+++ b/internal/dataplane/inflight.go
@@ -20,6 +20,7 @@
 // target's outgoing calls.
 type running struct {
 	id       request.ID
+	name     string // by which the target knows it; may be empty
 	sampled  bool
 	class    request.Class // of the own service, while meta's is the whole request's
 	span     SpanID
@@ -146,10 +147,12 @@
 type registry struct {
 	mu   sync.Mutex
 	byID map[request.ID]*running // the one begun last; the others follow by next
+
+	byName map[string]*running
 }
 
 func newRegistry() *registry {
-	return &registry{byID: make(map[request.ID]*running)}
+	return &registry{byID: make(map[request.ID]*running), byName: make(map[string]*running)}
 }
 
 func (r *registry) add(x *running) {
@@ -157,11 +160,17 @@
 	defer r.mu.Unlock()
 	x.next = r.byID[x.id]
 	r.byID[x.id] = x
+	if x.name != "" {
+		r.byName[x.name] = x
+	}
 }
 
 func (r *registry) remove(x *running) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if x.name != "" && r.byName[x.name] == x {
+		delete(r.byName, x.name)
+	}
 	at := r.byID[x.id]
 	switch {
 	case at == x && x.next == nil:
@@ -195,3 +204,13 @@
 	}
 	return last
 }
+
+// named returns the request that runs on the target under a name; nil if none.
+func (r *registry) named(name string) *running {
+	if name == "" {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.byName[name]
+}
--- /dev/null
+++ b/internal/dataplane/lifetime.go
@@ -0,0 +1,46 @@
+package dataplane
+
+// Lifetime is what the own target last said of itself, where targets announce
+// themselves. It is immutable.
+type Lifetime struct {
+	Instance string // names the lifetime; empty: none is known
+	Slots    int
+	Takes    bool // it takes calls
+}
+
+// SetLifetime puts what the target says in force. When it returns, no call that
+// hasn't reached the target yet will reach a lifetime that takes none: those that
+// wait at the gate are refused, and each call looks again just before it is sent.
+func (e *Engine) SetLifetime(l Lifetime) {
+	old := e.lifetime.Swap(&l)
+	if l.Slots > 0 {
+		e.gate.configure(l.Slots, e.tenants.weights(e.view.Load().Index))
+	}
+	switch {
+	case !l.Takes:
+		e.gate.drain()
+	case old == nil || !old.Takes || old.Instance != l.Instance:
+		e.gate.resume()
+		e.suspects.up()
+	}
+}
+
+// OnOther sets what is told that another lifetime than the announced one answers
+// at the target's address. Call it before traffic begins; f must not block.
+func (e *Engine) OnOther(f func(instance string)) { e.onOther = f }
+
+// lifetimeSlots returns what the target last said of its slots, 0 if nothing.
+func (e *Engine) lifetimeSlots() int {
+	if l := e.lifetime.Load(); l != nil {
+		return l.Slots
+	}
+	return 0
+}
+
+// takes reports whether the target takes calls now.
+func (e *Engine) takes(v *View) bool {
+	if l := e.lifetime.Load(); l != nil {
+		return l.Takes
+	}
+	return v.TargetUp
+}
--- a/internal/dataplane/problem.go
+++ b/internal/dataplane/problem.go
@@ -31,8 +31,8 @@
 }
 
 // writeProblem answers with the failure e. The connection stays usable.
-func writeProblem(resp *protocol.Response, id request.ID, e *status.Error) {
-	code := httpStatus(e.Code)
+func (x *Engine) writeProblem(resp *protocol.Response, id request.ID, e *status.Error) {
+	code := httpStatus(e)
 	p := problem{
 		Type:       problemBase + string(e.Code),
 		Title:      string(e.Code),
@@ -53,21 +53,29 @@
 	resp.Header.SetContentType(problemContentType)
 	resp.SetBody(body)
 	if e.RetryAfter > 0 {
-		resp.Header.Set(wire.HeaderRetryAfter, retryAfterSeconds(e.RetryAfter))
+		resp.Header.Set(wire.HeaderRetryAfter, retryAfter(e.RetryAfter, x.cfg.Dialect.Fractions))
 	}
 	wire.SetAnswer(&resp.Header, &wire.Answer{Outcome: e.Outcome, Code: e.Code, Pushback: e.RetryAfter})
 }
 
-// retryAfterSeconds rounds up: a client that came back sooner than advised
-// would only be refused again.
-func retryAfterSeconds(d time.Duration) string {
+// retryAfter rounds up to whole seconds, unless callers take fractions: a client
+// that came back sooner than advised would only be refused again.
+func retryAfter(d time.Duration, fractions bool) string {
+	if fractions {
+		return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+	}
 	return strconv.Itoa(int(math.Ceil(d.Seconds())))
 }
 
-// httpStatus maps a code to the status that HTTP clients expect for it.
-func httpStatus(c status.Code) int {
-	switch c {
-	case status.CodeMalformed, status.CodeKeyMissing, status.CodeKeyAhead, status.CodeProtocol:
+// httpStatus maps a failure to the status that HTTP clients expect for it.
+func httpStatus(e *status.Error) int {
+	switch e.Code {
+	case status.CodeProtocol:
+		if e.Outcome != request.Refused {
+			return consts.StatusBadGateway // the other side's fault, not the caller's
+		}
+		return consts.StatusBadRequest
+	case status.CodeMalformed, status.CodeKeyMissing, status.CodeKeyAhead:
 		return consts.StatusBadRequest
 	case status.CodeForbidden:
 		return consts.StatusForbidden
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/hex"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -97,7 +98,10 @@
 	}
 	s.meta = meta
 	v := e.view.Load()
-	if !v.Ready || !v.TargetUp {
+	if meta.Service != "" {
+		return e.acceptRouted(s, v)
+	}
+	if !v.Ready || !e.takes(v) {
 		return status.Refuse(status.CodeNotReady, later(), "the target is not ready")
 	}
 	info, class, fault := e.lookup(v, s.c)
@@ -116,6 +120,23 @@
 	return e.prepare(s)
 }
 
+// acceptRouted checks a call whose route was chosen where it was made. This node
+// may have an older or newer configuration in force; whoever is called by the
+// newest that some node has must not refuse for that.
+func (e *Engine) acceptRouted(s *serving, v *View) *status.Error {
+	if s.meta.Service != e.self.Service {
+		return status.Refuse(status.CodeNotReady, 0, "no target of %s is here", s.meta.Service)
+	}
+	if v.Leaving {
+		return status.Refuse(status.CodeDraining, 0, "the node is stopping, use another")
+	}
+	if !e.takes(v) {
+		return status.Refuse(status.CodeNotReady, later(), "the target is not ready")
+	}
+	s.class = &confset.Class{Name: s.meta.Route, MaxBody: e.cfg.MaxBody, Repeat: confset.Repeatable}
+	return e.prepare(s)
+}
+
 func (e *Engine) prepare(s *serving) *status.Error {
 	deadline := e.now() + s.meta.Remaining
 	var fault *status.Error
@@ -137,6 +158,7 @@
 	s.tenant = e.tenants.of(s.meta.Tenant)
 	s.own = running{
 		id:       s.trace.id,
+		name:     string(s.c.Request.Header.Peek(e.cfg.Dialect.Request)),
 		sampled:  s.trace.sampled,
 		class:    s.class.Name,
 		span:     s.hop.Span,
@@ -145,6 +167,7 @@
 		deadline: deadline,
 		purse:    retry.NewPurse(s.meta.Allowance, s.meta.Repeat),
 	}
+	s.hop.Name = s.own.name
 	s.running = &s.own
 	return nil
 }
@@ -249,10 +272,13 @@
 func (e *Engine) runOnTarget(ctx context.Context, s *serving) (*result, *protocol.Response) {
 	req := protocol.AcquireRequest()
 	defer protocol.ReleaseRequest(req)
-	wire.CopyRequest(&req.Header, &s.c.Request.Header)
+	e.cfg.Dialect.CopyRequest(&req.Header, &s.c.Request.Header)
 	traceContext{s.trace.id, s.running.span, s.trace.sampled}.set(&req.Header)
 	left := max(s.running.deadline-e.now(), time.Millisecond)
-	wire.SetInt(&req.Header, wire.HeaderTargetDeadline, left.Milliseconds())
+	wire.SetInt(&req.Header, e.cfg.Dialect.TimeoutHeader(), left.Milliseconds())
+	if fault := e.address(s, req); fault != nil {
+		return fail(e.now(), fault), nil
+	}
 	s.body.attach(req)
 	resp := protocol.AcquireResponse()
 	res, err := e.local.Do(ctx, e.self.Target, req, resp)
@@ -264,6 +290,45 @@
 	}, resp), resp
 }
 
+// address tells the target where the request began and which of its lifetimes is
+// meant. It is the last look at whether the target takes calls: what waited at the
+// gate, or for its body, when the target said that it leaves must not reach it.
+func (e *Engine) address(s *serving, req *protocol.Request) *status.Error {
+	d := &e.cfg.Dialect
+	if d.Origin != "" && s.meta.Origin != "" {
+		name, _, _ := strings.Cut(string(s.meta.Origin), ".")
+		req.Header.Set(d.Origin, name)
+	}
+	l := e.lifetime.Load()
+	if l == nil {
+		return nil
+	}
+	if !l.Takes {
+		return status.Refuse(status.CodeDraining, 0, "the target leaves")
+	}
+	if d.Instance != "" {
+		req.Header.Set(d.Instance, l.Instance)
+	}
+	return nil
+}
+
+// unrun types an answer by which the target says that it has not run the request;
+// nil if it doesn't say so.
+func (e *Engine) unrun(resp *protocol.Response) *status.Error {
+	d := &e.cfg.Dialect
+	if d.NotRun == "" {
+		return nil
+	}
+	if resp.StatusCode() == http.StatusMisdirectedRequest {
+		e.onOther(string(resp.Header.Peek(d.InstanceIs)))
+		return status.Refuse(status.CodeNotReady, 0, "another target answers at the address")
+	}
+	if len(resp.Header.Peek(d.NotRun)) == 0 {
+		return nil
+	}
+	return status.Refuse(status.CodeTargetShed, later(), "the target turned the request away")
+}
+
 // judge types what the target did.
 func (e *Engine) judge(s *serving, sent bool, err error, r *result, resp *protocol.Response) *result {
 	if err != nil && !sent {
@@ -274,6 +339,12 @@
 		f.Outcome = request.Unknown
 		return fail(r.headAt, f)
 	}
+	if f := e.unrun(resp); f != nil {
+		r.discard()
+		x := fail(r.headAt, f)
+		x.shed = f.Code == status.CodeTargetShed
+		return x
+	}
 	if resp.StatusCode() < firstServerError {
 		return r
 	}
@@ -346,7 +417,7 @@
 
 // refuse answers a call that didn't get to the target.
 func (e *Engine) refuse(s *serving, fault *status.Error) {
-	writeProblem(&s.c.Response, s.trace.id, fault)
+	e.writeProblem(&s.c.Response, s.trace.id, fault)
 	e.mark(s, &result{outcome: fault.Outcome, code: fault.Code, after: fault.RetryAfter})
 	e.seal(s, fault.Outcome, fault.Code)
 }
--- a/internal/node/conf.go
+++ b/internal/node/conf.go
@@ -13,6 +13,7 @@
 	"peardrift/internal/core/confset"
 	"peardrift/internal/core/inforce"
 	"peardrift/internal/core/member"
+	"peardrift/internal/core/request"
 	"peardrift/internal/port"
 	"peardrift/internal/status"
 )
@@ -22,7 +23,7 @@
 type configuration struct {
 	log    *zap.Logger
 	state  *inforce.State
-	store  *apply.Store
+	store  port.Sets
 	calls  *rpc.Pool
 	submit func(func()) error
 	post   func(func())
@@ -162,19 +163,15 @@
 }
 
 func (c *configuration) readHead(ctx context.Context, a inforce.ReadHead) (func() []inforce.Action, error) {
-	r, err := c.store.Head(ctx, a.Tenant)
+	h, err := c.store.Head(ctx, a.Tenant)
 	if err != nil && !errors.Is(err, port.ErrNotFound) {
 		return nil, err
 	}
-	var h confset.Head
-	if err == nil {
-		h = confset.Head{Tenant: r.Tenant, Version: r.Version, Digest: r.Digest}
-	}
 	return func() []inforce.Action { return c.state.HandleHead(c.now(), a.ID, h) }, nil
 }
 
 func (c *configuration) readTenants(ctx context.Context, a inforce.ReadTenants) (func() []inforce.Action, error) {
-	tenants, _, err := c.store.Tenants(ctx)
+	tenants, err := c.store.Tenants(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -196,3 +193,26 @@
 		ch <- a.Reply
 	}
 }
+
+// accepted reads the sets that the project's own tool has had accepted.
+type accepted struct{ store *apply.Store }
+
+// Tenants implements port.Sets.
+func (a accepted) Tenants(ctx context.Context) ([]request.Tenant, error) {
+	ts, _, err := a.store.Tenants(ctx)
+	return ts, err
+}
+
+// Head implements port.Sets.
+func (a accepted) Head(ctx context.Context, t request.Tenant) (confset.Head, error) {
+	r, err := a.store.Head(ctx, t)
+	if err != nil {
+		return confset.Head{}, err
+	}
+	return confset.Head{Tenant: r.Tenant, Version: r.Version, Digest: r.Digest}, nil
+}
+
+// Body implements port.Sets.
+func (a accepted) Body(ctx context.Context, t request.Tenant, d confset.Digest) ([]byte, error) {
+	return a.store.Body(ctx, t, d)
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -10,6 +10,7 @@
 
 	"peardrift/internal/adapter/rpc"
 	"peardrift/internal/core/confset"
+	"peardrift/internal/core/lifetime"
 	"peardrift/internal/core/member"
 	"peardrift/internal/core/request"
 	"peardrift/internal/core/route"
@@ -36,6 +37,7 @@
 	seen     map[request.TargetID]sighting
 	whole    bool // the members were all known once
 	targetUp bool
+	target   *lifetime.Tracker
 	leaving  bool
 	overload overload
 }
@@ -156,6 +158,7 @@
 		Ready:    s.ready,
 		TargetUp: s.up,
 		Leaving:  s.leaving,
+		Nodes:    count(s.members),
 		Peers: func(svc request.Service) []dataplane.Peer {
 			info, ok := s.index.Service(svc)
 			if !ok {
@@ -210,6 +213,18 @@
 	return out
 }
 
+// count returns the nodes that take part.
+func count(v *member.View) int {
+	n := 0
+	v.All(func(m member.Member) bool {
+		if m.Status == member.Alive || m.Status == member.Suspect {
+			n++
+		}
+		return true
+	})
+	return n
+}
+
 // callers counts the nodes whose services call svc.
 func callers(s shown, svc request.Service) int {
 	n := 0
@@ -240,7 +255,11 @@
 }
 
 // targetDied takes in that the own target died: no calls until it is healthy.
-func (c *control) targetDied() { c.setTarget(false) }
+func (c *control) targetDied() {
+	if c.node.outside == nil {
+		c.setTarget(false)
+	}
+}
 
 // depart tells the neighbours that the node is gone.
 func (c *control) depart() {
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"context"
 	"errors"
 	"syscall"
 
+	"github.com/cloudwego/hertz/pkg/app"
 	"go.uber.org/zap"
 
 	"peardrift/internal/adapter/hertzhttp"
@@ -11,6 +13,14 @@
 	"peardrift/internal/status"
 )
 
+// face is one HTTP listener to be opened.
+type face struct {
+	key, addr string
+	to        **hertzhttp.Server
+	handle    hertzhttp.Handler
+	conns     *hertzhttp.ConnLimit
+}
+
 // listen opens all listeners, or fails with each that can't be opened.
 func (n *Node) listen() error {
 	cfg := hertzhttp.DefaultServerConfig()
@@ -21,17 +31,23 @@
 	ops := hertzhttp.NewConnLimit(min(most, opsConnections))
 	l := n.set.Listen
 	var failed []error
-	for _, f := range []struct {
-		key, addr string
-		to        **hertzhttp.Server
-		handle    hertzhttp.Handler
-		conns     *hertzhttp.ConnLimit
-	}{
-		{"listen.callers", l.Callers, &n.faces.callers, n.engine.ServeCaller, callers},
+	all := []face{
 		{"listen.nodes", l.Nodes, &n.faces.nodes, n.engine.ServeNode, inner},
-		{"listen.target", l.Target, &n.faces.target, n.engine.ServeTarget, inner},
 		{"listen.ops", l.Ops, &n.faces.ops, n.serveOps, ops},
-	} {
+	}
+	if l.Target == l.Callers {
+		all = append(all, face{"listen.callers", l.Callers, &n.faces.callers, n.engine.ServeOutbound, callers})
+	} else {
+		all = append(all, face{"listen.callers", l.Callers, &n.faces.callers, n.engine.ServeCaller, callers},
+			face{"listen.target", l.Target, &n.faces.target, n.engine.ServeTarget, inner})
+	}
+	if l.Reports != "" && n.outside != nil {
+		all = append(all, face{"listen.reports", l.Reports, &n.faces.reports, n.outside.Reports(n.reported), ops})
+	}
+	if l.Ready != "" {
+		all = append(all, face{"listen.ready", l.Ready, &n.faces.ready, func(_ context.Context, c *app.RequestContext) { n.serveReady(c) }, ops})
+	}
+	for _, f := range all {
 		cfg.Conns = f.conns
 		s, err := hertzhttp.Listen(f.addr, cfg, f.handle)
 		if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,10 +22,12 @@
 	"peardrift/internal/claims"
 	"peardrift/internal/claims/shared"
 	"peardrift/internal/core/inforce"
+	"peardrift/internal/core/lifetime"
 	"peardrift/internal/core/member"
 	"peardrift/internal/core/request"
 	"peardrift/internal/core/route"
 	"peardrift/internal/dataplane"
+	"peardrift/internal/port"
 	"peardrift/internal/settings"
 	"peardrift/internal/status"
 )
@@ -39,8 +41,10 @@
 	tracer     *oteltrace.Tracer
 	self       dataplane.Self
 	pool       *ants.Pool
-	table      *awstable.Table
+	outside    *Outside // nil: the project's own interfaces
+	table      Table
 	objects    *awsobject.Store
+	sets       port.Sets
 	peers      *hertzhttp.Client
 	local      *hertzhttp.Client
 	rows       *shared.Rows
@@ -58,17 +62,18 @@
 
 // faces are the HTTP listeners.
 type faces struct {
-	callers, nodes, target, ops *hertzhttp.Server
+	callers, nodes, target, ops, reports, ready *hertzhttp.Server
 }
 
 // New binds the listeners and builds the node; nothing is announced yet. Its
-// failures are typed: the settings can't be used, or an address is taken.
-func New(set settings.Settings) (*Node, error) {
+// failures are typed: the settings can't be used, or an address is taken. out is
+// nil where the node meets the project's own interfaces.
+func New(set settings.Settings, out *Outside) (*Node, error) {
 	log, closeLog, err := zaplog.New(set.Logs)
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{set: set, log: log, closeLog: closeLog}
+	n := &Node{set: set, log: log, closeLog: closeLog, outside: out}
 	n.self = selfOf(set)
 	n.metrics = tallymetrics.New(set.Metrics, n.complain("metrics"))
 	if n.pool, err = newPool(); err != nil {
@@ -121,25 +126,41 @@
 }
 
 func (n *Node) connectPlatform() {
+	if n.outside != nil {
+		n.table, n.sets = n.outside.Table, n.outside.Sets
+		return
+	}
 	p := n.set.Platform
 	cfg := awscall.DefaultConfig()
 	cfg.AccessKey, cfg.SecretKey, cfg.Timeout = string(p.AccessKey), string(p.SecretKey), p.Timeout
 	cfg.Endpoint, cfg.Region = p.Table.Endpoint, p.Table.Region
-	n.table = awstable.New(cfg, p.Table.Name)
+	table := awstable.New(cfg, p.Table.Name)
 	cfg.Endpoint, cfg.Region = p.Objects.Endpoint, p.Objects.Region
 	n.objects = awsobject.New(cfg, p.Objects.Bucket)
+	n.table, n.sets = table, accepted{apply.New(table, n.objects, apply.DefaultConfig())}
 }
 
 func (n *Node) buildTraffic() {
 	cc := hertzhttp.DefaultClientConfig()
 	cc.DialTimeout = n.set.Traffic.ConnectTimeout
 	cc.BufferBytes = n.set.Traffic.BufferBytes
-	n.local = hertzhttp.NewClient(cc)
+	cfg := dataplane.DefaultConfig()
+	if out := n.outside; out != nil {
+		cfg.Dialect = out.Dialect
+		cfg.Retry.CallRatio, cfg.Retry.RefusedFree = 0, true
+		cfg.Retry.FleetBudget, cfg.Retry.FleetWindow = out.RetryBudget, out.RetryWindow
+	}
+	lc := cc
+	if n.outside != nil {
+		lc.IdleTimeout = targetIdle
+		lc.Unframed = true
+		lc.Check = dataplane.CheckAnswer(cfg.Dialect)
+	}
+	n.local = hertzhttp.NewClient(lc)
 	cc.Prober = dataplane.Prober{}
 	n.peers = hertzhttp.NewClient(cc)
 	n.rows = n.sharedRows()
 	n.claims = claims.New(n.rows, n.pool, claims.DefaultConfig(), n.log, n.metrics.Scope())
-	cfg := dataplane.DefaultConfig()
 	cfg.BufferBytes, cfg.MaxCalls = n.set.Traffic.BufferBytes, n.set.Traffic.MaxCalls
 	cfg.MaxBody, cfg.UploadTimeout = n.set.Traffic.MaxBodyBytes, n.set.Traffic.UploadTimeout
 	cfg.Sampled = n.tracer.Sampled
@@ -147,6 +168,10 @@
 	n.engine = dataplane.New(cfg, n.self, n.peers, n.local, n.claims, obs)
 }
 
+// targetIdle is how long a connection to a target that may close idle ones at any
+// time is kept without a call. Those that it keeps for less say so too late.
+const targetIdle = 4 * time.Second
+
 // epoch2020 is where incarnations count from, in seconds.
 var epoch2020 = time.Date(2020, 1, 1, 0, 0, 0, 0, time.UTC)
 
@@ -158,6 +183,7 @@
 	c := &control{
 		log: n.log, self: n.self, node: n, engine: n.engine, epoch: time.Now(), meter: meter,
 		events: make(chan func(), eventQueue), done: make(chan struct{}),
+		target: lifetime.New(), targetUp: n.outside != nil,
 	}
 	c.state = member.New(member.DefaultConfig(), n.record(), rand.New(rand.NewPCG(rand.Uint64(), uint64(n.self.ID))))
 	c.carrier = rpc.NewCarrier(n.calls, n.pool.Submit, func(f func(*member.State, time.Duration)) {
@@ -166,7 +192,7 @@
 	rec := n.record()
 	self := inforce.Peer{ID: rec.ID, Region: rec.Region, Addr: rec.Control}
 	c.conf = &configuration{
-		log: n.log, store: apply.New(n.table, n.objects, apply.DefaultConfig()), calls: n.calls,
+		log: n.log, store: n.sets, calls: n.calls,
 		submit: n.pool.Submit, post: c.post, now: c.now,
 		state:   inforce.New(inforce.DefaultConfig(), self, rand.New(rand.NewPCG(rand.Uint64(), uint64(rec.ID))), 0),
 		spread:  func(f member.Fact) { c.state.PutFact(c.now(), f) },
--- a/internal/node/ops.go
+++ b/internal/node/ops.go
@@ -74,7 +74,7 @@
 
 func (f *faces) all() []*hertzhttp.Server {
 	var out []*hertzhttp.Server
-	for _, s := range []*hertzhttp.Server{f.callers, f.nodes, f.target, f.ops} {
+	for _, s := range []*hertzhttp.Server{f.callers, f.nodes, f.target, f.ops, f.reports, f.ready} {
 		if s != nil {
 			out = append(out, s)
 		}
--- /dev/null
+++ b/internal/node/outside.go
@@ -0,0 +1,113 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"peardrift/internal/adapter/hertzhttp"
+	"peardrift/internal/adapter/zaplog"
+	"peardrift/internal/core/lifetime"
+	"peardrift/internal/dataplane"
+	"peardrift/internal/port"
+	"peardrift/internal/wire"
+)
+
+// Outside is what a node meets outside itself where that is not by the project's
+// own interfaces: how callers and targets speak, where the platform keeps rows and
+// accepted sets, and that targets announce themselves.
+type Outside struct {
+	Dialect wire.Dialect
+	Table   Table
+	Sets    port.WatchedSets
+	// Reports returns the face to which the own target reports. take returns
+	// whether a report is in force, so that it may be acknowledged.
+	Reports func(take func(port.Report) bool) hertzhttp.Handler
+	// RetryBudget is the attempts beyond the first that all nodes together may
+	// make at one service in RetryWindow, beside a part of its requests.
+	RetryBudget float64
+	RetryWindow time.Duration
+}
+
+// Table is the platform's table with what ends its use.
+type Table interface {
+	port.Table
+	Close()
+}
+
+// reported takes in what the own target says. When it returns true that is in force.
+func (n *Node) reported(r port.Report) bool {
+	return n.control.ask(func() { n.control.reported(r) })
+}
+
+// otherAnswers takes in that another lifetime answers at the target's address.
+func (n *Node) otherAnswers(instance string) {
+	_ = n.pool.Submit(func() {
+		n.control.ask(func() { n.control.otherAnswers(instance) })
+	})
+}
+
+func (c *control) reported(r port.Report) {
+	before := c.target.State()
+	c.live(before, c.target.Report(r), "report")
+}
+
+func (c *control) otherAnswers(instance string) {
+	before := c.target.State()
+	c.live(before, c.target.Answered(instance), "answer")
+}
+
+// live puts what is known of the target in force, and tells other nodes of a new
+// lifetime by a new incarnation: what they have measured of the last one, and that
+// it leaves, says nothing of this one.
+func (c *control) live(before, now lifetime.State, by string) {
+	if before.Instance == now.Instance && before.Takes == now.Takes && before.Slots == now.Slots {
+		return
+	}
+	c.engine.SetLifetime(dataplane.Lifetime{Instance: now.Instance, Slots: now.Slots, Takes: now.Takes})
+	c.log.Info("target", zap.String("instance", now.Instance), zap.Bool("takes", now.Takes),
+		zap.Int("slots", now.Slots), zap.Duration("cold", now.Cold), zap.String("by", by))
+	if now.Takes {
+		rec := c.node.record()
+		rec.Slots = uint32(now.Slots)
+		c.state.Update(c.now(), rec)
+	}
+}
+
+// watchPause is the least time between two looks for a new set, and the time
+// after a failed one. It bounds what a store that answers at once, or refuses,
+// is asked.
+const watchPause = 250 * time.Millisecond
+
+// watchSets puts each newly accepted set in force as soon as the platform tells.
+func (n *Node) watchSets(ctx context.Context) {
+	sets := n.outside.Sets
+	var after int64
+	lost := false
+	for {
+		p, err := sets.Next(ctx, after)
+		if ctx.Err() != nil {
+			return
+		}
+		if (err != nil) != lost {
+			lost = err != nil
+			n.logStore(lost, err)
+		}
+		if p != nil && p.Head().Version > after {
+			after = p.Head().Version
+			n.control.ask(func() { n.control.conf.do(n.control.conf.state.Offer(n.control.now(), p)) })
+		}
+		if (p == nil || err != nil) && !wait(ctx, watchPause) {
+			return
+		}
+	}
+}
+
+func (n *Node) logStore(lost bool, err error) {
+	if lost {
+		n.log.Warn("store lost", zaplog.Failure(err))
+		return
+	}
+	n.log.Info("store regained")
+}
--- a/internal/node/ready.go
+++ b/internal/node/ready.go
@@ -30,6 +30,7 @@
 // know the other members, for lack of targets.
 func (c *control) judges() bool {
 	_, known := c.conf.index().Service(c.self.Service)
+	known = known || c.conf.index().Routed() // a target whose service has no route has callers all the same
 	return c.membersKnown() && known && c.conf.state.Ready()
 }
 
@@ -53,7 +54,7 @@
 	}{
 		{!c.membersKnown(), obstacleMembers},
 		{!c.conf.state.Ready(), obstacleConfig},
-		{c.conf.state.Ready() && !known, obstacleService},
+		{c.conf.state.Ready() && !known && !c.conf.index().Routed(), obstacleService},
 		{!c.targetUp, obstacleTarget},
 		{c.leaving, obstacleLeaving},
 	} {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -9,6 +9,7 @@
 
 	"peardrift/internal/adapter/zaplog"
 	"peardrift/internal/core/member"
+	"peardrift/internal/dataplane"
 )
 
 // Run joins, serves until ctx ends, and then shuts down gracefully. kill ends
@@ -18,16 +19,21 @@
 		return err
 	}
 	n.engine.OnCrash(n.crashed)
-	n.health = newHealth(n.set.Target, n.local, func(up bool) {
-		n.control.post(func() { n.control.setTarget(up) })
-	})
-	n.engine.OnShed(n.health.hint)
+	n.engine.OnOther(n.otherAnswers)
+	if n.outside == nil {
+		n.health = newHealth(n.set.Target, n.local, func(up bool) {
+			n.control.post(func() { n.control.setTarget(up) })
+		})
+		n.engine.OnShed(n.health.hint)
+	} else {
+		n.engine.SetLifetime(dataplane.Lifetime{}) // nothing runs until the target reports
+	}
 	inner, stop := context.WithCancel(context.Background())
 	defer stop()
 	n.start(inner)
 	n.log.Info("serving",
 		zap.String("callers", n.faces.callers.Addr()), zap.String("nodes", n.faces.nodes.Addr()),
-		zap.String("target", n.faces.target.Addr()), zap.String("control", n.ln.Addr().String()),
+		zap.String("target", n.set.Listen.Target), zap.String("control", n.ln.Addr().String()),
 		zap.String("ops", n.faces.ops.Addr()))
 	<-ctx.Done()
 	n.shutdown(kill)
@@ -41,12 +47,15 @@
 	n.run(func() { _ = n.server.Serve(n.ln) })
 	n.run(func() { n.control.loop(ctx, member.DefaultConfig().TickEvery) })
 	n.run(func() { n.join(ctx) })
-	n.run(func() { n.health.run(ctx) })
+	if n.health != nil {
+		n.run(func() { n.health.run(ctx) })
+	} else {
+		n.run(func() { n.watchSets(ctx) })
+	}
 	n.run(func() { every(ctx, probeEvery, func(time.Time) { n.engine.ProbeTargets(n.pool.Submit) }) })
-	n.faces.ops.Start()
-	n.faces.nodes.Start()
-	n.faces.target.Start()
-	n.faces.callers.Start()
+	for _, s := range n.faces.all() {
+		s.Start()
+	}
 }
 
 func (n *Node) run(f func()) {
@@ -198,7 +207,9 @@
 	n.local.Close()
 	n.engine.Close()
 	n.table.Close()
-	n.objects.Close()
+	if n.objects != nil {
+		n.objects.Close()
+	}
 	n.pool.Release()
 	n.closeObservers()
 }
--- /dev/null
+++ b/internal/port/sets.go
@@ -0,0 +1,40 @@
+package port
+
+import (
+	"context"
+	"time"
+
+	"peardrift/internal/core/confset"
+	"peardrift/internal/core/request"
+)
+
+// Sets is where accepted configuration sets are read. Methods may be called from
+// any goroutine and end by ctx's deadline.
+type Sets interface {
+	// Tenants returns the tenants that have an accepted set.
+	Tenants(ctx context.Context) ([]request.Tenant, error)
+	// Head returns the accepted version of a tenant's set; ErrNotFound if none.
+	Head(ctx context.Context, t request.Tenant) (confset.Head, error)
+	// Body returns the canonical bytes of a set, not yet verified.
+	Body(ctx context.Context, t request.Tenant, d confset.Digest) ([]byte, error)
+}
+
+// WatchedSets are Sets that tell of a newly accepted set by themselves.
+type WatchedSets interface {
+	Sets
+	// Next returns an accepted set with a version above after, or nil if there
+	// has been none for a while. What it returns may be older than what another
+	// call has returned.
+	Next(ctx context.Context, after int64) (*confset.Packed, error)
+}
+
+// Report is what a target says of itself.
+type Report struct {
+	Instance string // its lifetime; each start has another one
+	Address  string // where it serves; empty if it doesn't say
+	Slots    int    // requests that it runs at once; 0 if it doesn't say
+	Leaving  bool   // it takes no new work
+	Last     bool   // nothing follows
+	Seq      int64  // rises with each report of a lifetime
+	Cold     time.Duration
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,6 +22,7 @@
 	Traces   Traces   `yaml:"traces"`
 	Traffic  Traffic  `yaml:"traffic"`
 	Shutdown Shutdown `yaml:"shutdown"`
+	Limits   Limits   `yaml:"limits"`
 }
 
 // Node says who the node is and where it stands.
@@ -78,7 +79,9 @@
 	Nodes string `yaml:"nodes" validate:"required,ipport0"`
 
 	// Target serves the own target's calls to further services. Default
-	// 127.0.0.1:7402. Should be a loopback address.
+	// 127.0.0.1:7402. Should be a loopback address. The address of Callers lets
+	// both come to one listener, where targets name their calls after the request
+	// that they run.
 	Target string `yaml:"target" validate:"required,ipport0"`
 
 	// Control serves the protocol between the nodes: membership, configuration,
@@ -88,6 +91,13 @@
 	// Ops serves health, readiness, metrics and status to operators. Default
 	// 127.0.0.1:7404.
 	Ops string `yaml:"ops" validate:"required,ipport0"`
+
+	// Reports serves the own target, where targets announce themselves. Default:
+	// none; the target's health endpoint is asked.
+	Reports string `yaml:"reports" validate:"omitempty,ipport0"`
+
+	// Ready serves nothing but readiness, on any path. Default: none; Ops has it.
+	Ready string `yaml:"ready" validate:"omitempty,ipport0"`
 }
 
 // Advertise holds the addresses (ip:port) that other nodes are told, where
@@ -102,6 +112,14 @@
 	Control string `yaml:"control" validate:"omitempty,ipport"`
 }
 
+// Limits are what the process may use.
+type Limits struct {
+	// MemoryBytes is the memory after which the process is ended. Default 0: not
+	// known. The collector then works harder from a part of it on, so that a
+	// flood costs processor time and not the process.
+	MemoryBytes int64 `yaml:"memoryBytes" validate:"min=0"`
+}
+
 // Shutdown bounds the graceful shutdown that SIGTERM starts.
 type Shutdown struct {
 	// Announce is how long the node goes on taking calls after it has told the
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"reflect"
+	"slices"
 	"strings"
 	"sync"
 
@@ -51,6 +52,21 @@
 	return append(ps, appendable(s)...)
 }
 
+// Check returns what is wrong with settings that no file holds, but for their
+// section platform, which they don't use. Its failure is an *Invalid.
+func Check(s *Settings) error {
+	ps := slices.DeleteFunc(validate(s), func(p Problem) bool {
+		return strings.HasPrefix(p.Field, platformKey+".")
+	})
+	if len(ps) > 0 {
+		return invalid("settings", ps)
+	}
+	if s.Node.Instance == "" {
+		s.Node.Instance = s.Node.Name
+	}
+	return nil
+}
+
 // violations returns what the tags of a struct's fields forbid.
 func violations(section any) []Problem {
 	var fields validator.ValidationErrors
@@ -107,11 +123,14 @@
 		{"listen.target", l.Target},
 		{"listen.control", l.Control},
 		{"listen.ops", l.Ops},
+		{"listen.reports", l.Reports},
+		{"listen.ready", l.Ready},
 	}
 	var ps []Problem
 	for i, a := range all {
 		for _, b := range all[:i] {
-			if overlap(a.addr, b.addr) {
+			both := a.field == "listen.target" && b.field == "listen.callers" && a.addr == b.addr
+			if overlap(a.addr, b.addr) && !both {
 				ps = append(ps, Problem{Field: a.field, Message: fmt.Sprintf("takes the address of %s, %q", b.field, b.addr)})
 			}
 		}
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -46,6 +46,7 @@
 	CodeIsolationBusy    Code = "isolation-busy"
 	CodePlatformDown     Code = "platform-unavailable"
 	CodeInProgress       Code = "in-progress"
+	CodeTargetShed       Code = "target-shed" // the target itself turned it away
 	CodeNoRoom           Code = "no-room-for-key"
 
 	// Something ran, or may have run.
--- a/internal/wire/strip.go
+++ b/internal/wire/strip.go
@@ -22,14 +22,15 @@
 // CopyRequest copies a request's method, target, host and end-to-end headers
 // to dst. Left behind are internal headers, trace headers, and those that
 // concern the connection, also by being named in Connection.
-func CopyRequest(dst, src *protocol.RequestHeader) {
+func (d *Dialect) CopyRequest(dst, src *protocol.RequestHeader) {
 	dst.SetMethodBytes(src.Method())
 	dst.SetRequestURIBytes(src.RequestURI())
 	dst.SetHostBytes(src.Host())
 	dst.SetNoDefaultContentType(true)
 	named := connectionOptions(src.Peek("Connection"))
+	pass := d.passed()
 	src.VisitAll(func(k, v []byte) {
-		if endToEnd(k, named) && !listed(k, traces) {
+		if endToEnd(k, named, pass[:]) && !listed(k, traces) {
 			addTo(dst, k, v)
 		}
 	})
@@ -37,12 +38,13 @@
 
 // CopyAnswer copies an answer's status and end-to-end headers to dst, leaving
 // internal headers behind.
-func CopyAnswer(dst, src *protocol.ResponseHeader) {
+func (d *Dialect) CopyAnswer(dst, src *protocol.ResponseHeader) {
 	dst.SetStatusCode(src.StatusCode())
 	dst.SetNoDefaultContentType(true)
 	named := connectionOptions(src.Peek("Connection"))
+	pass := d.passed()
 	src.VisitAll(func(k, v []byte) {
-		if endToEnd(k, named) && !listed(k, dated) {
+		if endToEnd(k, named, pass[:]) && !listed(k, dated) {
 			addTo(dst, k, v)
 		}
 	})
@@ -82,11 +84,11 @@
 	lowerCase = 0x20
 )
 
-func endToEnd(k []byte, named []string) bool {
+func endToEnd(k []byte, named, pass []string) bool {
 	if bytes.EqualFold(k, []byte("Host")) {
 		return false
 	}
-	return !internal(k) && !listed(k, hopByHop) && !listed(k, named)
+	return (!internal(k) || listed(k, pass)) && !listed(k, hopByHop) && !listed(k, named)
 }
 
 func internal(k []byte) bool {
--- a/internal/wire/strip_test.go
+++ b/internal/wire/strip_test.go
@@ -22,7 +22,7 @@
 	for _, f := range fields {
 		from.Add(f[0], f[1])
 	}
-	CopyAnswer(&to, &from)
+	new(Dialect).CopyAnswer(&to, &from)
 	is.True(strings.Contains(string(to.Header()), "Set-Cookie: a=1\r\nSet-Cookie: b=2\r\n"))
 	is.Equal(to.GetAll("Cache-Control"), []string{"no-store", "private"})
 	is.Equal(to.GetAll("Link"), []string{"</a>", "</b>"})
@@ -35,7 +35,7 @@
 	for _, f := range [][2]string{{"User-Agent", "u"}, {"Cookie", "a=1; b=2"}, {"Accept", "x"}, {"Accept", "y"}, {"Content-Type", "x/y"}, {HeaderClass, "c"}} {
 		in.Add(f[0], f[1])
 	}
-	CopyRequest(&out, &in)
+	new(Dialect).CopyRequest(&out, &in)
 	is.Equal(out.GetAll("Accept"), []string{"x", "y"})
 	for name, want := range map[string]string{"User-Agent": "u", "Cookie": "a=1; b=2", "Content-Type": "x/y", HeaderClass: ""} {
 		is.Equal(string(out.Peek(name)), want)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -34,6 +34,10 @@
 	HeaderDepth      = Prefix + "Depth"
 	HeaderRootKey    = Prefix + "Root-Key"
 	HeaderOrigin     = Prefix + "Origin"
+	// HeaderService and HeaderRoute name the service that a route has chosen and
+	// the route, where Host is not the service's name.
+	HeaderService = Prefix + "Service"
+	HeaderRoute   = Prefix + "Route"
 
 	// HeaderOutcome carries the typed outcome of an answer.
 	HeaderOutcome = Prefix + "Outcome"
@@ -91,6 +95,8 @@
 	Depth      int           // 0 at the entry's own call
 	RootKey    string        // idempotency key of the whole request, may be empty
 	Origin     request.Service
+	Service    request.Service // called; empty where Host names it
+	Route      request.Class   // by which it is called; empty likewise
 }
 
 // MaxDepth bounds a chain; a deeper one is a loop of services calling each other.
@@ -113,6 +119,10 @@
 	if m.Origin != "" {
 		h.Set(HeaderOrigin, string(m.Origin))
 	}
+	if m.Service != "" {
+		h.Set(HeaderService, string(m.Service))
+		h.Set(HeaderRoute, string(m.Route))
+	}
 }
 
 // SetInt writes a number to a request.
@@ -135,6 +145,8 @@
 		Depth:      int(r.int(HeaderDepth, 0, MaxDepth)),
 		RootKey:    string(h.Peek(HeaderRootKey)),
 		Origin:     request.Service(h.Peek(HeaderOrigin)),
+		Service:    request.Service(h.Peek(HeaderService)),
+		Route:      request.Class(h.Peek(HeaderRoute)),
 	}
 	return m, r.err
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -54,7 +54,7 @@
 	} {
 		src.Set(name, "hostile")
 	}
-	CopyRequest(&dst, &src)
+	new(Dialect).CopyRequest(&dst, &src)
 	is.Equal(string(dst.Peek("X-Mine")), "kept")
 	is.Equal(string(dst.RequestURI()), "/a?b=c")
 	is.True(!strings.Contains(string(dst.Header()), "hostile"))
@@ -66,7 +66,7 @@
 	src.SetStatusCode(201)
 	SetAnswer(&src, &Answer{Outcome: request.Completed, Level: 1, Unspent: 3, Limit: 2})
 	src.Set("Content-Type", "text/plain")
-	CopyAnswer(&dst, &src)
+	new(Dialect).CopyAnswer(&dst, &src)
 	is.Equal(dst.StatusCode(), 201)
 	is.Equal(string(dst.ContentType()), "text/plain")
 	is.Equal(len(dst.Peek(HeaderLevel)), 0)
