--- a/internal/core/early/config.go
+++ b/internal/core/early/config.go
@@ -44,22 +44,6 @@
 	// MaxTargets bounds the targets remembered for a service and class; the one
 	// heard of longest ago goes first. Default 32; at least route's subset.
 	MaxTargets int
-	// ValveWindow and ValveSamples are how long, and over how many requests, their
-	// ends are gathered before the valve of a class moves. Defaults 250ms and 24.
-	// Higher moves it more surely, and later.
-	ValveWindow  time.Duration
-	ValveSamples int
-	// ValveTolerated is the part of a class's requests that may fail for load, 0 to
-	// 1, before fewer are let in. Default 0.15. Lower wastes less work and refuses
-	// more that would have been served.
-	ValveTolerated float64
-	// ValveMin is the least part that is let in. Default 0.02. Higher notices a
-	// recovery sooner and sends more that fails.
-	ValveMin float64
-	// ValveGrowth is by how much the part rises with the first good window after a
-	// cut, and ValveMaxGrowth with a late one. Defaults 0.1 and 1. Higher
-	// recovers sooner, and overshoots by as much.
-	ValveGrowth, ValveMaxGrowth float64
 	// MaxKeys bounds the services and classes that a Table or Chain remembers.
 	// Default 1024. What is beyond it is neither learned nor refused early.
 	MaxKeys int
@@ -81,13 +65,6 @@
 		MinUse:     0.5,
 		UseWindow:  10 * time.Second,
 		MaxTargets: 32,
-
-		ValveWindow:    250 * time.Millisecond,
-		ValveSamples:   24,
-		ValveTolerated: 0.15,
-		ValveMin:       0.1,
-		ValveGrowth:    0.1,
-		ValveMaxGrowth: 1,
-		MaxKeys:        1024,
+		MaxKeys:    1024,
 	}
 }
--- a/internal/dataplane/levels.go
+++ b/internal/dataplane/levels.go
@@ -16,12 +16,11 @@
 	mu    sync.Mutex
 	table *early.Table
 	chain *early.Chain
-	valve *early.Valve
 }
 
 func newLevels(cfg *early.Config, now func() time.Duration) *levels {
 	table := early.NewTable(cfg, newRand())
-	return &levels{now: now, table: table, chain: early.NewChain(cfg, table), valve: early.NewValve(cfg)}
+	return &levels{now: now, table: table, chain: early.NewChain(cfg, table)}
 }
 
 // check refuses a call that its callee, or a service below it, would refuse.
@@ -35,51 +34,6 @@
 	return status.Refuse(status.CodeOverloaded, v.RetryAfter, "%s is overloaded", c.info.Name)
 }
 
-// admit refuses a whole request that the services below the own target can't
-// complete, as far as the ends of others tell.
-func (l *levels) admit(s *serving) *status.Error {
-	if s.meta.Depth > 0 {
-		return nil // it has cost work already
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.valve.Admit(s.key(), s.running.priority) {
-		return nil
-	}
-	return status.Refuse(status.CodeOverloaded, later(), "what %s calls is overloaded", s.key().Service)
-}
-
-// ended takes in how a request of the own target ended.
-func (l *levels) ended(s *serving, r *result) {
-	end := s.endOf(r)
-	if s.meta.Depth > 0 || end == early.Other {
-		return
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.valve.Done(l.now(), s.began, s.key(), end)
-}
-
-// key is what the request is to the valve.
-func (s *serving) key() early.Key {
-	return early.Key{Service: s.hop.Service, Class: s.running.class, Tenant: s.meta.Tenant}
-}
-
-// endOf says what a request's end tells of the load below.
-func (s *serving) endOf(r *result) early.End {
-	if r.outcome == request.Completed {
-		return early.Good
-	}
-	// What the own target or its gate refuses is the gate's business, and what a
-	// target turns away for no load of its own is nobody's who calls it.
-	switch s.running.cause() {
-	case status.CodeOverloaded, status.CodeOverShare, status.CodeDeadline,
-		status.CodeRetriesExhausted, status.CodeDeadlineExceeded:
-		return early.Overloaded
-	}
-	return early.Other
-}
-
 // level returns the level learned for a call's service and class.
 func (l *levels) level(c *outgoing) request.Level {
 	l.mu.Lock()
@@ -123,18 +77,6 @@
 	return l.chain.Level(l.now(), w)
 }
 
-// chainOf returns the level at which such requests are refused for what is below
-// the own target: as the answers from there say, or as the valve does.
-func (l *levels) chainOf(s *serving) request.Level {
-	level := l.below(s.running.work())
-	if s.meta.Depth > 0 {
-		return level
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return max(level, l.valve.Level(s.key(), s.meta.Importance))
-}
-
 func (c *outgoing) key() early.Key {
 	return early.Key{Service: c.info.Name, Class: c.class.Name, Tenant: c.meta.Tenant}
 }
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -40,7 +40,6 @@
 	hop     Hop
 	hand    handled
 	own     running
-	began   time.Duration  // when it was let in
 	who     retry.Identity // 0: the caller names none
 }
 
@@ -58,10 +57,6 @@
 		e.refuse(s, fault)
 		return
 	}
-	if fault := e.levels.admit(s); fault != nil {
-		e.refuse(s, fault)
-		return
-	}
 	if fault := e.repeats.begin(s); fault != nil {
 		e.refuse(s, fault)
 		return
@@ -74,7 +69,6 @@
 		e.refuse(s, fault)
 		return
 	}
-	s.began = e.now()
 	e.levels.served(s.running.work())
 	e.reqs.add(s.running)
 	if s.class.AtMostOnce {
@@ -173,7 +167,7 @@
 		deadline: deadline,
 		purse:    retry.NewPurse(s.meta.Allowance, s.meta.Repeat),
 	}
-	s.hop.Name, s.hop.Service = s.own.name, e.self.Service
+	s.hop.Name = s.own.name
 	s.running = &s.own
 	return nil
 }
@@ -394,7 +388,6 @@
 		r.outcome = request.Unknown
 	}
 	e.reqs.remove(s.running)
-	e.levels.ended(s, r)
 	e.gate.leave(s.ticket, gateResult(r), s.running.idled())
 	e.repeats.end(s, r.outcome)
 	cancel()
@@ -439,7 +432,7 @@
 		a.Below = s.running.cause()
 	}
 	if s.running != nil {
-		a.Chain = e.levels.chainOf(s)
+		a.Chain = e.levels.below(s.running.work())
 	}
 	// While the answer is a stream the target may still make calls: its
 	// allowance stays open, and what is left then counts as spent.
