Keep a target's calls when its node is short of connections, stops or starts

Change: half of the descriptors for callers, a fifth for nodes; each seed asked once before any again, 150 ms apart; on a stop, not ready first, and the gate shut when callers have been led away. Ruled out: refusals of the gate and lost answers; the first hop that ended badly was the backend itself, with no call of its own on record.

--- a/internal/core/member/join.go
+++ b/internal/core/member/join.go
@@ -28,6 +28,7 @@
 	begun    time.Duration    // the last attempt
 	misses   int              // attempts in a row that brought nothing
 
+	asked     int           // seeds of the list that were asked since it was gone through
 	untried   bool          // seeds were added since the last look for strangers
 	nextCheck time.Duration // no look for strangers before
 	checkWait time.Duration // and this long after the next one
@@ -179,7 +180,16 @@
 			return p
 		}
 	}
-	return s.join.seeds[s.rng.IntN(len(s.join.seeds))]
+	j := &s.join
+	if j.asked >= len(j.seeds) {
+		j.asked = 0
+	}
+	// Each seed once before any is asked again: some are of instances that have
+	// gone, and drawn anew each time these would be asked as often as the others.
+	i := j.asked + s.rng.IntN(len(j.seeds)-j.asked)
+	j.seeds[j.asked], j.seeds[i] = j.seeds[i], j.seeds[j.asked]
+	j.asked++
+	return j.seeds[j.asked-1]
 }
 
 // anyPeer returns a member drawn at random, or the last source if none is known.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -39,6 +39,7 @@
 	targetUp bool
 	target   *lifetime.Tracker
 	leaving  bool
+	retiring bool // the node will stop, and takes calls until then
 	overload overload
 }
 
@@ -50,6 +51,7 @@
 	ready   bool
 	up      bool // the target takes calls
 	leaving bool
+	retires bool // the node will stop
 }
 
 // sighting is when a target's incarnation was first seen.
@@ -125,6 +127,7 @@
 		ready:   c.judges(),
 		up:      c.targetUp,
 		leaving: c.leaving,
+		retires: c.retiring,
 	}
 	if next == c.shown {
 		return
@@ -267,6 +270,12 @@
 	c.carrier.Do(c.state.Tick(c.now()))
 }
 
+// retire lets the node be not ready, so that whoever sends it callers stops.
+func (c *control) retire() {
+	c.retiring = true
+	c.publish()
+}
+
 // leave announces that the target takes no new work, for this incarnation.
 func (c *control) leave() {
 	if c.leaving {
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -25,10 +25,9 @@
 func (n *Node) listen() error {
 	cfg := hertzhttp.DefaultServerConfig()
 	cfg.IdleTimeout, cfg.MaxHeaderBytes = n.set.Traffic.IdleTimeout, n.set.Traffic.MaxHeaderBytes
-	most := n.mostConnections()
-	callers := hertzhttp.NewConnLimit(most)
-	inner := hertzhttp.NewConnLimit(most)
-	ops := hertzhttp.NewConnLimit(min(most, opsConnections))
+	callers := hertzhttp.NewConnLimit(n.mostConnections(callersShare))
+	inner := hertzhttp.NewConnLimit(n.mostConnections(nodesShare))
+	ops := hertzhttp.NewConnLimit(opsConnections)
 	l := n.set.Listen
 	var failed []error
 	all := []face{
@@ -70,24 +69,28 @@
 	opsConnections = 64
 	// spareFiles are descriptors for what isn't traffic.
 	spareFiles = 64
-	// filesPerConnection is how many descriptors stand behind each connection of
-	// the bound: one for a caller, one for a node or the target, and as many for
-	// the connections that their calls go out on.
-	filesPerConnection = 4
-	leastConnections   = 8
+	// Shares of the descriptors for connections of callers and of nodes; the rest
+	// is for those that calls go out on, of which there are as many as calls in
+	// flight. Callers have most: the own target may hold a connection for each
+	// request that it runs, and as many again that it closes late. With a quarter
+	// each, the last target of a service that has lost the others was refused the
+	// calls that it needed: its node had room for 1,009, it opened 1,200.
+	callersShare     = 0.5
+	nodesShare       = 0.2
+	leastConnections = 8
 )
 
-// mostConnections bounds the connections of callers, and those of nodes and the
-// target, each. A node that runs out of descriptors can open no connection to its
+// mostConnections bounds connections by the settings and by a share of the
+// descriptors. A node that runs out of descriptors can open no connection to its
 // own target or to others, so the bound is lower where the process may open fewer
 // files than the settings would need.
-func (n *Node) mostConnections() int {
+func (n *Node) mostConnections(share float64) int {
 	most := n.set.Traffic.MaxConnections
 	var files syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil {
 		return most
 	}
-	have := (int(min(files.Cur, 1<<31)) - spareFiles) / filesPerConnection
+	have := int(share * float64(int(min(files.Cur, 1<<31))-spareFiles))
 	if have >= most {
 		return most
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -192,6 +192,25 @@
 	return cfg
 }
 
+// memberConfig returns how membership goes. On a platform that replaces and
+// restarts many nodes, one that starts has callers at once: it looks for others
+// more often than one that has time.
+func (n *Node) memberConfig() member.Config {
+	cfg := member.DefaultConfig()
+	if n.outside != nil {
+		cfg.JoinRetry, cfg.CallTimeout = quickRetry, quickCall
+	}
+	return cfg
+}
+
+const (
+	// quickRetry is the time between attempts to join.
+	quickRetry = 150 * time.Millisecond
+	// quickCall bounds one exchange: many times the time for a message there and
+	// back, also between regions.
+	quickCall = 700 * time.Millisecond
+)
+
 // rarePoll is the time between polls of a platform that tells of changes.
 const rarePoll = 30 * time.Second
 
@@ -212,7 +231,7 @@
 		events: make(chan func(), eventQueue), done: make(chan struct{}),
 		target: lifetime.New(), targetUp: n.outside != nil,
 	}
-	c.state = member.New(member.DefaultConfig(), n.record(), rand.New(rand.NewPCG(rand.Uint64(), uint64(n.self.ID))))
+	c.state = member.New(n.memberConfig(), n.record(), rand.New(rand.NewPCG(rand.Uint64(), uint64(n.self.ID))))
 	c.carrier = rpc.NewCarrier(n.calls, n.pool.Submit, func(f func(*member.State, time.Duration)) {
 		c.post(func() { f(c.state, c.now()) })
 	})
--- a/internal/node/ready.go
+++ b/internal/node/ready.go
@@ -13,7 +13,7 @@
 )
 
 // open: new calls are taken, for the target too.
-func (s shown) open() bool { return s.ready && s.up && !s.leaving }
+func (s shown) open() bool { return s.ready && s.up && !s.leaving && !s.retires }
 
 // logReady logs that the node has become ready, or why it no longer is.
 func (c *control) logReady(before shown) {
@@ -57,6 +57,7 @@
 		{c.conf.state.Ready() && !known && !c.conf.index().Routed(), obstacleService},
 		{!c.targetUp, obstacleTarget},
 		{c.leaving, obstacleLeaving},
+		{c.retiring, obstacleStopping},
 	} {
 		if o.holds {
 			out = append(out, o.text)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -148,8 +148,16 @@
 	ctx, cancel := context.WithTimeout(kill, n.set.Shutdown.Grace)
 	defer cancel()
 	n.log.Info("leaving")
-	n.control.ask(n.control.leave)
-	wait(ctx, n.set.Shutdown.Announce)
+	if n.outside != nil {
+		// The target lives on without its node, and others share its load only when
+		// it takes none: so it takes calls until callers have been led away.
+		n.control.ask(n.control.retire)
+		wait(ctx, n.set.Shutdown.Announce)
+		n.control.ask(n.control.leave)
+	} else {
+		n.control.ask(n.control.leave)
+		wait(ctx, n.set.Shutdown.Announce)
+	}
 	n.engine.Turn()
 	n.drained(ctx)
 	n.control.ask(n.control.depart)
