--- /dev/null
+++ b/internal/core/lifetime/tracker_test.go
@@ -0,0 +1,81 @@
+package lifetime
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"peardrift/internal/port"
+)
+
+func report(instance string, seq int64) port.Report {
+	return port.Report{Instance: instance, Seq: seq, Slots: 10}
+}
+
+// Symptom: a request runs on a target that has said that it leaves. Events: the
+// leave is acknowledged, then a report from before it arrives, held up on the way.
+// Cause: a tracker that believes whatever came last.
+func TestLeaveIsFinal(t *testing.T) {
+	is := is.New(t)
+	tr := New()
+	is.True(tr.Report(report("a", 1)).Takes)
+	leave := report("a", 3)
+	leave.Leaving = true
+	is.True(!tr.Report(leave).Takes)
+	is.True(!tr.Report(report("a", 2)).Takes) // late
+	is.True(!tr.Report(report("a", 4)).Takes) // even a newer one
+}
+
+// Symptom and events as above, with the target's last word in place of a report.
+func TestLastWordIsALeave(t *testing.T) {
+	is := is.New(t)
+	tr := New()
+	tr.Report(report("a", 1))
+	is.True(!tr.Report(port.Report{Instance: "a", Last: true}).Takes)
+}
+
+// Symptom: a node that was restarted sends requests to a target whose leave the
+// node before it had acknowledged. Cause: a tracker that lets run what it knows
+// nothing of.
+func TestNothingRunsBeforeAReport(t *testing.T) {
+	is := is.New(t)
+	is.True(!New().State().Takes)
+	leave := report("a", 9)
+	leave.Leaving = true
+	is.True(!New().Report(leave).Takes)
+}
+
+// Symptom: all requests are answered "another instance", for good. Events: a
+// target crashes behind a cut, another starts at its address, then the first
+// one's last report arrives. Cause: a report taken for proof of life.
+func TestAnswersSettleWhichLifetimeServes(t *testing.T) {
+	is := is.New(t)
+	tr := New()
+	tr.Report(report("new", 1))
+	tr.Report(report("old", 7)) // unknown here, so taken for a newer one
+	is.Equal(tr.State().Instance, "old")
+	is.Equal(tr.Answered("new"), State{Instance: "new", Slots: 10, Takes: true})
+	is.Equal(tr.Report(report("old", 8)).Instance, "new") // known: not taken again
+	is.True(!tr.Answered("third").Takes)                  // which has not reported
+	is.True(tr.Report(report("third", 1)).Takes)
+}
+
+// Symptom: memory grows with each start of a target that crashes in a loop.
+func TestLifetimesAreBounded(t *testing.T) {
+	is := is.New(t)
+	tr := New()
+	for i := range 10 * maxLives {
+		tr.Report(report(string(rune('a'+i%26))+string(rune('0'+i/26)), 1))
+	}
+	is.Equal(len(tr.lives), maxLives)
+	is.Equal(len(tr.order), maxLives)
+}
+
+func TestOldReportsChangeNothing(t *testing.T) {
+	is := is.New(t)
+	tr := New()
+	r := report("a", 5)
+	r.Slots = 20
+	tr.Report(r)
+	is.Equal(tr.Report(report("a", 4)).Slots, 20)
+}
--- /dev/null
+++ b/internal/dataplane/check_test.go
@@ -0,0 +1,44 @@
+package dataplane
+
+import (
+	"testing"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/matryer/is"
+
+	"peardrift/internal/adapter/hertzhttp"
+	"peardrift/internal/wire"
+)
+
+// Symptom: a caller gets another's answer, or one that no target has made.
+// Events: a target answers twice, or sends bytes that are none of its answers.
+// Cause: whatever comes next on a connection is taken for the answer.
+func TestAnswersAreToldApart(t *testing.T) {
+	is := is.New(t)
+	d := wire.Dialect{Request: "X-Name", Signature: "X-Signed"}
+	check := CheckAnswer(d)
+	for _, c := range []struct {
+		status                 int
+		echo, signed, encoding string
+		want                   hertzhttp.Match
+	}{
+		{200, "a", "s", "", hertzhttp.Own},
+		{500, "a", "", "", hertzhttp.Own},
+		{200, "", "s", "", hertzhttp.Own},
+		{200, "b", "s", "", hertzhttp.Other},
+		{503, "b", "", "", hertzhttp.Other},
+		{200, "a", "", "", hertzhttp.Foreign},
+		{200, "a", "s", "gzip", hertzhttp.Foreign},
+	} {
+		var req protocol.RequestHeader
+		var resp protocol.ResponseHeader
+		req.Set(d.Request, "a")
+		resp.SetStatusCode(c.status)
+		for k, v := range map[string]string{d.Request: c.echo, d.Signature: c.signed, "Content-Encoding": c.encoding} {
+			if v != "" {
+				resp.Set(k, v)
+			}
+		}
+		is.Equal(check(&req, &resp), c.want)
+	}
+}
--- /dev/null
+++ b/internal/dataplane/turns_test.go
@@ -0,0 +1,39 @@
+package dataplane
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"peardrift/internal/core/confset"
+	"peardrift/internal/core/request"
+)
+
+func split(weights ...int) *confset.RouteInfo {
+	r := &confset.RouteInfo{Host: "h", Prefix: "/"}
+	for i, w := range weights {
+		r.Parts = append(r.Parts, confset.Part{Service: &confset.ServiceInfo{Name: request.Service(rune('a' + i))}, Weight: w})
+		r.Total += w
+	}
+	return r
+}
+
+// Symptom: operators move a tenth of a route to a new service, and it gets a
+// quarter, or nothing. Cause: parts drawn at random, at nodes with few requests.
+func TestPartsGetTheirShares(t *testing.T) {
+	is := is.New(t)
+	for _, r := range []*confset.RouteInfo{split(90, 10), split(1, 1, 2), split(1, 0)} {
+		var ts turns
+		got := make(map[request.Service]int)
+		const n = 200
+		for range n {
+			got[ts.next(r).Service.Name]++
+		}
+		for _, p := range r.Parts {
+			want := float64(p.Weight) / float64(r.Total) * n
+			is.True(float64(got[p.Service.Name]) >= want-1 && float64(got[p.Service.Name]) <= want+1)
+		}
+	}
+	is.True(new(turns).next(split(0, 0)) == nil)
+	is.True(new(turns).next(split(0)) == nil)
+}
