--- a/internal/adapter/hertzhttp/limit.go
+++ b/internal/adapter/hertzhttp/limit.go
@@ -10,6 +10,9 @@
 type ConnLimit struct {
 	most int64
 	open atomic.Int64
+
+	// Turned counts the connections that were closed at once.
+	Turned atomic.Int64
 }
 
 // NewConnLimit returns a bound of most connections.
@@ -37,6 +40,7 @@
 			return &countedConn{Conn: c, limit: l.limit}, nil
 		}
 		l.limit.open.Add(-1)
+		l.limit.Turned.Add(1)
 		_ = c.Close()
 	}
 }
--- a/internal/adapter/zaplog/zaplog.go
+++ b/internal/adapter/zaplog/zaplog.go
@@ -11,7 +11,10 @@
 	"peardrift/internal/status"
 )
 
-const fileMode = 0o640
+const (
+	fileMode = 0o640
+	stdout   = "-" // as settings.Logs.File
+)
 
 // New returns a logger as the settings say, and a function that writes out
 // what still waits, within a second, and releases the output.
@@ -20,8 +23,12 @@
 	if err != nil {
 		return nil, nil, status.Wrap(status.CodeInvalidSettings, err, "logs.level")
 	}
-	if s.File == "" {
-		log, closeLog := newLogger(os.Stderr, level, s.PerSecond)
+	if s.File == "" || s.File == stdout {
+		out := os.Stderr
+		if s.File == stdout {
+			out = os.Stdout
+		}
+		log, closeLog := newLogger(out, level, s.PerSecond)
 		return log, closeLog, nil
 	}
 	f, err := os.OpenFile(s.File, os.O_APPEND|os.O_CREATE|os.O_WRONLY, fileMode)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -105,7 +105,9 @@
 	// gone; ignored, the write fails and the line is lost. SIGHUP comes of a
 	// terminal that is closed, or of an operator who wants the settings to be
 	// read again, which takes a restart.
-	signal.Ignore(syscall.SIGPIPE, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
 	n, err := node.New(set, out)
 	if err != nil {
 		return fail(stderr, err)
@@ -114,6 +116,11 @@
 	signal.Notify(sigs, syscall.SIGTERM, syscall.SIGINT)
 	ctx, stop := context.WithCancel(context.Background())
 	kill, end := context.WithCancel(context.Background())
+	go func() {
+		for range hups {
+			n.Reload()
+		}
+	}()
 	go func() {
 		<-sigs
 		stop()
--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -86,6 +86,7 @@
 	e.calls.Add(1)
 	defer e.calls.Add(-1)
 	hop.Name = string(c.Request.Header.Peek(e.cfg.Dialect.Request))
+	hop.Version = e.view.Load().Index.Version(e.self.Tenant)
 	out, fault := e.admitCall(prepare)
 	if out == nil {
 		e.refuseCall(c, hop, fault)
--- a/internal/dataplane/hop.go
+++ b/internal/dataplane/hop.go
@@ -50,6 +50,7 @@
 	Level     request.Level
 	Allowance int
 	Queued    time.Duration
+	Version   int64 // of the set that it was judged by
 }
 
 func (e *Engine) observe(h *Hop) {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -116,6 +116,7 @@
 	c.conf.tick()
 	c.publish()
 	c.node.gauge(c)
+	c.node.tellConnections()
 }
 
 // publish gives traffic a new view if anything in it changed.
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -28,6 +28,7 @@
 	callers := hertzhttp.NewConnLimit(n.mostConnections(callersShare))
 	inner := hertzhttp.NewConnLimit(n.mostConnections(nodesShare))
 	ops := hertzhttp.NewConnLimit(opsConnections)
+	n.connections.limits = map[string]*hertzhttp.ConnLimit{"callers": callers, "nodes": inner}
 	l := n.set.Listen
 	var failed []error
 	all := []face{
@@ -99,3 +100,31 @@
 		zap.Uint64("descriptors", files.Cur), zap.Int("connections", have))
 	return have
 }
+
+// connections tells of connections that were closed at once for want of room.
+// Without a line of its own a node that turns its target's calls away looks to
+// everybody like a target that fails.
+type connections struct {
+	limits map[string]*hertzhttp.ConnLimit
+	told   map[string]int64
+}
+
+// look returns how many were turned away since the last look, by face.
+func (c *connections) look() map[string]int64 {
+	var news map[string]int64
+	for face, l := range c.limits {
+		n := l.Turned.Load()
+		if n == c.told[face] {
+			continue
+		}
+		if news == nil {
+			news = make(map[string]int64)
+		}
+		if c.told == nil {
+			c.told = make(map[string]int64)
+		}
+		news[face] = n - c.told[face]
+		c.told[face] = n
+	}
+	return news
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,30 +34,31 @@
 
 // Node is one peardriftd process.
 type Node struct {
-	set        settings.Settings
-	log        *zap.Logger
-	closeLog   func() error
-	metrics    *tallymetrics.Metrics
-	tracer     *oteltrace.Tracer
-	self       dataplane.Self
-	pool       *ants.Pool
-	outside    *Outside // nil: the project's own interfaces
-	table      Table
-	objects    *awsobject.Store
-	sets       port.Sets
-	peers      *hertzhttp.Client
-	local      *hertzhttp.Client
-	rows       *shared.Rows
-	claimPeers *rpc.ClaimPeers
-	claims     *claims.Runner
-	engine     *dataplane.Engine
-	health     *health // of the own target; set by Run
-	control    *control
-	calls      *rpc.Pool
-	server     *rpc.Server
-	ln         net.Listener // of the control server
-	faces      faces
-	wg         sync.WaitGroup
+	set         settings.Settings
+	log         *zap.Logger
+	closeLog    func() error
+	metrics     *tallymetrics.Metrics
+	tracer      *oteltrace.Tracer
+	self        dataplane.Self
+	pool        *ants.Pool
+	outside     *Outside // nil: the project's own interfaces
+	table       Table
+	objects     *awsobject.Store
+	sets        port.Sets
+	peers       *hertzhttp.Client
+	local       *hertzhttp.Client
+	rows        *shared.Rows
+	claimPeers  *rpc.ClaimPeers
+	claims      *claims.Runner
+	engine      *dataplane.Engine
+	health      *health // of the own target; set by Run
+	control     *control
+	calls       *rpc.Pool
+	server      *rpc.Server
+	ln          net.Listener // of the control server
+	faces       faces
+	connections connections // of the control goroutine, once that runs
+	wg          sync.WaitGroup
 }
 
 // faces are the HTTP listeners.
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -52,10 +52,22 @@
 	fields := []zap.Field{
 		zap.Stringer("hop", h.Kind), zaplog.Request(h.ID), zaplog.Service(h.Service), zaplog.Class(h.Class),
 		zaplog.Tenant(h.Tenant), zaplog.Outcome(h.Outcome), zap.String("code", string(h.Code)),
-		zap.Duration("took", h.End.Sub(h.Start)),
+		zap.Duration("took", h.End.Sub(h.Start)), zap.Int64("version", h.Version),
+	}
+	if h.Name != "" {
+		fields = append(fields, zaplog.Text("name", h.Name))
+	}
+	if h.Target != 0 {
+		fields = append(fields, zaplog.Target(h.Target), zap.String("zone", h.Zone))
+	}
+	if h.Level > 0 {
+		fields = append(fields, zap.Float64("refused_below", h.Level.AsImportance()))
+	}
+	if h.Queued > 0 {
+		fields = append(fields, zap.Duration("queued", h.Queued))
 	}
 	if h.Retry != "" {
-		fields = append(fields, zap.Int("attempts", h.Attempt), zap.String("retry", h.Retry))
+		fields = append(fields, zap.Int("attempts", h.Attempt), zap.Int("allowance", h.Allowance), zap.String("retry", h.Retry))
 	}
 	return fields
 }
@@ -83,6 +95,14 @@
 	}
 }
 
+// tellConnections logs connections that were turned away since the last tick;
+// called on the control goroutine.
+func (n *Node) tellConnections() {
+	for face, count := range n.connections.look() {
+		n.log.Warn("connections turned away", zap.String("face", face), zap.Int64("count", count))
+	}
+}
+
 // gaugeMembers sets the gauges that change with the membership only.
 func (n *Node) gaugeMembers(v *member.View) {
 	all, alive := 0, 0
--- a/internal/node/outside.go
+++ b/internal/node/outside.go
@@ -84,15 +84,18 @@
 func (n *Node) watchSets(ctx context.Context) {
 	sets := n.outside.Sets
 	var after int64
-	lost := false
+	var lost time.Time // zero while the store answers
 	for {
 		p, err := sets.Next(ctx, after)
 		if ctx.Err() != nil {
 			return
 		}
-		if (err != nil) != lost {
-			lost = err != nil
+		if (err != nil) == lost.IsZero() {
 			n.logStore(lost, err)
+			lost = time.Time{}
+			if err != nil {
+				lost = time.Now()
+			}
 		}
 		if p != nil && p.Head().Version > after {
 			after = p.Head().Version
@@ -104,10 +107,11 @@
 	}
 }
 
-func (n *Node) logStore(lost bool, err error) {
-	if lost {
+// logStore tells that the store was lost, or for how long it had been.
+func (n *Node) logStore(since time.Time, err error) {
+	if err != nil {
 		n.log.Warn("store lost", zaplog.Failure(err))
 		return
 	}
-	n.log.Info("store regained")
+	n.log.Info("store regained", zap.Duration("after", time.Since(since)))
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -66,6 +66,12 @@
 	}()
 }
 
+// Reload takes in that the settings may have changed. They take a restart; what
+// is said is that the node has heard.
+func (n *Node) Reload() {
+	n.log.Info("reload", zap.String("effect", "settings take effect at the next start; sets reach the node without one"))
+}
+
 // joinEvery is the time between looks for nodes to join through while the
 // platform does not answer; it doubles while it answers but names few.
 const joinEvery = time.Second
--- a/internal/settings/files.go
+++ b/internal/settings/files.go
@@ -15,7 +15,7 @@
 		{"logs.file", s.Logs.File},
 		{"traces.file", s.Traces.File},
 	} {
-		if f.path == "" {
+		if f.path == "" || f.path == "-" { // "-" is standard output
 			continue
 		}
 		if err := canAppend(f.path); err != nil {
--- a/internal/settings/observe.go
+++ b/internal/settings/observe.go
@@ -9,8 +9,8 @@
 	// error hide refusals.
 	Level string `yaml:"level" validate:"oneof=debug info warn error"`
 
-	// File is where lines are appended. Default: standard error. Its folder must
-	// be there.
+	// File is where lines are appended; "-" is standard output. Default: standard
+	// error. Its folder must be there.
 	File string `yaml:"file" validate:"max=4096"`
 
 	// PerSecond bounds the lines written in a second, over all messages.
