Cross zones only for a clear gain, however loaded the own zone is

Cause: where all of a service is full, half of its calls go to another zone for differences that are chance, and bytes between zones are dear. Change: route.Config.ZoneLeast, 2 on the platform, 1 elsewhere as before.

--- a/internal/core/route/config.go
+++ b/internal/core/route/config.go
@@ -30,6 +30,11 @@
 	// load. Default 4. Higher keeps more calls in the zone when it is more
 	// loaded than the others.
 	ZoneFactor float64
+	// ZoneLeast is how much dearer one in another zone counts at the least, however
+	// loaded the own zone is. Default 1. Higher saves bytes between zones when all
+	// of a service is full, so that going elsewhere wins nothing; too high leaves
+	// slots of other zones free.
+	ZoneLeast float64
 	// Refresh is how long derived values (mean load, cost, hot or not) are
 	// reused. Default 10ms. Longer is cheaper and slower to react.
 	Refresh time.Duration
@@ -85,6 +90,7 @@
 		PeakFactor:    4,
 		ZoneCost:      3 * time.Millisecond,
 		ZoneFactor:    4,
+		ZoneLeast:     1,
 		Refresh:       10 * time.Millisecond,
 		LatencyWeight: 0.05,
 		Forget:        5 * time.Second,
--- a/internal/core/route/pick.go
+++ b/internal/core/route/pick.go
@@ -77,7 +77,7 @@
 		return far
 	}
 	free := (1 - t.entries[near.idx].util) / (1 - t.cfg.Floor)
-	far.cost *= 1 + (t.cfg.ZoneFactor-1)*min(max(free, 0), 1)
+	far.cost *= max(t.cfg.ZoneLeast, 1+(t.cfg.ZoneFactor-1)*min(max(free, 0), 1))
 	return far
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -150,7 +150,7 @@
 		cfg.Dialect = out.Dialect
 		cfg.Gate.Limit.InitialFraction = 1 // targets say how many slots they have
 		cfg.Gate.Limit.Headroom = headroom
-		cfg.Route.Floor, cfg.Route.ZoneFactor = fullZone, farZone
+		cfg.Route.Floor, cfg.Route.ZoneFactor, cfg.Route.ZoneLeast = fullZone, farZone, farLeast
 		cfg.Retry.CallRatio, cfg.Retry.RefusedFree = 0, true
 		cfg.Retry.FleetBudget, cfg.Retry.FleetWindow = out.RetryBudget, out.RetryWindow
 	}
@@ -181,6 +181,9 @@
 	headroom = 0.06
 	// farZone is how much dearer those of another zone count then.
 	farZone = 8
+	// farLeast is the same when the own zone is full: there is nothing to win
+	// elsewhere then but the bytes that it costs.
+	farLeast = 2
 )
 
 // inforceConfig returns how the configuration comes in force. Where the platform
