Let calls end by themselves once a node is to stop

Change: while a node stops, the end of a request cancels no calls made for it; its target is told by its own connection and ends them.

--- a/internal/dataplane/engine.go
+++ b/internal/dataplane/engine.go
@@ -142,6 +142,7 @@
 	inHand   *inHand
 	repeats  *repeats
 	calls    atomic.Int64
+	retiring atomic.Bool // the node will stop
 	closing  atomic.Bool // callers are to go elsewhere
 	turns    turns
 	lifetime atomic.Pointer[Lifetime] // of the target; nil if it isn't told apart
@@ -193,6 +194,9 @@
 	}
 }
 
+// Retire takes in that the node will stop: what has begun is to end by itself.
+func (e *Engine) Retire() { e.retiring.Store(true) }
+
 // Turn makes the node refuse new requests of callers, and close their
 // connections, so that they go to other nodes. What other nodes send is refused
 // by the gate once the view says that the target leaves; what runs goes on,
--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -96,7 +96,7 @@
 	out.span = hop.Span
 	ctx, cancel := hertzhttp.WithDeadline(ctx, e.epoch.Add(out.deadline))
 	if within != nil {
-		cancel = until(within, cancel)
+		cancel = e.until(within, cancel)
 	}
 	resp := protocol.AcquireResponse()
 	r := e.outcome(ctx, out, fault, resp)
@@ -116,8 +116,17 @@
 // until has cancel called when the context within ends, and returns what is to
 // be called instead of it. A request whose target makes calls for minutes would
 // hold something of each until its end otherwise.
-func until(within context.Context, cancel context.CancelFunc) context.CancelFunc {
-	stop := hertzhttp.AfterFunc(within, cancel)
+//
+// A node that stops leaves that to its target. Symptom otherwise: a call is
+// answered with a failure of the node's own while the target below still works on
+// it. Events: the request's caller leaves in the seconds after a stop has begun.
+// The target closes its call soon enough, having been told by its own connection.
+func (e *Engine) until(within context.Context, cancel context.CancelFunc) context.CancelFunc {
+	stop := hertzhttp.AfterFunc(within, func() {
+		if !e.retiring.Load() {
+			cancel()
+		}
+	})
 	return func() {
 		stop()
 		cancel()
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -154,6 +154,7 @@
 	ctx, cancel := context.WithTimeout(kill, n.set.Shutdown.Grace)
 	defer cancel()
 	n.log.Info("leaving")
+	n.engine.Retire()
 	if n.outside != nil {
 		// The target lives on without its node, and others share its load only when
 		// it takes none: so it takes calls until callers have been led away.
