Let calls in beside a target from its first report on, as before

Cause of that change: a node that has restarted can't carry its target's calls for half a second. What it cost: targets that make no calls, the deepest ones, were kept out as well.

--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -120,10 +120,7 @@
 
 // acceptRouted checks a call whose route was chosen where it was made. This node
 // may have an older or newer configuration in force; whoever is called by the
-// newest that some node has must not refuse for that. It must be able to carry the
-// calls of its target, though: a node that has restarted hears of its target
-// before it knows the other nodes, and each request that it took would fail for
-// its first call.
+// newest that some node has must not refuse for that.
 func (e *Engine) acceptRouted(s *serving, v *View) *status.Error {
 	if s.meta.Service != e.self.Service {
 		return status.Refuse(status.CodeNotReady, 0, "no target of %s is here", s.meta.Service)
@@ -131,7 +128,7 @@
 	if v.Leaving {
 		return status.Refuse(status.CodeDraining, 0, "the node is stopping, use another")
 	}
-	if !v.Ready || !e.takes(v) {
+	if !e.takes(v) {
 		return status.Refuse(status.CodeNotReady, later(), "the target is not ready")
 	}
 	s.class = &confset.Class{Name: s.meta.Route, MaxBody: e.cfg.MaxBody, Repeat: confset.Repeatable}
