--- a/internal/adapter/zaplog/fields.go
+++ b/internal/adapter/zaplog/fields.go
@@ -18,6 +18,15 @@
 // Request is the field of a request's identity, its trace id.
 func Request(id request.ID) zap.Field { return zap.Stringer("request", id) }
 
+// Name is the field of what the caller calls a request.
+func Name(v string) zap.Field { return Text("name", v) }
+
+// Version is the field of the set that something was judged by.
+func Version(v int64) zap.Field { return zap.Int64("version", v) }
+
+// Level is the field of an admission level, as an importance.
+func Level(l request.Level) zap.Field { return zap.Float64("refused_below", l.AsImportance()) }
+
 // Service is the field of a service.
 func Service(s request.Service) zap.Field { return zap.String("service", string(s)) }
 
--- a/internal/node/conf.go
+++ b/internal/node/conf.go
@@ -109,7 +109,7 @@
 			c.answer(a)
 		case inforce.Install:
 			c.count()
-			c.log.Info("configuration in force", zaplog.Tenant(a.Head.Tenant), zap.Int64("version", a.Head.Version))
+			c.log.Info("configuration in force", zaplog.Tenant(a.Head.Tenant), zaplog.Version(a.Head.Version))
 		case inforce.Spread:
 			key, version, value := inforce.FactOf(a.Head)
 			c.spread(member.Fact{Kind: member.ConfigHead, Key: key, Version: version, Value: value})
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -52,16 +52,16 @@
 	fields := []zap.Field{
 		zap.Stringer("hop", h.Kind), zaplog.Request(h.ID), zaplog.Service(h.Service), zaplog.Class(h.Class),
 		zaplog.Tenant(h.Tenant), zaplog.Outcome(h.Outcome), zap.String("code", string(h.Code)),
-		zap.Duration("took", h.End.Sub(h.Start)), zap.Int64("version", h.Version),
+		zap.Duration("took", h.End.Sub(h.Start)), zaplog.Version(h.Version),
 	}
 	if h.Name != "" {
-		fields = append(fields, zaplog.Text("name", h.Name))
+		fields = append(fields, zaplog.Name(h.Name))
 	}
 	if h.Target != 0 {
 		fields = append(fields, zaplog.Target(h.Target), zap.String("zone", h.Zone))
 	}
 	if h.Level > 0 {
-		fields = append(fields, zap.Float64("refused_below", h.Level.AsImportance()))
+		fields = append(fields, zaplog.Level(h.Level))
 	}
 	if h.Queued > 0 {
 		fields = append(fields, zap.Duration("queued", h.Queued))
@@ -139,7 +139,7 @@
 // fieldsOverload describes the gate for the log.
 func fieldsOverload(st admission.Stats) []zap.Field {
 	return []zap.Field{
-		zap.Float64("refused_below", st.Level.AsImportance()), zap.Int("limit", st.Limit),
+		zaplog.Level(st.Level), zap.Int("limit", st.Limit),
 		zap.Float64("demand", st.Demand), zap.Int("queued", st.Queued),
 	}
 }
