--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -75,7 +75,7 @@
 	// flight. Callers have most: the own target may hold a connection for each
 	// request that it runs, and as many again that it closes late. With a quarter
 	// each, the last target of a service that has lost the others was refused the
-	// calls that it needed: its node had room for 1,009, it opened 1,200.
+	// calls that it needed: its node had room for 1,009, it held up to 1,400.
 	callersShare     = 0.5
 	nodesShare       = 0.2
 	leastConnections = 8
