--- a/internal/core/early/early_test.go
+++ b/internal/core/early/early_test.go
@@ -261,3 +261,41 @@
 		tab.Check(0, archive, pay)
 	}
 }
+
+// Symptom: half of the requests that make ten calls each of a full service are
+// begun and fail there, and what they used is lost. Events: three targets refuse at
+// levels of their own; a call that one turns away is tried at one other. Cause: a
+// request was begun as soon as a quarter of the slots, so one target, would take it.
+func TestRequestsOfManyCallsNeedHalfOfTheSlots(t *testing.T) {
+	is := is.New(t)
+	const requests, calls = 10_000, 10
+	targets := []request.Level{feed, feed + 3<<14, feed + 7<<13} // of one importance: all, a quarter, an eighth
+	play := func(quantile float64) (begun, completed int) {
+		cfg := DefaultConfig()
+		cfg.Quantile = quantile
+		rng := rand.New(rand.NewPCG(1, 2))
+		tab := NewTable(&cfg, rng)
+		learn(tab, 0, targets...)
+		for range requests {
+			p := request.Priority(feed) + request.Priority(rng.IntN(1<<16))
+			if tab.Check(0, archive, p).Refuse {
+				continue
+			}
+			begun++
+			whole := true
+			for range calls {
+				at := rng.Perm(len(targets))
+				whole = whole && (p >= targets[at[0]] || p >= targets[at[1]])
+			}
+			if whole {
+				completed++
+			}
+		}
+		return begun, completed
+	}
+	begunQuarter, quarter := play(0.25)
+	begunHalf, half := play(0.5)
+	is.True(begunQuarter-quarter > requests/2) // fail
+	is.True(begunHalf-half < requests/50)      // what is sent to learn, no more
+	is.True(half > quarter*8/10)               // and those that can complete do
+}
