--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -258,7 +258,7 @@
 	if fault := e.fillRequest(out, c); fault != nil {
 		return nil, fault
 	}
-	return out, nil
+	return out, e.levels.check(out)
 }
 
 // lookup finds the service that a route leads to or that Host names, and the
