Let both scripted peers of the client's tests accept in one place

Cause: the peer that answers early had an accept loop of its own beside the other's. Change: accepting serves both; no test changes what it looks at. Measured: go test ./internal/adapter/hertzhttp passes.

--- a/internal/adapter/hertzhttp/client_test.go
+++ b/internal/adapter/hertzhttp/client_test.go
@@ -17,8 +17,14 @@
 	"peardrift/internal/status"
 )
 
-// peer serves each connection with script, which gets the request's head read.
+// peer serves each connection with script, which gets each request read.
 func peer(t *testing.T, script func(n int, c net.Conn, r *http.Request)) string {
+	return accepting(t, func(n int, c net.Conn) { serveScript(n, c, script) })
+}
+
+// accepting serves each connection on a goroutine of its own and returns the
+// address.
+func accepting(t *testing.T, serve func(n int, c net.Conn)) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -30,7 +36,7 @@
 			if err != nil {
 				return
 			}
-			go serveScript(n, c, script)
+			go serve(n, c)
 		}
 	}()
 	return ln.Addr().String()
--- a/internal/adapter/hertzhttp/early_test.go
+++ b/internal/adapter/hertzhttp/early_test.go
@@ -20,13 +20,8 @@
 // earlyPeer answers each request before it has read its body, reads on later, and
 // tells what it got.
 func earlyPeer(t *testing.T, pause time.Duration) (addr string, got <-chan []byte) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
 	bodies := make(chan []byte, 8)
-	serve := func(c net.Conn) {
+	addr = accepting(t, func(_ int, c net.Conn) {
 		defer c.Close()
 		br := bufio.NewReader(c)
 		for {
@@ -42,17 +37,8 @@
 			}
 			bodies <- b
 		}
-	}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return ln.Addr().String(), bodies
+	})
+	return addr, bodies
 }
 
 // Symptom: a target takes bytes of another request for the rest of an upload.
