Say why a target's call is compared with the callee's level

Cause: the line stood without what goes wrong otherwise, and one comment said more than was run. Change: comments only. Measured: nothing new.

--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -226,7 +226,11 @@
 	return out, fault
 }
 
-// subCall continues the request x with a call that its target makes.
+// subCall continues the request x with a call that its target makes. Like a
+// request at its entry it is refused here if answers have told that the callee
+// would refuse it. Symptom otherwise: in an overload the nodes beside the deepest
+// targets spend their processors and connections on calls that they refuse, of
+// requests that were let in before the level rose.
 func (e *Engine) subCall(v *View, c *app.RequestContext, x *running) (*outgoing, *status.Error) {
 	info, class, fault := e.lookup(v, c)
 	if fault != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -184,7 +184,7 @@
 	// to be begun. With the default, a quarter, requests are begun that make ten
 	// calls each of the deepest service and meet one of its other targets: 24 of 100
 	// requests failed so in a surge, 16 with a half, and as much was served (0.787 and
-	// 0.785 of what requests are worth). Higher refuses what would have completed.
+	// 0.785 of what requests are worth). More than a half has not been tried.
 	halfOfTargets = 0.5
 	// farZone is how much dearer those of another zone count then.
 	farZone = 8
