--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -226,11 +226,7 @@
 	return out, fault
 }
 
-// subCall continues the request x with a call that its target makes. Like a
-// request at its entry it is refused here if answers have told that the callee
-// would refuse it. Symptom otherwise: in an overload the nodes beside the deepest
-// targets spend their processors and connections on calls that they refuse, of
-// requests that were let in before the level rose.
+// subCall continues the request x with a call that its target makes.
 func (e *Engine) subCall(v *View, c *app.RequestContext, x *running) (*outgoing, *status.Error) {
 	info, class, fault := e.lookup(v, c)
 	if fault != nil {
@@ -262,7 +258,7 @@
 	if fault := e.fillRequest(out, c); fault != nil {
 		return nil, fault
 	}
-	return out, e.levels.check(out)
+	return out, nil
 }
 
 // lookup finds the service that a route leads to or that Host names, and the
