--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -150,7 +150,6 @@
 		cfg.Dialect = out.Dialect
 		cfg.Gate.Limit.InitialFraction = 1 // targets say how many slots they have
 		cfg.Gate.Limit.Headroom = headroom
-		cfg.Early.Quantile = halfOfTargets
 		cfg.Route.Floor, cfg.Route.ZoneFactor, cfg.Route.ZoneLeast = fullZone, farZone, farLeast
 		cfg.Retry.CallRatio, cfg.Retry.RefusedFree = 0, true
 		cfg.Retry.FleetBudget, cfg.Retry.FleetWindow = out.RetryBudget, out.RetryWindow
@@ -180,12 +179,6 @@
 	// headroom keeps targets below the 95% of their slots from which on some
 	// slow down.
 	headroom = 0.06
-	// halfOfTargets is the part of a service's slots that must take a request for it
-	// to be begun. With the default, a quarter, requests are begun that make ten
-	// calls each of the deepest service and meet one of its other targets: 24 of 100
-	// requests failed so in a surge, 16 with a half, and as much was served (0.787 and
-	// 0.785 of what requests are worth). More than a half has not been tried.
-	halfOfTargets = 0.5
 	// farZone is how much dearer those of another zone count then.
 	farZone = 8
 	// farLeast is the same when the own zone is full: there is nothing to win
