Ask for the expected time only as far as slots are short

Ruled out: slots (most were free), levels and queue (the refusals' code names neither). Change: the part of the expected time that a request must have left rises from 0 while at most half of the limit is in use to the whole when all of it is (Config.SpareBelow).

--- a/internal/core/admission/config.go
+++ b/internal/core/admission/config.go
@@ -43,6 +43,11 @@
 	// taken to refuse too much. Default 0.85. Higher: faster recovery, more
 	// hunting; lower: the reverse.
 	IdleBelow float64
+	// SpareBelow is the part of the limit, 0 to below 1, up to whose use no request
+	// is refused for the time that it is expected to take. Default 0.5. Above it
+	// the part of that time which a request must have left rises to the whole.
+	// Higher lets in more that may not end in time; lower refuses beside free slots.
+	SpareBelow float64
 	// RetryAfter is the least advice given with a refusal. Default 1 s. It
 	// grows with demand over capacity and is spread by as much again. Higher:
 	// refused callers come back later, also after the overload has ended.
@@ -69,6 +74,7 @@
 		MaxWindow:      250 * time.Millisecond,
 		WindowArrivals: 32,
 		IdleBelow:      0.85,
+		SpareBelow:     0.5,
 		RetryAfter:     time.Second,
 		MaxRetryAfter:  30 * time.Second,
 		Limit:          limit.DefaultConfig(),
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -88,16 +88,31 @@
 }
 
 // needed returns the time that a request of an importance must have left to be
-// let in: what it is expected to take, or nothing if no other of its importance
-// runs. Without that exception an importance that once took longer than its
-// callers wait would be refused for good, since nothing would show that it is
-// fast again; one would notice by refusals for short deadlines beside an idle
-// target.
+// let in: the part of what it is expected to take by which slots are short, or
+// nothing if no other of its importance runs.
+//
+// The expected time is a mean, and about half of all requests take less. Symptom
+// if it were asked for at all times: requests are refused for short deadlines beside
+// free slots, all of an importance at once as soon as the mean passes what their
+// callers wait, though many would end in time and nobody else wants the slots.
+// Asked for in proportion, free slots go to whoever may still end in time, and the
+// last ones only to those who are likely to.
+//
+// Without the exception an importance that once took longer than its callers wait
+// would be refused for good, since nothing would show that it is fast again; one
+// would notice by refusals for short deadlines beside an idle target.
 func (g *Gate) needed(imp int, expected time.Duration) time.Duration {
 	if g.service.running[imp] == 0 {
 		return 0
 	}
-	return expected
+	return time.Duration(g.shortage() * float64(expected))
+}
+
+// shortage is how far slots are short: 0 while the part of the limit in use is at
+// most Config.SpareBelow, 1 when all of it is.
+func (g *Gate) shortage() float64 {
+	used := float64(g.running) / float64(g.limiter.Limit())
+	return min(max((used-g.cfg.SpareBelow)/(1-g.cfg.SpareBelow), 0), 1)
 }
 
 // left returns the time until the deadline.
