Bound what a connection remembers of its callers' fields

Cause: found on reading the packing again: each end kept the last value of every name it had sent, and callers choose names and values. One that names its fields anew in each request fills the memory of each node that its requests pass. Change: at most 64 names a connection, of at most 256 bytes with their values; what is beyond goes as it is, without being remembered. Test: TestNamesOfCallersAreNotKeptForGood fails without the bound.

--- a/internal/wire/pack.go
+++ b/internal/wire/pack.go
@@ -33,8 +33,8 @@
 // it gets: fields sent before on the connection are named in a byte (HPACK, RFC
 // 7541). Both ends see each head once and in order, which HTTP/1.1 warrants; after a
 // failure the connection must be closed, since the two would no longer agree on what
-// was sent before. A call within a chain has 670 bytes of heads, of which some 430
-// repeat; packed they have 250.
+// was sent before. A call within a chain and its answer have some 650 bytes of heads;
+// packed they have 320.
 //
 // Not safe for concurrent use: requests and answers alternate on a connection.
 type Packer struct {
@@ -200,15 +200,30 @@
 // values that never repeat would push out those that do.
 func (p *Packer) write(name, value string) {
 	last, sent := p.last[name]
-	if !sent || last != value {
-		p.last[name] = value
-	}
+	remembered := p.remember(name, value, sent)
 	_ = p.out.WriteField(hpack.HeaderField{ // to a buffer, which doesn't fail
 		Name: name, Value: halved(value),
-		Sensitive: sent && last != value,
+		Sensitive: !remembered || sent && last != value,
 	})
 }
 
+// Bounds on what a connection remembers of its callers' fields. Without them a caller
+// that names its fields anew each time would fill the node's memory, through each
+// connection that its requests pass.
+const (
+	maxNames      = 64
+	maxRemembered = 256 // bytes of a value
+)
+
+// remember keeps the value of a field for the next of its name, where it may.
+func (p *Packer) remember(name, value string, known bool) bool {
+	if len(name)+len(value) > maxRemembered || !known && len(p.last) >= maxNames {
+		return false
+	}
+	p.last[name] = value
+	return true
+}
+
 // block returns what was packed, in a form that a head may carry.
 func (p *Packer) block() []byte {
 	return base64.RawStdEncoding.AppendEncode(nil, p.buf.Bytes())
--- a/internal/wire/pack_test.go
+++ b/internal/wire/pack_test.go
@@ -119,6 +119,28 @@
 	is.Equal(status.CodeOf(err), status.CodeProtocol)
 }
 
+// Symptom: a node's memory grows as long as its connections live. Events: a caller
+// gives each request fields of other names, or long ones. Cause: a connection kept the
+// last value of each name.
+func TestNamesOfCallersAreNotKeptForGood(t *testing.T) {
+	is := is.New(t)
+	p, peer := NewPacker(), NewPacker()
+	for i := range 1000 {
+		h := call(i)
+		h.Set(fmt.Sprintf("X-Own-%d", i), strings.Repeat("v", i))
+		want := fieldsOf(h.VisitAll)
+		p.PackRequest(h)
+		_, err := peer.UnpackRequest(h)
+		is.NoErr(err)
+		is.Equal(fieldsOf(h.VisitAll), want)
+	}
+	kept := 0
+	for k, v := range p.last {
+		kept += len(k) + len(v)
+	}
+	is.True(kept <= maxNames*maxRemembered)
+}
+
 // FuzzUnpack: whatever a peer sends, unpacking ends in a head or a typed failure.
 func FuzzUnpack(f *testing.F) {
 	p := NewPacker()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -2,8 +2,8 @@
 // and keeps what comes from outside away from them.
 //
 // Between nodes a call carries, besides the caller's own headers, its trace
-// (traceparent) and the headers named here. Headers with Prefix never pass a
-// caller face or a target face inwards, nor reach a target.
+// (traceparent) and the headers named here, all of them packed (Packer). Headers
+// with Prefix never pass a caller face or a target face inwards, nor reach a target.
 //
 // Traffic goroutines call it for the messages that they own; it keeps nothing.
 package wire
