--- a/internal/core/route/pick.go
+++ b/internal/core/route/pick.go
@@ -83,9 +83,8 @@
 // lessLoaded returns the other zone's candidate only if it is less loaded by
 // ZoneGap. Compared by cost, which counts the calls in flight from here, it would
 // look cheaper as soon as it is looked at: nearly all of a node's calls are in its
-// own zone. One notices by calls that leave a zone whose targets have room: a third
-// of all calls did where four zones were loaded alike, and the bytes cost more than
-// anything else.
+// own zone. One notices by calls that leave a zone whose targets have room: more than
+// a quarter of all calls left theirs, and the bytes cost more than anything else.
 func (t *Table) lessLoaded(near, far choice) choice {
 	if t.entries[far.idx].util+t.cfg.ZoneGap <= t.entries[near.idx].util {
 		return far
--- a/internal/core/route/zone_test.go
+++ b/internal/core/route/zone_test.go
@@ -22,7 +22,7 @@
 	return t.looksFurther(near) && t.across(near, far).idx == far.idx
 }
 
-// Symptom: a third of the calls go to other zones though all zones are loaded alike,
+// Symptom: more than a quarter of the calls go to other zones though all are loaded alike,
 // and the bytes cost more than anything else. Events: each zone has one target, all
 // of whose slots are taken; some calls wait. Cause: candidates were compared by a cost
 // that counts the calls in flight from here, nearly all of which are in the own
--- a/internal/wire/pack.go
+++ b/internal/wire/pack.go
@@ -25,7 +25,7 @@
 	maxPackedFields = 256
 	maxPackedBytes  = 64 << 10
 	// packTable bounds what each end of a connection remembers of the other's
-	// fields, in bytes. The fields that repeat between two nodes take some 1,500.
+	// fields, in bytes. The fields that repeat between two nodes take some 700.
 	packTable = 4096
 )
 
