Send calls in the test of the zones' transports

Cause: read again, the test asked only which transport a zone has; a call that ignored the answer would have passed. Change: the test makes one attempt to each zone and counts. Measured: it fails with the call sent through the own zone's transport.

--- a/internal/dataplane/zone_test.go
+++ b/internal/dataplane/zone_test.go
@@ -8,25 +8,36 @@
 	"github.com/matryer/is"
 
 	"peardrift/internal/adapter/hertzhttp"
+	"peardrift/internal/core/retry"
+	"peardrift/internal/status"
 )
 
-// named is a transport that carries nothing.
-type named string
+// counted is a transport that carries nothing and counts what it is asked for.
+type counted struct{ calls int }
 
-func (named) Do(context.Context, string, *protocol.Request, *protocol.Response) (hertzhttp.Result, error) {
-	return hertzhttp.Result{}, nil
+func (c *counted) Do(context.Context, string, *protocol.Request, *protocol.Response) (hertzhttp.Result, error) {
+	c.calls++
+	return hertzhttp.Result{}, status.New(status.CodeConnectFailed, "carries nothing")
 }
 
-func (named) Reachable(string) bool { return true }
+func (c *counted) Reachable(string) bool { return true }
 
 // Symptom: processor time rises though hardly a call leaves its zone.
 // Events: all calls between nodes are packed, also those within a zone, where bytes
 // cost nothing. Cause: one transport for both.
 func TestCallsWithinAZoneHaveATransportOfTheirOwn(t *testing.T) {
 	is := is.New(t)
-	e, _ := caller(t)
-	e.peers = named("near")
-	e.SetFar(named("far"))
-	is.Equal(e.toZone(e.self.Place.Zone), Transport(named("near")))
-	is.Equal(e.toZone("elsewhere"), Transport(named("far")))
+	e, info := caller(t)
+	near, far := &counted{}, &counted{}
+	e.peers = near
+	e.SetFar(far)
+	c := &outgoing{info: info, class: &info.Classes[0], req: protocol.AcquireRequest()}
+	send := func(zone string) {
+		var resp protocol.Response
+		e.attempt(context.Background(), c, choice{zone: zone}, &retry.Grant{}, &c.sub, &resp)
+	}
+	send(e.self.Place.Zone)
+	is.Equal([]int{near.calls, far.calls}, []int{1, 0})
+	send("elsewhere")
+	is.Equal([]int{near.calls, far.calls}, []int{1, 1})
 }
