Tell by the logs how a version came to a node, and that it stood still

Cause: after a node had stood still, the logs could not tell one that was never told of a newer version from one that was told and could not fetch it. What was read at the platform beside the watch had no line, nor had the freeze itself. No decision changes.

--- a/internal/core/inforce/fetch.go
+++ b/internal/core/inforce/fetch.go
@@ -93,7 +93,7 @@
 	} else {
 		s.stats.ByWhole++
 	}
-	s.fetchDone(now, x, p)
+	s.fetchDone(now, x, p, ByPeer)
 }
 
 // read verifies an answer; nil without an error if it does not help. A delta
@@ -144,12 +144,12 @@
 		return
 	}
 	s.stats.ByObject++
-	s.fetchDone(now, x, p)
+	s.fetchDone(now, x, p, ByObject)
 }
 
-func (s *State) fetchDone(now time.Duration, x *tenant, p *confset.Packed) {
+func (s *State) fetchDone(now time.Duration, x *tenant, p *confset.Packed, by Source) {
 	x.fetching = false
 	x.attempt = 0
-	s.install(now, x, p)
+	s.install(now, x, p, by)
 	s.fetch(now, x)
 }
--- a/internal/core/inforce/inforce_test.go
+++ b/internal/core/inforce/inforce_test.go
@@ -126,7 +126,7 @@
 	old := s.tenants["khaosan"].held
 	w.apply("khaosan", 2, 1)
 	w.settle(5 * time.Second)
-	s.fetchDone(w.now, s.tenants["khaosan"], old)
+	s.fetchDone(w.now, s.tenants["khaosan"], old, ByPeer)
 	is.Equal(s.InForce("khaosan"), int64(2))
 	is.Equal(s.Index().Version("khaosan"), int64(2))
 }
--- a/internal/core/inforce/message.go
+++ b/internal/core/inforce/message.go
@@ -78,12 +78,24 @@
 	Reply Reply
 }
 
-// Install: publish the index to traffic. Head is what changed in it.
+// Install: publish the index to traffic. Head is what changed in it, By the way by
+// which it came.
 type Install struct {
 	Head  confset.Head
 	Index *confset.Index
+	By    Source
 }
 
+// Source is the way by which a set came to this node.
+type Source string
+
+const (
+	ByWatch     Source = "watch"     // offered: read at the platform, which told of it
+	ByHeartbeat Source = "heartbeat" // a delta along with a peer's heartbeat
+	ByPeer      Source = "peer"      // asked for over a connection of its own
+	ByObject    Source = "object"    // read at the object store
+)
+
 // Spread: gossip the head as a fact.
 type Spread struct{ Head confset.Head }
 
--- a/internal/core/inforce/offer.go
+++ b/internal/core/inforce/offer.go
@@ -14,7 +14,7 @@
 	if !ok {
 		return s.take()
 	}
-	s.install(now, x, p)
+	s.install(now, x, p, ByWatch)
 	if !s.start.informed && x.held != nil {
 		s.becomeInformed(now)
 	}
--- a/internal/core/inforce/ride.go
+++ b/internal/core/inforce/ride.go
@@ -155,7 +155,7 @@
 		return
 	}
 	s.stats.ByRide++
-	s.install(now, x, set)
+	s.install(now, x, set, ByHeartbeat)
 }
 
 func encode(v any) []byte {
--- a/internal/core/inforce/ride_test.go
+++ b/internal/core/inforce/ride_test.go
@@ -42,7 +42,7 @@
 		for _, p := range []*confset.Packed{versions[0], other} {
 			s.Learn(1, p.Head())
 			x := s.tenants[p.Head().Tenant]
-			s.install(1, x, p)
+			s.install(1, x, p, ByWatch)
 		}
 		s.start.informed = true
 		a, b = b, s
@@ -58,7 +58,7 @@
 	is := is.New(t)
 	a, b, versions := riders(t)
 	const now = time.Minute
-	b.install(now, b.tenants["khaosan"], versions[2])
+	b.install(now, b.tenants["khaosan"], versions[2], ByWatch)
 	for _, action := range a.Learn(now, versions[1].Head()) {
 		_, asks := action.(AskPeer)
 		is.True(!asks) // it waits for a heartbeat
@@ -130,14 +130,14 @@
 func FuzzRide(f *testing.F) {
 	a, b, versions := riders(f)
 	question := a.RideAsk(200)
-	b.install(1, b.tenants["khaosan"], versions[1])
+	b.install(1, b.tenants["khaosan"], versions[1], ByWatch)
 	f.Add(question)
 	f.Add(b.RideAnswer(question, 700))
 	f.Add([]byte{0xdd, 0xff, 0xff, 0xff, 0xff}) // announces four thousand million parts
 	f.Fuzz(func(t *testing.T, body []byte) {
 		a, b, versions := riders(t)
 		a.Learn(time.Minute, versions[1].Head())
-		b.install(1, b.tenants["khaosan"], versions[3])
+		b.install(1, b.tenants["khaosan"], versions[3], ByWatch)
 		a.RideTake(time.Minute, body)
 		if a.InForce("khaosan") == 2 && a.tenants["khaosan"].held.Head() != versions[1].Head() {
 			t.Fatal("another set came in force as version 2")
--- a/internal/core/inforce/state.go
+++ b/internal/core/inforce/state.go
@@ -248,7 +248,7 @@
 // version again, seen as a version in force that falls. An answer that was on
 // its way before the pause arrives after a newer one. Only a higher version
 // passes here, so whatever arrives late changes nothing.
-func (s *State) install(now time.Duration, x *tenant, p *confset.Packed) {
+func (s *State) install(now time.Duration, x *tenant, p *confset.Packed, by Source) {
 	h := p.Head()
 	if h.Version <= x.version() {
 		return
@@ -260,7 +260,7 @@
 	x.behind = now
 	s.index = s.index.With(p.Set())
 	s.stats.Installed++
-	s.do(Install{Head: h, Index: s.index})
+	s.do(Install{Head: h, Index: s.index, By: by})
 	s.learn(now, h)
 	s.answerWaiters(now, x)
 	s.checkReady()
--- a/internal/node/conf.go
+++ b/internal/node/conf.go
@@ -109,14 +109,30 @@
 			c.answer(a)
 		case inforce.Install:
 			c.count()
-			c.log.Info("configuration in force", zaplog.Tenant(a.Head.Tenant), zaplog.Version(a.Head.Version))
+			c.log.Info("configuration in force", zaplog.Tenant(a.Head.Tenant), zaplog.Version(a.Head.Version),
+				zap.String("by", string(a.By)))
 		case inforce.Spread:
+			c.logNewer(a.Head)
 			key, version, value := inforce.FactOf(a.Head)
 			c.spread(member.Fact{Kind: member.ConfigHead, Key: key, Version: version, Value: value})
 		}
 	}
 }
 
+// logNewer tells that a version is known before it is in force. Without it a node
+// that was never told looks like one that was told and could not fetch it.
+func (c *configuration) logNewer(h confset.Head) {
+	if h.Version > c.state.InForce(h.Tenant) {
+		c.log.Info("newer configuration known", zaplog.Tenant(h.Tenant), zaplog.Version(h.Version))
+	}
+}
+
+// logRead tells of a read at the platform that no watch made: such reads are rare,
+// and what one has found and another has not is told apart by them.
+func (c *configuration) logRead(what string, version int64) {
+	c.log.Info("platform read", zap.String("what", what), zaplog.Version(version))
+}
+
 // background runs a call on the pool and gives its outcome to the core. Without
 // a free goroutine the call is dropped; the core takes it as failed after a
 // time.
@@ -167,6 +183,7 @@
 	if err != nil && !errors.Is(err, port.ErrNotFound) {
 		return nil, err
 	}
+	c.logRead("head", h.Version)
 	return func() []inforce.Action { return c.state.HandleHead(c.now(), a.ID, h) }, nil
 }
 
@@ -175,6 +192,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.logRead("tenants", 0)
 	return func() []inforce.Action { return c.state.HandleTenants(c.now(), a.ID, tenants) }, nil
 }
 
--- a/internal/node/conf_test.go
+++ b/internal/node/conf_test.go
@@ -10,7 +10,9 @@
 	"go.uber.org/zap"
 	zapobserver "go.uber.org/zap/zaptest/observer"
 
+	"peardrift/internal/core/confset"
 	"peardrift/internal/core/inforce"
+	"peardrift/internal/core/member"
 	"peardrift/internal/port"
 	"peardrift/internal/status"
 )
@@ -43,3 +45,25 @@
 		is.Equal(logs.All()[0].Level.String(), tt.level)
 	}
 }
+
+// Symptom: a node is behind, and the logs don't say whether it was told of the
+// newer version. Events: it learns of one that it does not hold; later that is in
+// force. Cause: only the second was told.
+func TestVersionThatIsKnownIsLoggedBeforeItIsInForce(t *testing.T) {
+	is := is.New(t)
+	core, logs := zapobserver.New(zap.InfoLevel)
+	c := &configuration{
+		log:    zap.New(core),
+		state:  inforce.New(inforce.DefaultConfig(), inforce.Peer{}, rand.New(rand.NewPCG(1, 2)), 0),
+		spread: func(member.Fact) {},
+		count:  func() {},
+	}
+	p, err := confset.Pack(confset.Set{Tenant: "t", Version: 7, Share: 1})
+	is.NoErr(err)
+	c.do(c.state.Learn(0, p.Head()))
+	c.do(c.state.Offer(0, p))
+	is.Equal(logs.Len(), 2)
+	is.Equal(logs.All()[0].Message, "newer configuration known")
+	is.Equal(logs.All()[1].Message, "configuration in force")
+	is.Equal(logs.All()[1].ContextMap()["by"], string(inforce.ByWatch))
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -33,6 +33,7 @@
 	conf    *configuration
 
 	gen      uint64
+	ticked   time.Duration // when tick last ran
 	shown    shown
 	seen     map[request.TargetID]sighting
 	whole    bool // the members were all known once
@@ -107,7 +108,22 @@
 	}
 }
 
+// stillAfter is the time without a tick that is told: five ticks' time. Lower tells
+// of a processor that is merely busy, higher of less that explains something.
+const stillAfter = time.Second
+
+// logStill tells that nothing ran here for a while. To the logs alone, a process
+// that was frozen looks like one that had nothing to say, and what it missed
+// meanwhile like something that went wrong afterwards.
+func (c *control) logStill(now time.Duration) {
+	if still := now - c.ticked; c.ticked > 0 && still > stillAfter {
+		c.log.Warn("stood still", zap.Duration("for", still))
+	}
+	c.ticked = now
+}
+
 func (c *control) tick() {
+	c.logStill(c.now())
 	spent := c.meter.Take()
 	c.node.metrics.Counters.ControlBytes.Inc(int64(spent))
 	c.state.Spend(spent)
