Give all of bench's commands one main, and their programs one builder

Change: claims, overload, latency and faults use command.Main; harness.BuildPrograms does the rest for four of them.

--- a/bench/cmd/claims/main.go
+++ b/bench/cmd/claims/main.go
@@ -8,13 +8,9 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
+	"peardrift/bench/command"
 	"peardrift/internal/status"
 )
 
@@ -31,18 +27,7 @@
 // CodeOverBound: a measured cost is above its bound.
 const CodeOverBound status.Code = "over-bound"
 
-func main() {
-	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		os.Exit(2)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	if err := run(ctx, o); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+func main() { command.Main(run) }
 
 func run(ctx context.Context, o options) error {
 	fmt.Println("| Calls/s | Rows | Calls | Not completed | Writes/s | Writes a call | Failed writes | Reads/s | Claim p50 | p99 | Answer behind run p50 | p99 |")
--- a/bench/cmd/demo/main.go
+++ b/bench/cmd/demo/main.go
@@ -26,25 +26,17 @@
 func main() { command.Main(run) }
 
 func run(ctx context.Context, o options) error {
-	root, err := harness.Root()
-	if err != nil {
-		return err
-	}
-	dir, err := os.MkdirTemp("", "peardrift-bin-")
-	if err != nil {
-		return status.Wrap(harness.CodeHarness, err, "folder of the programs")
-	}
-	defer os.RemoveAll(dir)
-	bins, err := harness.Build(root, dir)
+	p, err := harness.BuildPrograms()
 	if err != nil {
 		return err
 	}
+	defer p.Close()
 	if ctx.Err() != nil {
 		return status.Wrap(status.CodeCanceled, ctx.Err(), "interrupted")
 	}
 	return mainjob.Run(ctx, mainjob.Config{
-		Root:  root,
-		Bins:  bins,
+		Root:  p.Root,
+		Bins:  p.Bins,
 		Small: o.Small,
 		Load:  time.Duration(o.Seconds * float64(time.Second)),
 		Out:   os.Stdout,
--- a/bench/cmd/faults/main.go
+++ b/bench/cmd/faults/main.go
@@ -7,70 +7,47 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"regexp"
-	"syscall"
-
-	"github.com/jessevdk/go-flags"
 
+	"peardrift/bench/command"
 	"peardrift/bench/faults"
 	"peardrift/bench/harness"
 )
 
 type options struct {
-	Only string `long:"only" value-name:"REGEXP" description:"play the scenarios whose names match"`
-	Keep bool   `long:"keep" description:"keep the fleet's files (settings, logs)"`
+	Only pattern `long:"only" default:".*" value-name:"REGEXP" description:"play the scenarios whose names match"`
+	Keep bool    `long:"keep" description:"keep the fleet's files (settings, logs)"`
 }
 
-const (
-	exitBroken = 1
-	exitUsage  = 2
-)
+func main() { command.Main(run) }
 
-func main() {
-	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		os.Exit(exitUsage)
-	}
-	only, err := regexp.Compile(o.Only)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitUsage)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	if err := run(ctx, only, o.Keep); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitBroken)
-	}
+// pattern is a regular expression on the command line.
+type pattern struct{ *regexp.Regexp }
+
+// UnmarshalFlag implements flags.Unmarshaler.
+func (p *pattern) UnmarshalFlag(text string) (err error) {
+	p.Regexp, err = regexp.Compile(text)
+	return err
 }
 
-func run(ctx context.Context, only *regexp.Regexp, keep bool) error {
-	root, err := harness.Root()
-	if err != nil {
-		return err
-	}
-	dir, err := os.MkdirTemp("", "peardrift-bin-")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(dir)
-	bins, err := harness.Build(root, dir)
+func run(ctx context.Context, o options) error {
+	p, err := harness.BuildPrograms()
 	if err != nil {
 		return err
 	}
-	l, err := faults.Open(ctx, bins)
+	defer p.Close()
+	l, err := faults.Open(ctx, p.Bins)
 	if err != nil {
 		return err
 	}
 	defer l.Close()
-	l.Fleet.Keep = keep
-	return play(ctx, l, only)
+	l.Fleet.Keep = o.Keep
+	return play(ctx, l, o.Only)
 }
 
 // play plays the scenarios up to the first whose promise is broken, and prints
 // the rows of those before.
-func play(ctx context.Context, l *faults.Lab, only *regexp.Regexp) error {
+func play(ctx context.Context, l *faults.Lab, only pattern) error {
 	var rows []faults.Row
 	for _, s := range faults.All() {
 		if !only.MatchString(s.Name) {
--- a/bench/cmd/latency/main.go
+++ b/bench/cmd/latency/main.go
@@ -7,21 +7,16 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"strconv"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
+	"peardrift/bench/command"
 	"peardrift/bench/harness"
 	"peardrift/bench/latency"
 	"peardrift/internal/settings"
 	"peardrift/internal/status"
 )
 
-const exitUsage = 2
-
 type options struct {
 	Rates     []float64     `long:"rate" default:"1000" default:"5000" default:"20000" description:"calls a second; may be repeated"`
 	Rounds    int           `long:"rounds" default:"5" description:"slices of each way"`
@@ -39,42 +34,24 @@
 	Traced    float64       `long:"traced" default:"-1" description:"share of requests traced to a file; by default no traces"`
 }
 
-func main() {
-	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(exitUsage)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	if err := run(ctx, o); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+func main() { command.Main(run) }
 
 func run(ctx context.Context, o options) error {
-	root, err := harness.Root()
-	if err != nil {
-		return err
-	}
 	if o.Against != "" {
+		root, err := harness.Root()
+		if err != nil {
+			return err
+		}
 		return latency.Compare(ctx, latency.Comparison{
 			Root: root, Against: o.Against, Rounds: o.Rounds, Requests: o.Requests, MaxCPU: o.MaxCPU, MaxAllocs: o.MaxAllocs, MaxBytes: o.MaxBytes,
 		}, os.Stdout)
 	}
-	dir, err := os.MkdirTemp("", "peardrift-bin-")
-	if err != nil {
-		return status.Wrap(harness.CodeHarness, err, "folder of the programs")
-	}
-	defer os.RemoveAll(dir)
-	bins, err := harness.Build(root, dir)
+	p, err := harness.BuildPrograms()
 	if err != nil {
 		return err
 	}
-	if bins.Target, err = harness.BuildOne(root, dir, "./bench/cmd/standin-lean"); err != nil {
+	defer p.Close()
+	if p.Bins.Target, err = harness.BuildOne(p.Root, p.Dir, "./bench/cmd/standin-lean"); err != nil {
 		return err
 	}
 	if o.Procs > 0 {
@@ -83,7 +60,7 @@
 		}
 	}
 	cfg := latency.Config{
-		Bins: bins, Rates: o.Rates, Rounds: o.Rounds, Slice: o.Slice, Warm: o.Warm,
+		Bins: p.Bins, Rates: o.Rates, Rounds: o.Rounds, Slice: o.Slice, Warm: o.Warm,
 		Targets: o.Targets, Service: o.Service, Tune: o.tune,
 	}
 	if len(o.Members) > 0 {
--- a/bench/cmd/overload/main.go
+++ b/bench/cmd/overload/main.go
@@ -8,12 +8,9 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
+	"peardrift/bench/command"
 	"peardrift/bench/harness"
 	"peardrift/bench/overload"
 	"peardrift/bench/replay/workload"
@@ -36,42 +33,17 @@
 	Keep        bool          `long:"keep" description:"keep the fleet's files (settings, logs, runs) and print their folder"`
 }
 
-const (
-	exitBroken = 1
-	exitUsage  = 2
-)
-
-func main() {
-	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(exitUsage)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	if err := run(ctx, o); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitBroken)
-	}
-}
+func main() { command.Main(run) }
 
 func run(ctx context.Context, o options) error {
-	var bins harness.Bins
-	root, err := harness.Root()
-	if err != nil {
-		return err
-	}
-	dir, err := os.MkdirTemp("", "peardrift-bin-")
-	if err != nil {
-		return status.Wrap(harness.CodeHarness, err, "folder of the programs")
-	}
-	defer os.RemoveAll(dir)
+	var bins harness.Bins // none are needed to predict
 	if !o.Predict {
-		if bins, err = harness.Build(root, dir); err != nil {
+		p, err := harness.BuildPrograms()
+		if err != nil {
 			return err
 		}
+		defer p.Close()
+		bins = p.Bins
 	}
 	for _, scenario := range o.Scenarios {
 		for _, d := range o.deployments(scenario) {
--- a/bench/harness/build.go
+++ b/bench/harness/build.go
@@ -16,6 +16,35 @@
 	Node, Tool, Target, Platform string
 }
 
+// Programs are the workspace's programs, compiled into a folder of their own.
+type Programs struct {
+	Root string // the workspace's folder
+	Dir  string // where the programs are
+	Bins Bins
+}
+
+// BuildPrograms compiles the programs of the workspace around the present folder.
+// Close removes them.
+func BuildPrograms() (*Programs, error) {
+	root, err := Root()
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "peardrift-bin-")
+	if err != nil {
+		return nil, status.Wrap(CodeHarness, err, "folder of the programs")
+	}
+	p := &Programs{Root: root, Dir: dir}
+	if p.Bins, err = Build(root, dir); err != nil {
+		p.Close()
+		return nil, err
+	}
+	return p, nil
+}
+
+// Close removes the programs.
+func (p *Programs) Close() { _ = os.RemoveAll(p.Dir) } // a folder of the system's for what need not last
+
 // Build compiles the programs of the workspace at root into dir.
 func Build(root, dir string) (Bins, error) {
 	b := Bins{
