--- a/bench/cmd/latency/main.go
+++ b/bench/cmd/latency/main.go
@@ -18,7 +18,7 @@
 )
 
 type options struct {
-	Rates     []float64     `long:"rate" default:"1000" default:"5000" default:"20000" description:"calls a second; may be repeated"`
+	Rates     []float64     `long:"rate" description:"calls a second; may be repeated (default: 1000, 5000 and 20000)"`
 	Rounds    int           `long:"rounds" default:"5" description:"slices of each way"`
 	Slice     time.Duration `long:"slice" default:"2s" description:"length of one slice"`
 	Warm      time.Duration `long:"warm" default:"1s" description:"load before each cell that isn't counted"`
@@ -36,6 +36,14 @@
 
 func main() { command.Main(run) }
 
+// rates are the calls a second to measure at.
+func (o options) rates() []float64 {
+	if len(o.Rates) == 0 {
+		return []float64{1_000, 5_000, 20_000}
+	}
+	return o.Rates
+}
+
 func run(ctx context.Context, o options) error {
 	if o.Against != "" {
 		root, err := harness.Root()
@@ -60,7 +68,7 @@
 		}
 	}
 	cfg := latency.Config{
-		Bins: p.Bins, Rates: o.Rates, Rounds: o.Rounds, Slice: o.Slice, Warm: o.Warm,
+		Bins: p.Bins, Rates: o.rates(), Rounds: o.Rounds, Slice: o.Slice, Warm: o.Warm,
 		Targets: o.Targets, Service: o.Service, Tune: o.tune,
 	}
 	if len(o.Members) > 0 {
--- a/bench/cmd/overload/main.go
+++ b/bench/cmd/overload/main.go
@@ -18,7 +18,7 @@
 )
 
 type options struct {
-	Deployments []string      `short:"d" long:"deployment" default:"khaosan" default:"kalahari" description:"khaosan or kalahari; may be repeated"`
+	Deployments []string      `short:"d" long:"deployment" description:"khaosan or kalahari; may be repeated (default: both)"`
 	Scenarios   []string      `short:"s" long:"scenario" default:"worst" description:"normal, worst, surge, slow, restart, stop or flood; may be repeated"`
 	Seed        uint64        `long:"seed" default:"1" description:"of the trace"`
 	Targets     int           `long:"targets" default:"2" description:"divide the number of a service's targets by this"`
@@ -57,10 +57,14 @@
 
 // deployments are those to run a scenario on; the flood has one of its own.
 func (o options) deployments(scenario string) []string {
-	if scenario == overload.Flood {
+	switch {
+	case scenario == overload.Flood:
 		return []string{"shared"}
+	case len(o.Deployments) == 0:
+		return []string{"khaosan", "kalahari"}
+	default:
+		return o.Deployments
 	}
-	return o.Deployments
 }
 
 // one plays a case on a fleet of its own.
--- a/internal/port/sets.go
+++ b/internal/port/sets.go
@@ -24,7 +24,8 @@
 	Sets
 	// Next returns an accepted set with a version above after, or nil if there
 	// has been none for a while. What it returns may be older than what another
-	// call has returned.
+	// call has returned. No other call takes a set from it: whatever is read for
+	// others, each version that is the newest for a while is returned here too.
 	Next(ctx context.Context, after int64) (*confset.Packed, error)
 }
 
