Make the periodic check of a target that sheds when it is due

Callers see: calls go on to a target that has gone silent for up to a second longer than three checks take, while it turns others away. Cause: with calls turned away all the time, the hint to check and the tick are both ready, and a select picks either; each time it picks the hint, the check does not count as periodic, and that is put off by 100 ms. Change: after a hint the tick is looked at, too; a check may be both. Why it holds: a tick that has come counts for the next check, whatever the select picked.

--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -61,34 +61,49 @@
 func (h *health) run(ctx context.Context) {
 	tick := time.NewTicker(h.set.HealthPeriod)
 	defer tick.Stop()
-	for failed, hinted := 0, false; ; {
+	for failed, due, hinted := 0, true, false; ; {
 		switch v := h.check(ctx); {
 		case v == healthy:
 			failed = 0
 			h.report(true)
 		case hinted && v == refuses:
 			failed = downAfter
-		case !hinted:
+		case due:
 			failed++
 		}
 		if failed >= downAfter {
 			h.report(false)
 		}
 		checked := time.Now()
+		due, hinted = false, false
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			hinted = false
+			due = true
 		case <-h.shed:
 			hinted = true
 			if !wait(ctx, shedPause-time.Since(checked)) {
 				return
 			}
+			due = ready(tick.C)
 		}
 	}
 }
 
+// ready takes a tick that has come. While a target sheds, hints are always there,
+// and a select between both picks either: the periodic check was put off again and
+// again, and a target that had gone silent counted as down more than 0.6 s late in
+// 8 of 300 runs.
+func ready(tick <-chan time.Time) bool {
+	select {
+	case <-tick:
+		return true
+	default:
+		return false
+	}
+}
+
 // firstHealthError is the least status by which a target says that it takes no
 // calls.
 const firstHealthError = 500
