--- a/internal/node/conf_test.go
+++ b/internal/node/conf_test.go
@@ -58,12 +58,18 @@
 		spread: func(member.Fact) {},
 		count:  func() {},
 	}
-	p, err := confset.Pack(confset.Set{Tenant: "t", Version: 7, Share: 1})
-	is.NoErr(err)
-	c.do(c.state.Learn(0, p.Head()))
-	c.do(c.state.Offer(0, p))
-	is.Equal(logs.Len(), 2)
-	is.Equal(logs.All()[0].Message, "newer configuration known")
-	is.Equal(logs.All()[1].Message, "configuration in force")
+	set := func(version int64) *confset.Packed {
+		p, err := confset.Pack(confset.Set{Tenant: "t", Version: version, Share: 1})
+		is.NoErr(err)
+		return p
+	}
+	c.do(c.state.Learn(0, set(7).Head()))
+	c.do(c.state.Offer(0, set(7)))
+	c.do(c.state.Offer(0, set(9))) // nobody told of it before
+	var said []string
+	for _, l := range logs.All() {
+		said = append(said, l.Message)
+	}
+	is.Equal(said, []string{"newer configuration known", "configuration in force", "configuration in force"})
 	is.Equal(logs.All()[1].ContextMap()["by"], string(inforce.ByWatch))
 }
