Use the link that breaks connections in the product's tests, too

Cause: the test of a look after a silence had a relay of its own, written anew, that forgets open connections. bench/faults/link does that, and more, with tests of its own; the product's module could not see it.

--- a/bench/e2e/cluster_test.go
+++ b/bench/e2e/cluster_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 
-	"peardrift/bench/faults/link"
 	"peardrift/bench/standin/target"
 	"peardrift/internal/adapter/hertzhttp"
 	"peardrift/internal/claims"
@@ -17,6 +16,7 @@
 	"peardrift/internal/core/request"
 	"peardrift/internal/core/route"
 	"peardrift/internal/dataplane"
+	"peardrift/internal/link"
 	"peardrift/internal/status"
 )
 
--- a/bench/e2e/cut_test.go
+++ b/bench/e2e/cut_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
-	"peardrift/bench/faults/link"
 	"peardrift/bench/standin/target"
 	"peardrift/internal/dataplane"
+	"peardrift/internal/link"
 )
 
 // query is a request as a caller sends it.
--- a/bench/e2e/framing_test.go
+++ b/bench/e2e/framing_test.go
@@ -10,10 +10,10 @@
 
 	"github.com/matryer/is"
 
-	"peardrift/bench/faults/link"
 	"peardrift/internal/core/confset"
 	"peardrift/internal/core/request"
 	"peardrift/internal/dataplane"
+	"peardrift/internal/link"
 )
 
 // Symptom: a caller's body is run as a request of its own.
--- a/bench/e2e/naive_test.go
+++ b/bench/e2e/naive_test.go
@@ -6,9 +6,9 @@
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 
-	"peardrift/bench/faults/link"
 	"peardrift/internal/adapter/hertzhttp"
 	"peardrift/internal/dataplane"
+	"peardrift/internal/link"
 )
 
 // trusting takes a broken connection for proof that nothing ran.
--- a/bench/e2e/once_test.go
+++ b/bench/e2e/once_test.go
@@ -10,13 +10,13 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
-	"peardrift/bench/faults/link"
 	"peardrift/bench/standin/platform"
 	"peardrift/bench/standin/target"
 	"peardrift/internal/adapter/awstable"
 	"peardrift/internal/adapter/awstable/awscall"
 	"peardrift/internal/claims"
 	"peardrift/internal/dataplane"
+	"peardrift/internal/link"
 )
 
 // payments is a cluster whose at-most-once calls go to two hosts of media, with
--- a/bench/e2e/own_test.go
+++ b/bench/e2e/own_test.go
@@ -9,9 +9,9 @@
 	"sync/atomic"
 	"testing"
 
-	"peardrift/bench/faults/link"
 	"peardrift/bench/standin/target"
 	"peardrift/internal/core/request"
+	"peardrift/internal/link"
 )
 
 // script answers the requests of one connection to a scripted target. got is
--- a/bench/e2e/shared_test.go
+++ b/bench/e2e/shared_test.go
@@ -12,7 +12,6 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
-	"peardrift/bench/faults/link"
 	"peardrift/bench/standin/platform"
 	"peardrift/bench/standin/target"
 	"peardrift/internal/adapter/awstable"
@@ -22,6 +21,7 @@
 	"peardrift/internal/claims/shared"
 	"peardrift/internal/core/claim/batch"
 	"peardrift/internal/core/request"
+	"peardrift/internal/link"
 	"peardrift/internal/port"
 )
 
--- a/bench/e2e/silent_test.go
+++ b/bench/e2e/silent_test.go
@@ -9,10 +9,10 @@
 
 	"github.com/matryer/is"
 
-	"peardrift/bench/faults/link"
 	"peardrift/bench/standin/target"
 	"peardrift/internal/adapter/hertzhttp"
 	"peardrift/internal/dataplane"
+	"peardrift/internal/link"
 )
 
 // never is a deadline that no test reaches: what ends a call is not it.
--- a/bench/faults/lab.go
+++ b/bench/faults/lab.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"peardrift/bench/deploy"
-	"peardrift/bench/faults/link"
 	"peardrift/bench/harness"
 	"peardrift/bench/standin/target"
+	"peardrift/internal/link"
 	"peardrift/internal/settings"
 	"peardrift/internal/status"
 )
--- a/bench/faults/pairs.go
+++ b/bench/faults/pairs.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"time"
 
-	"peardrift/bench/faults/link"
 	"peardrift/bench/standin/client"
 	"peardrift/bench/standin/platform"
+	"peardrift/internal/link"
 	"peardrift/internal/status"
 )
 
--- a/bench/faults/process.go
+++ b/bench/faults/process.go
@@ -6,8 +6,8 @@
 	"syscall"
 	"time"
 
-	"peardrift/bench/faults/link"
 	"peardrift/bench/harness"
+	"peardrift/internal/link"
 )
 
 // Symptom: requests are lost for long, run twice, or are said not to have run.
--- a/bench/faults/link/link.go
+++ b/internal/link/link.go
@@ -3,7 +3,8 @@
 // the open ones go silent while new ones work.
 //
 // It stands for the network between two processes, and for the sight that a
-// peer has of a process that dies. A Link is safe for concurrent use.
+// peer has of a process that dies. It is for tests, the product's and bench's. A Link
+// is safe for concurrent use.
 package link
 
 import (
