Tell of platform reads at debug where rows are polled all the time

Cause: the line was made for a platform that tells of new sets, where such reads are rare. Where none does, a few nodes poll all rows every other second, and each read would be a line at info among those that matter. Nothing else changes.

--- a/internal/node/conf.go
+++ b/internal/node/conf.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"peardrift/internal/adapter/rpc"
 	"peardrift/internal/adapter/zaplog"
@@ -29,7 +30,8 @@
 	post   func(func())
 	now    func() time.Duration
 	spread func(member.Fact)
-	count  func() // told of each version that came in force
+	count  func()        // told of each version that came in force
+	read   zapcore.Level // of the lines on reads beside the watch
 
 	facts   uint64 // version of the facts that were looked at
 	asks    uint64
@@ -127,10 +129,11 @@
 	}
 }
 
-// logRead tells of a read at the platform that no watch made: such reads are rare,
-// and what one has found and another has not is told apart by them.
+// logRead tells of a read at the platform that no watch made. Beside a watch such
+// reads are rare, and what one has found and the other has not is told apart by them;
+// without one a few nodes poll all rows every other second.
 func (c *configuration) logRead(what string, version int64) {
-	c.log.Info("platform read", zap.String("what", what), zaplog.Version(version))
+	c.log.Log(c.read, "platform read", zap.String("what", what), zaplog.Version(version))
 }
 
 // background runs a call on the pool and gives its outcome to the core. Without
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 
 	"github.com/panjf2000/ants/v2"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"peardrift/internal/adapter/awsobject"
 	"peardrift/internal/adapter/awstable"
@@ -254,6 +255,10 @@
 		spread:  func(f member.Fact) { c.state.PutFact(c.now(), f) },
 		count:   func() { n.metrics.Counters.ConfigChanges.Inc(1) },
 		answers: make(map[uint64]chan inforce.Reply),
+		read:    zapcore.DebugLevel,
+	}
+	if n.outside != nil {
+		c.conf.read = zapcore.InfoLevel
 	}
 	c.conf.state.SetBudget(c.state.Budget())
 	c.state.Carry(rider{c.conf})
