Let a few nodes ask the store, and let members that start together meet

Each node held a feed of its own. And members that started together never came to know each other: ten seconds after the start a node knew 54 to 88 of 96, "complete", and learnt of one or two more a second. Their records, told one by one on each link, spent the start budget of 40 kB after some 36 members; what was left of the budget carried two a second. Callers so placed calls on the targets that they happened to know.

Changes. core/watch: three roots a region ask the store, the others ask a parent, and each holds a mark as of when its version was the newest; older than 3/5 of config_apply_ms, it asks the store itself. Clock with suspensions counted. 3,000 random schedules of faults at 1 to 40 nodes held the bound; the calls at rest are held at 1 to 4,667 nodes. Members that have just started fetch the state again, packed, while they differ. On a bootstrap the looks for seeds are spread over 300 ms; no second look by who has joined and wrote nothing. No polls beside the watch.

--- a/internal/core/inforce/message.go
+++ b/internal/core/inforce/message.go
@@ -91,6 +91,7 @@
 
 const (
 	ByWatch     Source = "watch"     // offered: read at the platform, which told of it
+	ByParent    Source = "parent"    // given by the parent in the watch
 	ByHeartbeat Source = "heartbeat" // a delta along with a peer's heartbeat
 	ByPeer      Source = "peer"      // asked for over a connection of its own
 	ByObject    Source = "object"    // read at the object store
--- a/internal/core/inforce/serve.go
+++ b/internal/core/inforce/serve.go
@@ -84,9 +84,13 @@
 	x.waiters = kept
 }
 
-// answer sends what changed since the version that the peer holds, or the whole
-// set if that is not known here, within the budget for whole sets.
 func (s *State) answer(now time.Duration, x *tenant, have int64, id uint64) {
+	s.do(Answer{ID: id, Reply: s.reply(now, x, have)})
+}
+
+// reply returns what changed since the version that the peer holds, or the whole
+// set if that is not known here, within the budget for whole sets.
+func (s *State) reply(now time.Duration, x *tenant, have int64) Reply {
 	r := Reply{Head: x.held.Head(), Delta: x.deltaSince(have)}
 	if r.Delta == nil {
 		if body := x.compressed(); s.serve.take(now, len(body), s.cfg.ServeRate, s.cfg.ServeBurst) {
@@ -96,7 +100,7 @@
 	if len(r.Delta)+len(r.Whole) > 0 {
 		s.stats.Answered++
 	}
-	s.do(Answer{ID: id, Reply: r})
+	return r
 }
 
 // largeDelta is the size in bytes from which a delta is compared with the whole
--- a/internal/core/member/config.go
+++ b/internal/core/member/config.go
@@ -97,6 +97,10 @@
 	// state, beyond its Budget. Default 24000. Raising it makes a member complete
 	// sooner; those that it fetches from keep to their own budgets.
 	JoinRate int
+	// CatchUp is how long after its start a member fetches the whole state again
+	// while it differs from its neighbours, and gives it to others beyond its
+	// Budget. Default 15 s. Raising it costs bytes when many members start.
+	CatchUp time.Duration
 	// AloneAfter is how long a member with seeds waits for the first answer of
 	// any before it takes itself for the first one. Default 20 s. Without it a
 	// fleet whose seeds are all gone would never start; lowering it lets members
@@ -137,6 +141,7 @@
 		ExchangeCost:    300,
 		MaxItems:        1100,
 		JoinRate:        24000,
+		CatchUp:         15 * time.Second,
 		AloneAfter:      20 * time.Second,
 		JoinRetry:       time.Second,
 	}
--- a/internal/core/member/join.go
+++ b/internal/core/member/join.go
@@ -28,13 +28,17 @@
 	begun    time.Duration    // the last attempt
 	misses   int              // attempts in a row that brought nothing
 
+	again     bool          // what is fetched is the state once more, see tickRefresh
+	refresh   time.Duration // not before
+	refreshes int
+
 	asked     int           // seeds of the list that were asked since it was gone through
 	untried   bool          // seeds were added since the last look for strangers
 	nextCheck time.Duration // no look for strangers before
 	checkWait time.Duration // and this long after the next one
 }
 
-func (j *joinState) partial() bool { return j.wanted && (!j.in || j.fetching) }
+func (j *joinState) partial() bool { return j.wanted && (!j.in || j.fetching && !j.again) }
 
 // maxJoin is the factor by which the reply to Join may exceed MaxItems.
 const maxJoin = 4
@@ -145,7 +149,7 @@
 	if j.busy && now-j.begun > 4*s.cfg.CallTimeout {
 		s.joinFailed(now, j.source) // its outcome was never reported
 	}
-	if !j.partial() || j.busy || now < j.next || s.stat == Dead {
+	if !j.partial() && !j.again || j.busy || now < j.next || s.stat == Dead {
 		return
 	}
 	if !j.tried {
@@ -155,7 +159,7 @@
 		j.in = true
 		return
 	}
-	if !j.in {
+	if !j.in && !j.again {
 		j.busy, j.begun = true, now
 		j.source = s.seed()
 		m := s.message(Join)
@@ -213,7 +217,7 @@
 		r.Full = true
 		return
 	}
-	if s.join.fetching || s.budget.Tokens() < 0 {
+	if s.join.fetching && !s.join.again || s.budget.Tokens() < 0 && !s.young(s.lastTick) {
 		s.redirect(r)
 		return
 	}
@@ -320,15 +324,57 @@
 	s.queue.put(memberKey(s.self.ID), classJoin, s.allLinks(), 0)
 }
 
+// young reports whether the member has started a short time ago.
+func (s *State) young(now time.Duration) bool { return now < s.started+s.cfg.CatchUp }
+
+const (
+	// refreshEvery is the time between two fetches of the whole state by a member
+	// that has just started.
+	refreshEvery = 600 * time.Millisecond
+	// leastRefreshes is how often it is fetched before the heartbeats have told
+	// whether neighbours differ.
+	leastRefreshes = 3
+	// maxRefreshed is the number of members up to which the whole state is fetched
+	// again: it takes some 30 bytes for each.
+	maxRefreshed = 512
+)
+
+// tickRefresh fetches the whole state once more while a member that has just started
+// differs from its neighbours. Members that start together join through some that
+// know of few others yet. Their records, told one by one on many links, would cost
+// several times as much as packed together.
+func (s *State) tickRefresh(now time.Duration) {
+	j := &s.join
+	if !s.Joined() || j.fetching || now < j.refresh || !s.young(now) ||
+		len(s.tab.members) < 2 || len(s.tab.members) > maxRefreshed ||
+		j.refreshes >= leastRefreshes && !s.differs() {
+		return
+	}
+	j.refreshes++
+	j.refresh = now + refreshEvery/2 + s.jitter(refreshEvery)
+	j.again, j.fetching, j.wrapped = true, true, false
+	j.services, j.after = nil, s.self.ID
+	j.next = now
+}
+
+// differs reports whether a neighbour knows of other members.
+func (s *State) differs() bool {
+	return slices.ContainsFunc(s.order, func(l *link) bool { return l.mismatch > 0 })
+}
+
 // answerPull sends the next part of the state. A part of the budget is left for
-// news, so that members that join don't hold it up.
+// news, so that members that join don't hold it up; of a member that has just
+// started itself, the whole fleet may have.
 func (s *State) answerPull(m, r *Message) {
 	r.More, r.Next = true, m.After
 	if s.join.partial() {
 		r.Full = true
 		return
 	}
-	room := min(int(min(m.Room, maxJoin*uint32(s.cfg.MaxItems))), s.budget.Tokens()-s.budget.Limit()/4)
+	room := int(min(m.Room, maxJoin*uint32(s.cfg.MaxItems)))
+	if !s.young(s.lastTick) {
+		room = min(room, s.budget.Tokens()-s.budget.Limit()/4)
+	}
 	i, ok := s.tab.index(m.After)
 	if ok {
 		i++
@@ -360,6 +406,8 @@
 	took := float64(m.Size()+s.cfg.ExchangeCost) / float64(s.cfg.JoinRate)
 	j.next = j.begun + time.Duration(took*float64(time.Second))
 	switch {
+	case j.again && m.Full:
+		j.fetching, j.again = false, false
 	case m.Full, m.More && m.Next <= j.after:
 		j.backOff(now, s)
 		return
@@ -370,7 +418,7 @@
 	case !j.wrapped:
 		j.wrapped, j.after = true, 0
 	default:
-		j.fetching = false
+		j.fetching, j.again = false, false
 	}
 	j.misses = 0
 }
@@ -387,9 +435,13 @@
 // joinFailed turns to another peer; what has arrived is kept.
 func (s *State) joinFailed(now time.Duration, to Peer) {
 	j := &s.join
-	if !j.partial() || to.Control != j.source.Control {
+	if !j.partial() && !j.again || to.Control != j.source.Control {
 		return
 	}
 	j.busy = false
+	if j.again {
+		j.fetching, j.again = false, false
+		return
+	}
 	j.next = now + s.cfg.JoinRetry/2 + s.jitter(s.cfg.JoinRetry)
 }
--- a/internal/core/member/state.go
+++ b/internal/core/member/state.go
@@ -34,6 +34,7 @@
 	view    viewCache
 
 	lastTick   time.Duration
+	started    time.Duration // the first tick
 	ticked     bool
 	nextProbe  time.Duration
 	nextExpiry time.Duration
@@ -182,6 +183,7 @@
 	s.notePause(now)
 	s.budget.Refill(now)
 	s.tickJoin(now)
+	s.tickRefresh(now)
 	s.tickOverlay(now)
 	s.tickLinks(now)
 	s.watch(now)
@@ -197,6 +199,9 @@
 // looks silent for as long as the pause took, and a node that trusted that would
 // condemn all its subjects at once. So silence counts anew from the pause's end.
 func (s *State) notePause(now time.Duration) {
+	if !s.ticked {
+		s.started = now
+	}
 	paused := s.ticked && now-s.lastTick > s.cfg.PauseAfter
 	s.lastTick, s.ticked = now, true
 	if !paused {
--- /dev/null
+++ b/internal/core/watch/watch_test.go
@@ -0,0 +1,328 @@
+package watch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"peardrift/internal/core/request"
+)
+
+// aRegion is the nodes of one region of three at the target size.
+const aRegion = 14000 / 3
+
+// The calls to the platform don't grow with the number of nodes, beyond those of
+// their start.
+func TestCallsAtRest(t *testing.T) {
+	for _, size := range []int{1, 18, 96, 1000, aRegion} {
+		t.Run(fmt.Sprintf("nodes=%d", size), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(size, 1, t.Fatalf)
+			w.watch(5 * time.Second)
+			is.True(w.calls <= 2*size+100) // each asks once as it starts
+			before := w.calls
+			const seconds = 10
+			for range seconds {
+				w.accept()
+				w.watch(time.Second)
+			}
+			cfg := ConfigFor(bound)
+			perRoot := seconds*int(time.Second/cfg.Wait+1) + seconds
+			is.True(w.calls-before <= cfg.Roots*perRoot)
+			for _, n := range w.nodes {
+				is.True(n.version >= w.platform.version)
+			}
+		})
+	}
+}
+
+// A version that the roots have is everywhere within a few messages.
+func TestAVersionPassesAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1000, 1, t.Fatalf)
+	w.watch(5 * time.Second)
+	w.accept()
+	w.run(150 * time.Millisecond)
+	for _, n := range w.nodes {
+		is.Equal(n.version, int64(1))
+	}
+}
+
+// Guards against nodes that trust a parent that no longer hears of changes: each
+// root in turn, and all of them at once, is killed, frozen, cut off from the platform
+// or from the nodes, and a version is accepted at any time after.
+func TestRootsFail(t *testing.T) {
+	faults := map[string]func(n *node){
+		"killed": (*node).kill,
+		"frozen": func(n *node) { n.frozen = true },
+		"cut":    func(n *node) { n.cut = true },
+		"apart":  func(n *node) { n.apart = true },
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			for roots := 1; roots <= 3; roots++ {
+				for wait := time.Duration(0); wait < bound; wait += 270 * time.Millisecond {
+					w := newWorld(18, uint64(wait), t.Fatalf)
+					w.watch(5 * time.Second)
+					w.accept()
+					w.watch(time.Second)
+					for _, n := range w.roots()[:roots] {
+						n.upset = w.now
+						fault(n)
+					}
+					w.watch(wait)
+					w.accept()
+					w.watch(2 * bound)
+				}
+			}
+		})
+	}
+}
+
+func (w *world) roots() []*node {
+	var out []*node
+	for _, n := range w.nodes {
+		if n.state.root(w.now) {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+func (n *node) kill() {
+	n.up = false
+	n.upset = n.w.now
+	n.w.tell(n.w.delay)
+}
+
+func (n *node) revive() {
+	if !n.up {
+		n.upset = n.w.now
+		n.start()
+		n.w.tell(500 * time.Millisecond)
+	}
+}
+
+func (n *node) thaw() {
+	if n.frozen {
+		n.frozen, n.upset = false, n.w.now
+		held := n.held
+		n.held = nil
+		for _, f := range held {
+			n.later(0, f)
+		}
+	}
+}
+
+// faults are what a schedule may hold. Each lasts for a while and ends by itself.
+func (w *world) fault(rt *rapid.T) {
+	some := w.nodes
+	if rapid.Bool().Draw(rt, "roots") {
+		if roots := w.roots(); len(roots) > 0 {
+			some = roots
+		}
+	}
+	count := rapid.IntRange(1, len(some)).Draw(rt, "nodes")
+	from := rapid.IntRange(0, len(some)-1).Draw(rt, "first")
+	lasts := time.Duration(rapid.IntRange(1, 60).Draw(rt, "for")) * 100 * time.Millisecond
+	var begin, end func(n *node)
+	switch rapid.IntRange(0, 6).Draw(rt, "kind") {
+	case 0:
+		begin, end = (*node).kill, (*node).revive
+	case 1:
+		begin, end = func(n *node) { n.frozen = true }, (*node).thaw
+	case 2:
+		begin, end = func(n *node) { n.cut = true }, func(n *node) { n.cut = false }
+	case 3:
+		begin, end = func(n *node) { n.apart = true }, func(n *node) { n.apart = false }
+	case 4:
+		w.disturb(&w.platform.silent, lasts)
+		return
+	case 5:
+		w.disturb(&w.platform.refuses, lasts)
+		return
+	default:
+		w.loseConnections()
+		return
+	}
+	for i := range count {
+		n := some[(from+i)%len(some)]
+		if n.up {
+			n.upset = w.now
+			begin(n)
+			w.after(lasts, func() {
+				n.upset = w.now
+				end(n)
+			})
+		}
+	}
+}
+
+func (w *world) disturb(what *bool, lasts time.Duration) {
+	*what = true
+	w.platform.upset = w.now
+	if what == &w.platform.silent {
+		for _, c := range w.platform.waiting {
+			c.over = true // its answer is lost
+		}
+		w.platform.waiting = nil
+	}
+	w.after(lasts, func() {
+		*what = false
+		w.platform.upset = w.now
+	})
+}
+
+// loseConnections makes all open connections go silent for good.
+func (w *world) loseConnections() {
+	for _, c := range w.platform.waiting {
+		c.over = true
+	}
+	w.platform.waiting = nil
+	for _, n := range w.nodes {
+		clear(n.answers)
+		n.upset = w.now
+	}
+}
+
+// Whatever fails, in series and overlapping, each node in touch has each version in
+// force within the bound.
+func TestInForceWithinTheBound(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(rapid.SampledFrom([]int{1, 2, 5, 18, 40}).Draw(rt, "size"), rapid.Uint64().Draw(rt, "seed"), rt.Fatalf)
+		w.delay = time.Duration(rapid.IntRange(0, 5000).Draw(rt, "delay")) * time.Millisecond
+		w.watch(3 * time.Second)
+		rt.Repeat(map[string]func(*rapid.T){
+			"accept": func(*rapid.T) { w.accept() },
+			"fault":  w.fault,
+			"run": func(rt *rapid.T) {
+				w.watch(time.Duration(rapid.IntRange(1, 40).Draw(rt, "run")) * 100 * time.Millisecond)
+			},
+		})
+		w.accept()
+		w.watch(20 * time.Second)
+	})
+}
+
+// Guards against a platform that comes back under a flood of questions.
+func TestQuestionsInAnOutageAreFew(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1000, 1, t.Fatalf)
+	w.watch(5 * time.Second)
+	before := w.calls
+	const seconds = 20
+	w.disturb(&w.platform.refuses, seconds*time.Second)
+	w.watch(seconds * time.Second)
+	// Each pauses for shorter at first, and for half of the longest pause at least.
+	is.True(w.calls-before <= 5*len(w.nodes)+2*seconds*ConfigFor(bound).RetryRate)
+	w.watch(5 * time.Second)
+	before = w.calls
+	w.watch(10 * time.Second)
+	is.True(w.calls-before <= 3*20) // the roots alone ask again
+}
+
+// Guards against a frozen parent's mark being taken for a young one: its question's
+// arrival, not its answer, is what the mark is told from.
+func TestAHeldAnswerMakesNoYoungMark(t *testing.T) {
+	is := is.New(t)
+	parent := New(ConfigFor(bound), 1, rand.New(rand.NewPCG(1, 1)), 0)
+	parent.refresh(10*time.Second, 0, 10*time.Second)
+	child := New(ConfigFor(bound), 2, rand.New(rand.NewPCG(1, 1)), 0)
+	child.SetPeers(0, []Peer{{ID: 1}, {ID: 2}}, false)
+	ask := pending(child.Tick(13 * time.Second))
+	parent.HandleAsk(13*time.Second, 1, Ask{})
+	for _, a := range parent.Tick(13*time.Second + ConfigFor(bound).PeerWait) {
+		if a, ok := a.(Answer); ok {
+			child.HandleReply(20*time.Second, ask, a.Reply)
+		}
+	}
+	at, ok := child.Mark()
+	is.True(ok)
+	is.Equal(at, 10*time.Second)
+}
+
+// pending returns the ID of the question to a peer.
+func pending(actions []Action) uint64 {
+	for _, a := range actions {
+		if ask, ok := a.(AskPeer); ok {
+			return ask.ID
+		}
+	}
+	return 0
+}
+
+// Guards against answers that make no sense: marks from the future, of a version
+// that is not held, or to another question.
+func TestForgedRepliesProveNothing(t *testing.T) {
+	is := is.New(t)
+	for _, r := range []Reply{
+		{Marked: true, Since: time.Hour},
+		{Marked: true, Version: 9},
+		{Version: -1},
+	} {
+		s := New(ConfigFor(bound), 2, rand.New(rand.NewPCG(1, 1)), 0)
+		ask := pending(s.SetPeers(time.Second, []Peer{{ID: 1}, {ID: 2}}, false))
+		is.True(ask != 0)
+		s.HandleReply(time.Second, ask+1, Reply{Marked: true})
+		s.HandleReply(time.Second, ask, r)
+		_, ok := s.Mark()
+		is.True(!ok)
+	}
+}
+
+// Guards against children that keep each other waiting for good, or without a bound.
+func TestWaitersAreBoundedAndAnswered(t *testing.T) {
+	is := is.New(t)
+	cfg := ConfigFor(bound)
+	s := New(cfg, 1, rand.New(rand.NewPCG(1, 1)), 0)
+	answered := 0
+	for i := range 2 * cfg.MaxWaiters {
+		answered += len(s.HandleAsk(0, uint64(i+1), Ask{}))
+	}
+	is.Equal(answered, cfg.MaxWaiters)
+	s.SetPeers(0, nil, true)
+	is.Equal(countAnswers(s.Tick(cfg.PeerWait)), cfg.MaxWaiters)
+	is.Equal(len(s.waiters), 0)
+}
+
+func countAnswers(actions []Action) int {
+	n := 0
+	for _, a := range actions {
+		if _, ok := a.(Answer); ok {
+			n++
+		}
+	}
+	return n
+}
+
+func TestLevels(t *testing.T) {
+	is := is.New(t)
+	cfg := ConfigFor(bound)
+	for _, n := range []int{1, 2, 3, 96, 1000} {
+		var peers []Peer
+		for i := range n {
+			peers = append(peers, Peer{ID: request.TargetIDOf(fmt.Sprint(i))})
+		}
+		roots := 0
+		children := make(map[request.TargetID]int)
+		for _, p := range peers {
+			tr := treeOf(cfg, p.ID, peers)
+			if tr.root {
+				roots++
+				continue
+			}
+			up, ok := tr.parent(p.ID, 0)
+			is.True(ok)
+			is.True(position(up.ID, 0) < position(p.ID, 0)) // no circles
+			children[up.ID]++
+		}
+		is.Equal(roots, min(n, cfg.Roots))
+		for _, c := range children {
+			is.True(c <= 2*cfg.Fanout)
+		}
+	}
+}
--- a/internal/node/conf.go
+++ b/internal/node/conf.go
@@ -31,6 +31,7 @@
 	now    func() time.Duration
 	spread func(member.Fact)
 	count  func()        // told of each version that came in force
+	watch  *watcher      // nil where the platform doesn't tell of changes
 	read   zapcore.Level // of the lines on reads beside the watch
 
 	facts   uint64 // version of the facts that were looked at
@@ -46,6 +47,7 @@
 	c.ridden = nil
 	c.do(ridden)
 	c.do(c.state.Tick(c.now()))
+	c.watch.tick()
 }
 
 // rider lets the configuration ride along with the heartbeats. What is to be done
@@ -93,6 +95,7 @@
 		return true
 	})
 	c.state.SetPeers(all, near, complete)
+	c.watch.setPeers(near, complete)
 }
 
 // do carries out actions without blocking; outcomes come back by post.
@@ -113,6 +116,7 @@
 			c.count()
 			c.log.Info("configuration in force", zaplog.Tenant(a.Head.Tenant), zaplog.Version(a.Head.Version),
 				zap.String("by", string(a.By)))
+			c.watch.installed(a.Head)
 		case inforce.Spread:
 			c.logNewer(a.Head)
 			key, version, value := inforce.FactOf(a.Head)
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -94,6 +94,7 @@
 // loop runs until ctx ends.
 func (c *control) loop(ctx context.Context, every time.Duration) {
 	defer close(c.done)
+	c.conf.watch.tick()
 	tick := time.NewTicker(every)
 	defer tick.Stop()
 	for {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -194,11 +194,11 @@
 )
 
 // inforceConfig returns how the configuration comes in force. Where the platform
-// tells of new sets by itself, polls are for what that may miss.
+// tells of new sets the watch asks it, and nobody polls.
 func (n *Node) inforceConfig() inforce.Config {
 	cfg := inforce.DefaultConfig()
 	if n.outside != nil {
-		cfg.PollEvery = rarePoll
+		cfg.Pollers = 0
 	}
 	return cfg
 }
@@ -222,9 +222,6 @@
 	quickCall = 700 * time.Millisecond
 )
 
-// rarePoll is the time between polls of a platform that tells of changes.
-const rarePoll = 30 * time.Second
-
 // targetIdle is how long a connection to a target that may close idle ones at any
 // time is kept without a call. Those that it keeps for less say so too late.
 const targetIdle = 4 * time.Second
@@ -260,6 +257,7 @@
 	if n.outside != nil {
 		c.conf.read = zapcore.InfoLevel
 	}
+	c.conf.watch = n.newWatcher(c, meter)
 	c.conf.state.SetBudget(c.state.Budget())
 	c.state.Carry(rider{c.conf})
 	n.control = c
--- a/internal/node/outside.go
+++ b/internal/node/outside.go
@@ -1,13 +1,11 @@
 package node
 
 import (
-	"context"
 	"time"
 
 	"go.uber.org/zap"
 
 	"peardrift/internal/adapter/hertzhttp"
-	"peardrift/internal/adapter/zaplog"
 	"peardrift/internal/core/lifetime"
 	"peardrift/internal/dataplane"
 	"peardrift/internal/port"
@@ -21,9 +19,14 @@
 	Dialect wire.Dialect
 	Table   Table
 	Sets    port.WatchedSets
+	// InForceIn is the time within which an accepted set is to be in force at
+	// every node; 0 for a default.
+	InForceIn time.Duration
 	// Reports returns the face to which the own target reports. take returns
 	// whether a report is in force, so that it may be acknowledged.
 	Reports func(take func(port.Report) bool) hertzhttp.Handler
+	// Bootstrap says that the whole fleet starts for the first time.
+	Bootstrap bool
 	// RetryBudget is the attempts beyond the first that all nodes together may
 	// make at one service in RetryWindow, beside a part of its requests.
 	RetryBudget float64
@@ -74,44 +77,3 @@
 		c.state.Update(c.now(), rec)
 	}
 }
-
-// watchPause is the least time between two looks for a new set, and the time
-// after a failed one. It bounds what a store that answers at once, or refuses,
-// is asked.
-const watchPause = 250 * time.Millisecond
-
-// watchSets puts each newly accepted set in force as soon as the platform tells.
-func (n *Node) watchSets(ctx context.Context) {
-	sets := n.outside.Sets
-	var after int64
-	var lost time.Time // zero while the store answers
-	for {
-		p, err := sets.Next(ctx, after)
-		if ctx.Err() != nil {
-			return
-		}
-		if (err != nil) == lost.IsZero() {
-			n.logStore(lost, err)
-			lost = time.Time{}
-			if err != nil {
-				lost = time.Now()
-			}
-		}
-		if p != nil && p.Head().Version > after {
-			after = p.Head().Version
-			n.control.ask(func() { n.control.conf.do(n.control.conf.state.Offer(n.control.now(), p)) })
-		}
-		if (p == nil || err != nil) && !wait(ctx, watchPause) {
-			return
-		}
-	}
-}
-
-// logStore tells that the store was lost, or for how long it had been.
-func (n *Node) logStore(since time.Time, err error) {
-	if err != nil {
-		n.log.Warn("store lost", zaplog.Failure(err))
-		return
-	}
-	n.log.Info("store regained", zap.Duration("after", time.Since(since)))
-}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -49,8 +49,6 @@
 	n.run(func() { n.join(ctx) })
 	if n.health != nil {
 		n.run(func() { n.health.run(ctx) })
-	} else {
-		n.run(func() { n.watchSets(ctx) })
 	}
 	n.run(func() { every(ctx, probeEvery, func(time.Time) { n.engine.ProbeTargets(n.pool.Submit) }) })
 	for _, s := range n.faces.all() {
@@ -85,8 +83,11 @@
 		known = append(known, member.Peer{Control: p})
 	}
 	n.joinThrough(known)
+	if n.outside != nil && n.outside.Bootstrap && !wait(ctx, rand.N(bootstrapSpread)) {
+		return
+	}
 	for round := 0; ; round++ {
-		found, err := s.join(ctx)
+		found, wrote, err := s.join(ctx)
 		if len(found) > 0 {
 			n.joinThrough(found)
 		}
@@ -99,13 +100,30 @@
 		if !wait(ctx, joinPause(round)) {
 			return
 		}
+		if !wrote && len(found) >= enoughSeeds && n.joined() {
+			return
+		}
 	}
 }
 
-// joinRounds is how often a node looks again when it found few others; it looks
-// again once in any case. Nodes that start together find the rows empty, or only
-// those of the first few: without another look each would think that it is the
-// first, or that these few are all, and their groups would meet only by chance.
+// bootstrapSpread is the time over which the nodes of a fleet that starts for the
+// first time look for rows: the later ones find those of the first, and needn't
+// write or look again.
+const bootstrapSpread = 300 * time.Millisecond
+
+// joined reports whether other nodes have answered.
+func (n *Node) joined() bool {
+	var others int
+	n.control.ask(func() { others = count(n.control.state.Snapshot()) - 1 })
+	return others > 0
+}
+
+// joinRounds is how often a node looks again when it found few others, or none that
+// answered, or has written a row itself. Nodes that start together find the rows
+// empty, or only those of the first few: without another look each would think that
+// it is the first, or that these few are all, and their groups would meet only by
+// chance. One that has joined through rows of others is in the groups of those, who
+// look again.
 const joinRounds = 3
 
 // joinPause is the time before the next look, drawn so that instances that come
--- a/internal/node/seeds.go
+++ b/internal/node/seeds.go
@@ -41,38 +41,38 @@
 
 // join reads the rows in random order, so that many nodes that start together
 // spread over them, and puts this node into the first one that is free or old.
-// It returns the others' addresses; a failure may come with some.
-func (s *seeds) join(ctx context.Context) ([]member.Peer, error) {
+// It returns the others' addresses, and whether it tried to write; a failure may
+// come with some addresses.
+func (s *seeds) join(ctx context.Context) (found []member.Peer, wrote bool, err error) {
 	if l, ok := s.table.(port.Lister); ok {
 		return s.joinAtOnce(ctx, l)
 	}
-	var found []member.Peer
 	taken := false
 	for _, slot := range rand.Perm(seedSlots) {
 		it, row, err := s.read(ctx, slot)
 		if err != nil {
-			return found, err
+			return found, wrote, err
 		}
 		if row.Control != "" && row.Control != s.self.Control {
 			found = append(found, member.Peer{Control: row.Control})
 		}
 		if !taken && (row.Control == s.self.Control || time.Since(row.At) > seedFresh) {
+			wrote = true
 			taken = s.take(ctx, seedKey(slot), it.Version) == nil
 		}
 		if taken && len(found) >= enoughSeeds {
 			break
 		}
 	}
-	return found, nil
+	return found, wrote, nil
 }
 
 // joinAtOnce is join with one read for all rows.
-func (s *seeds) joinAtOnce(ctx context.Context, l port.Lister) ([]member.Peer, error) {
+func (s *seeds) joinAtOnce(ctx context.Context, l port.Lister) (found []member.Peer, wrote bool, err error) {
 	items, err := l.List(ctx, seedPrefix)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	var found []member.Peer
 	versions, free := make(map[string]int64), make(map[string]bool)
 	for slot := range seedSlots {
 		free[seedKey(slot)] = true
@@ -93,10 +93,11 @@
 		}
 	}
 	for key := range free { // in any order, so that nodes that start together spread
+		wrote = true
 		_ = s.take(ctx, key, versions[key])
 		break
 	}
-	return found, nil
+	return found, wrote, nil
 }
 
 // enoughSeeds is how many addresses a joiner reads, if so many are there.
--- a/internal/node/services.go
+++ b/internal/node/services.go
@@ -17,6 +17,7 @@
 const (
 	configName    = "Config"
 	methodAsk     = configName + ".Ask"
+	methodNext    = configName + ".Next"
 	suspectsName  = "Suspects"
 	methodReport  = suspectsName + ".Report"
 	methodRecall  = suspectsName + ".Recall"
@@ -58,6 +59,20 @@
 	}
 }
 
+// Next waits for the answer as long as the watch keeps the child waiting.
+func (s *configService) Next(in *NextArgs, out *NextReply) error {
+	var answer <-chan NextReply
+	if !s.control.ask(func() { answer = s.control.conf.watch.asked(*in) }) {
+		return status.New(status.CodeDraining, "the node is stopping")
+	}
+	select {
+	case *out = <-answer:
+		return nil
+	case <-s.control.done:
+		return status.New(status.CodeDraining, "the node is stopping")
+	}
+}
+
 // suspectService takes reports of crashes from nodes of the same service.
 type suspectService struct{ node *Node }
 
--- a/internal/port/sets.go
+++ b/internal/port/sets.go
@@ -22,11 +22,18 @@
 // WatchedSets are Sets that tell of a newly accepted set by themselves.
 type WatchedSets interface {
 	Sets
-	// Next returns an accepted set with a version above after, or nil if there
-	// has been none for a while. What it returns may be older than what another
-	// call has returned. No other call takes a set from it: whatever is read for
-	// others, each version that is the newest for a while is returned here too.
-	Next(ctx context.Context, after int64) (*confset.Packed, error)
+	// Next waits for an accepted set with a version above after; an error says
+	// that the platform did not answer. What it returns may be older than what
+	// another call has returned. No other call takes a set from it: whatever is
+	// read for others, each version that is the newest for a while is returned
+	// here too. One call at a time.
+	Next(ctx context.Context, after int64, wait time.Duration) (Change, error)
+}
+
+// Change is what a platform says that was asked for changes.
+type Change struct {
+	Set   *confset.Packed // nil if there is none to tell
+	Quiet bool            // the platform waited for all of the time, and nothing changed
 }
 
 // Report is what a target says of itself.
