Tell a target's starts under one name apart, and refuse reports of others

A lifetime was its name alone. A target that started again under its name was not heard until its reports passed the old ones' numbers, and never after a leave. A lifetime is now name and born: a later start resets sequence, leave, limit, cold start and what callers measured (a new incarnation); reports of an earlier start change nothing. Without born a report is of the latest start known.

--- a/internal/core/lifetime/tracker.go
+++ b/internal/core/lifetime/tracker.go
@@ -9,6 +9,7 @@
 // State is what is known of the target.
 type State struct {
 	Instance string // empty: none is known
+	Born     int64  // when it started, in Unix milliseconds; 0: it doesn't say
 	Slots    int
 	Takes    bool // calls may be sent to it
 	Cold     time.Duration
@@ -22,6 +23,7 @@
 }
 
 type life struct {
+	born    int64
 	seq     int64
 	slots   int
 	leaving bool
@@ -41,14 +43,24 @@
 	if l == nil {
 		return State{Instance: t.current}
 	}
-	return State{Instance: t.current, Slots: l.slots, Takes: !l.leaving, Cold: l.cold}
+	return State{Instance: t.current, Born: l.born, Slots: l.slots, Takes: !l.leaving, Cold: l.cold}
 }
 
 // Report takes in what a target says.
 func (t *Tracker) Report(r port.Report) State {
 	l, known := t.lives[r.Instance]
-	if !known {
+	switch {
+	case !known:
 		l = t.begin(r.Instance)
+	case l.born == 0 || r.Born == 0 || r.Born == l.born:
+	case r.Born < l.born:
+		return t.State() // of an earlier start, held up on the way
+	default:
+		*l = life{}
+		t.current, known = r.Instance, false
+	}
+	if r.Born != 0 {
+		l.born = r.Born
 	}
 	if r.Leaving || r.Last {
 		l.leaving = true
--- a/internal/core/lifetime/tracker_test.go
+++ b/internal/core/lifetime/tracker_test.go
@@ -79,3 +79,52 @@
 	tr.Report(r)
 	is.Equal(tr.Report(report("a", 4)).Slots, 20)
 }
+
+func start(born, seq int64) port.Report {
+	r := report("a", seq)
+	r.Born = born
+	return r
+}
+
+func leaving(r port.Report) port.Report {
+	r.Leaving = true
+	return r
+}
+
+// Guards against a target that has started again under its name and is never served:
+// its reports count anew, and the leave was that of the start before.
+func TestAStartUnderTheSameNameIsAnotherLifetime(t *testing.T) {
+	is := is.New(t)
+	tr := New()
+	tr.Report(start(1000, 50))
+	is.True(!tr.Report(leaving(start(1000, 51))).Takes)
+	is.Equal(tr.Report(start(2000, 1)), State{Instance: "a", Born: 2000, Slots: 10, Takes: true})
+	r := start(2000, 2)
+	r.Slots = 20
+	is.Equal(tr.Report(r).Slots, 20)
+}
+
+// Guards against reports of an earlier start that are held up on the way, its last
+// word among them.
+func TestReportsOfAnEarlierStartChangeNothing(t *testing.T) {
+	is := is.New(t)
+	tr := New()
+	tr.Report(start(1000, 50))
+	now := tr.Report(start(2000, 1))
+	for _, late := range []port.Report{start(1000, 60), leaving(start(1000, 61)), {Instance: "a", Born: 1000, Leaving: true, Last: true}} {
+		is.Equal(tr.Report(late), now)
+	}
+	is.True(!tr.Report(leaving(start(2000, 2))).Takes) // its own binds
+	is.True(!tr.Report(start(1000, 62)).Takes)
+	is.True(!tr.Report(start(2000, 3)).Takes)
+}
+
+// Guards against a leave undone by a report that tells a start when the leave did not.
+func TestAStartThatIsToldLateIsNoOther(t *testing.T) {
+	is := is.New(t)
+	tr := New()
+	tr.Report(port.Report{Instance: "a", Leaving: true, Last: true})
+	is.True(!tr.Report(start(1000, 5)).Takes)
+	is.True(tr.Report(start(2000, 1)).Takes)
+	is.True(!tr.Report(port.Report{Instance: "a", Leaving: true, Last: true}).Takes) // of the latest
+}
--- a/internal/dataplane/lifetime.go
+++ b/internal/dataplane/lifetime.go
@@ -4,6 +4,7 @@
 // themselves. It is immutable.
 type Lifetime struct {
 	Instance string // names the lifetime; empty: none is known
+	Born     int64  // tells its starts under that name apart
 	Slots    int
 	Takes    bool // it takes calls
 }
@@ -16,7 +17,7 @@
 	switch {
 	case !l.Takes:
 		e.gate.drain()
-	case old == nil || !old.Takes || old.Instance != l.Instance:
+	case old == nil || !old.Takes || old.Instance != l.Instance || old.Born != l.Born:
 		e.gate.resume(l.Slots)
 		e.suspects.up()
 	default:
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -42,7 +42,7 @@
 			face{"listen.target", l.Target, &n.faces.target, n.engine.ServeTarget, inner})
 	}
 	if l.Reports != "" && n.outside != nil {
-		all = append(all, face{"listen.reports", l.Reports, &n.faces.reports, n.outside.Reports(n.reported), ops})
+		all = append(all, face{"listen.reports", l.Reports, &n.faces.reports, n.outside.Reports(n.reported, n.refused), ops})
 	}
 	if l.Ready != "" {
 		all = append(all, face{"listen.ready", l.Ready, &n.faces.ready, func(_ context.Context, c *app.RequestContext) { n.serveReady(c) }, ops})
--- a/internal/node/outside.go
+++ b/internal/node/outside.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"peardrift/internal/adapter/hertzhttp"
+	"peardrift/internal/adapter/zaplog"
 	"peardrift/internal/core/lifetime"
 	"peardrift/internal/dataplane"
 	"peardrift/internal/port"
@@ -22,9 +23,10 @@
 	// InForceIn is the time within which an accepted set is to be in force at
 	// every node; 0 for a default.
 	InForceIn time.Duration
-	// Reports returns the face to which the own target reports. take returns
-	// whether a report is in force, so that it may be acknowledged.
-	Reports func(take func(port.Report) bool) hertzhttp.Handler
+	// Reports returns the handler to which the own target reports. take returns
+	// whether a report is in force, so that it may be acknowledged; refused is
+	// told of what is no report of the own target.
+	Reports func(take func(port.Report) bool, refused func(error)) hertzhttp.Handler
 	// Bootstrap says that the whole fleet starts for the first time.
 	Bootstrap bool
 	// RetryBudget is the attempts beyond the first that all nodes together may
@@ -44,6 +46,9 @@
 	return n.control.ask(func() { n.control.reported(r) })
 }
 
+// refused tells of a report that was not taken.
+func (n *Node) refused(err error) { n.log.Warn("report refused", zaplog.Failure(err)) }
+
 // otherAnswers takes in that another lifetime answers at the target's address.
 func (n *Node) otherAnswers(instance string) {
 	_ = n.pool.Submit(func() {
@@ -65,11 +70,11 @@
 // lifetime by a new incarnation: what they have measured of the last one, and that
 // it leaves, says nothing of this one.
 func (c *control) live(before, now lifetime.State, by string) {
-	if before.Instance == now.Instance && before.Takes == now.Takes && before.Slots == now.Slots {
+	if before.Instance == now.Instance && before.Born == now.Born && before.Takes == now.Takes && before.Slots == now.Slots {
 		return
 	}
-	c.engine.SetLifetime(dataplane.Lifetime{Instance: now.Instance, Slots: now.Slots, Takes: now.Takes})
-	c.log.Info("target", zap.String("instance", now.Instance), zap.Bool("takes", now.Takes),
+	c.engine.SetLifetime(dataplane.Lifetime{Instance: now.Instance, Born: now.Born, Slots: now.Slots, Takes: now.Takes})
+	c.log.Info("target", zap.String("instance", now.Instance), zap.Int64("born", now.Born), zap.Bool("takes", now.Takes),
 		zap.Int("slots", now.Slots), zap.Duration("cold", now.Cold), zap.String("by", by))
 	if now.Takes {
 		rec := c.node.record()
--- a/internal/port/sets.go
+++ b/internal/port/sets.go
@@ -38,7 +38,8 @@
 
 // Report is what a target says of itself.
 type Report struct {
-	Instance string // its lifetime; each start has another one
+	Instance string // its name
+	Born     int64  // when it started, in Unix milliseconds; 0 if it doesn't say
 	Address  string // where it serves; empty if it doesn't say
 	Slots    int    // requests that it runs at once; 0 if it doesn't say
 	Leaving  bool   // it takes no new work
