--- a/internal/core/lifetime/tracker.go
+++ b/internal/core/lifetime/tracker.go
@@ -17,12 +17,12 @@
 
 // Tracker follows the lifetimes at one address.
 type Tracker struct {
-	lives   map[string]*life
-	order   []string // by first report
-	current string
+	lifetimes map[string]*lifetime
+	order     []string // by first report
+	current   string
 }
 
-type life struct {
+type lifetime struct {
 	born    int64
 	seq     int64
 	slots   int
@@ -30,16 +30,16 @@
 	cold    time.Duration
 }
 
-// maxLives bounds the lifetimes that are remembered. A target that starts more
-// often than this while an old report is under way is broken anyhow.
-const maxLives = 64
+// maxLifetimes bounds the names that are remembered. More starts than this while an
+// old report is under way don't happen to a target that works.
+const maxLifetimes = 64
 
 // New returns a tracker that knows of no lifetime.
-func New() *Tracker { return &Tracker{lives: make(map[string]*life)} }
+func New() *Tracker { return &Tracker{lifetimes: make(map[string]*lifetime)} }
 
 // State returns what is known now.
 func (t *Tracker) State() State {
-	l := t.lives[t.current]
+	l := t.lifetimes[t.current]
 	if l == nil {
 		return State{Instance: t.current}
 	}
@@ -48,7 +48,7 @@
 
 // Report takes in what a target says.
 func (t *Tracker) Report(r port.Report) State {
-	l, known := t.lives[r.Instance]
+	l, known := t.lifetimes[r.Instance]
 	switch {
 	case !known:
 		l = t.begin(r.Instance)
@@ -56,7 +56,7 @@
 	case r.Born < l.born:
 		return t.State() // of an earlier start, held up on the way
 	default:
-		*l = life{}
+		*l = lifetime{}
 		t.current, known = r.Instance, false
 	}
 	if r.Born != 0 {
@@ -75,16 +75,16 @@
 	return t.State()
 }
 
-// begin takes in a lifetime that wasn't heard of before. It is taken for the one
-// that serves; should it be an old one whose report was held up, the target's
-// first answer says so, see Answered.
-func (t *Tracker) begin(instance string) *life {
-	if len(t.order) == maxLives {
-		delete(t.lives, t.order[0])
+// begin adds a lifetime that has not reported before. It is taken for the one that
+// serves; should it be an old one whose report was held up, the target's first answer
+// says so, see Answered.
+func (t *Tracker) begin(instance string) *lifetime {
+	if len(t.order) == maxLifetimes {
+		delete(t.lifetimes, t.order[0])
 		t.order = t.order[1:]
 	}
-	l := &life{}
-	t.lives[instance] = l
+	l := &lifetime{}
+	t.lifetimes[instance] = l
 	t.order = append(t.order, instance)
 	t.current = instance
 	return l
--- a/internal/core/lifetime/tracker_test.go
+++ b/internal/core/lifetime/tracker_test.go
@@ -12,9 +12,7 @@
 	return port.Report{Instance: instance, Seq: seq, Slots: 10}
 }
 
-// Symptom: a request runs on a target that has said that it leaves. Events: the
-// leave is acknowledged, then a report from before it arrives, held up on the way.
-// Cause: a tracker that believes whatever came last.
+// Guards against a leave undone by a report from before it.
 func TestLeaveIsFinal(t *testing.T) {
 	is := is.New(t)
 	tr := New()
@@ -26,7 +24,7 @@
 	is.True(!tr.Report(report("a", 4)).Takes) // even a newer one
 }
 
-// Symptom and events as above, with the target's last word in place of a report.
+// Guards against a last word that is not taken for a leave.
 func TestLastWordIsALeave(t *testing.T) {
 	is := is.New(t)
 	tr := New()
@@ -34,9 +32,7 @@
 	is.True(!tr.Report(port.Report{Instance: "a", Last: true}).Takes)
 }
 
-// Symptom: a node that was restarted sends requests to a target whose leave the
-// node before it had acknowledged. Cause: a tracker that lets run what it knows
-// nothing of.
+// Guards against a restarted node that forgets the leave which it had acknowledged.
 func TestNothingRunsBeforeAReport(t *testing.T) {
 	is := is.New(t)
 	is.True(!New().State().Takes)
@@ -45,9 +41,7 @@
 	is.True(!New().Report(leave).Takes)
 }
 
-// Symptom: all requests are answered "another instance", for good. Events: a
-// target crashes behind a cut, another starts at its address, then the first
-// one's last report arrives. Cause: a report taken for proof of life.
+// Guards against a late report of a crashed target being taken for proof of life.
 func TestAnswersSettleWhichLifetimeServes(t *testing.T) {
 	is := is.New(t)
 	tr := New()
@@ -60,15 +54,15 @@
 	is.True(tr.Report(report("third", 1)).Takes)
 }
 
-// Symptom: memory grows with each start of a target that crashes in a loop.
+// Guards against memory that grows with each start of a target that crashes in a loop.
 func TestLifetimesAreBounded(t *testing.T) {
 	is := is.New(t)
 	tr := New()
-	for i := range 10 * maxLives {
+	for i := range 10 * maxLifetimes {
 		tr.Report(report(string(rune('a'+i%26))+string(rune('0'+i/26)), 1))
 	}
-	is.Equal(len(tr.lives), maxLives)
-	is.Equal(len(tr.order), maxLives)
+	is.Equal(len(tr.lifetimes), maxLifetimes)
+	is.Equal(len(tr.order), maxLifetimes)
 }
 
 func TestOldReportsChangeNothing(t *testing.T) {
