--- a/bench/replay/call.go
+++ b/bench/replay/call.go
@@ -33,25 +33,25 @@
 
 // call is one call that a node makes for a request, with all its attempts.
 type call struct {
-	n        *node
-	spec     *workload.Call
-	tree     *tree
-	parent   *attempt // nil at the entry node
-	purse    *retry.Purse
-	depth    int
-	deadline time.Duration
-	made     retry.Call
-	tries    int
-	ran      bool   // an attempt got past a refusal
-	path     uint64 // place in the chain
-	repeat   bool   // made by an execution that repeats an earlier one
-	cur      *attempt
-	timer    *event
-	tried    route.Tried
-	avoid    []*node // refused or failed an earlier attempt
-	done     func(result)
-	entered  uint64 // key among the entries of its node
-	over     bool
+	n         *node
+	spec      *workload.Call
+	tree      *tree
+	parent    *attempt // nil at the entry node
+	allowance *retry.RequestAllowance
+	depth     int
+	deadline  time.Duration
+	made      retry.Call
+	tries     int
+	ran       bool   // an attempt got past a refusal
+	path      uint64 // place in the chain
+	repeat    bool   // made by an execution that repeats an earlier one
+	cur       *attempt
+	timer     *event
+	tried     route.Tried
+	avoid     []*node // refused or failed an earlier attempt
+	done      func(result)
+	entered   uint64 // key among the entries of its node
+	over      bool
 }
 
 // attempt is one try of a call at one target, with its state at the callee.
@@ -66,18 +66,18 @@
 	delay time.Duration
 	gone  bool // the caller doesn't wait any more
 
-	purse   retry.Purse // at the callee
-	arrived time.Duration
-	began   time.Duration
-	running bool
-	gated   bool // admitted by the gate
-	over    bool
-	timer   *event
-	subs    []*call
-	again   bool          // another execution of the call may have come before
-	used    uint64        // bit set of the services called
-	useful  time.Duration // slot time of completed calls below
-	below   time.Duration // for how long it did nothing but wait for calls below
+	allowance retry.RequestAllowance // at the callee
+	arrived   time.Duration
+	began     time.Duration
+	running   bool
+	gated     bool // admitted by the gate
+	over      bool
+	timer     *event
+	subs      []*call
+	again     bool          // another execution of the call may have come before
+	used      uint64        // bit set of the services called
+	useful    time.Duration // slot time of completed calls below
+	below     time.Duration // for how long it did nothing but wait for calls below
 }
 
 // result is an ended attempt or call.
--- a/bench/replay/client.go
+++ b/bench/replay/client.go
@@ -62,8 +62,8 @@
 	t := &tree{user: u, class: u.class}
 	binary.BigEndian.PutUint64(t.id[:8], w.rng.Uint64())
 	binary.BigEndian.PutUint64(t.id[8:], seq)
-	purse := retry.NewPurse(w.retryCfg.Attempts, false)
-	c := &call{n: n, spec: &u.class.Root, tree: t, purse: &purse, entered: seq}
+	allowance := retry.NewRequestAllowance(w.retryCfg.Attempts, false)
+	c := &call{n: n, spec: &u.class.Root, tree: t, allowance: &allowance, entered: seq}
 	u.cur = c
 	c.done = func(r result) {
 		delete(n.entries, seq)
--- a/bench/replay/doc.go
+++ b/bench/replay/doc.go
@@ -7,7 +7,7 @@
 // always give the same Result.
 //
 // A call passes: learned levels of the callee (early refusal), allowance and
-// brake (for a retry), choice of a target, network, the callee's gate, a slot of
+// budget (for a retry), choice of a target, network, the callee's gate, a slot of
 // the target, the target's own calls, and the answer with level and unspent
 // allowance. Baselines replace these parts by simpler ones, ablations switch one
 // of them off; see Policies.
--- a/bench/replay/node.go
+++ b/bench/replay/node.go
@@ -40,7 +40,7 @@
 // receive takes a call from the network.
 func (n *node) receive(a *attempt) {
 	a.arrived = n.w.now
-	a.purse = retry.NewPurse(a.grant.Allowance, a.grant.Repeat)
+	a.allowance = retry.NewRequestAllowance(a.grant.Allowance, a.grant.Repeat)
 	n.live[a.seq] = a
 	if n.gone {
 		n.end(a, result{outcome: request.Refused, code: status.CodeConnectionLost})
@@ -100,8 +100,8 @@
 			c.cancel()
 		}
 	}
-	r.made = a.purse.Made()
-	r.unspent = a.purse.Close()
+	r.made = a.allowance.Made()
+	r.unspent = a.allowance.Close()
 	r.answer = n.gate.answer(a)
 	if a.gone {
 		n.w.m.useless += r.work
--- a/bench/replay/outbound.go
+++ b/bench/replay/outbound.go
@@ -24,7 +24,7 @@
 	svc      *service
 	inFlight map[*node]int
 	router   *router // nil: the baseline's pick
-	brake    retry.Brake
+	budget   retry.ServiceBudget
 	decider  *retry.Decider
 	costs    map[string]*retry.Cost
 }
@@ -34,7 +34,7 @@
 		return o
 	}
 	o := &outbound{n: n, svc: n.w.service(name), inFlight: map[*node]int{}, costs: map[string]*retry.Cost{}}
-	o.brake = retry.NewBrake(&n.w.retryCfg, n.w.now)
+	o.budget = retry.NewServiceBudget(&n.w.retryCfg, n.w.now)
 	o.decider = retry.NewDecider(&n.w.retryCfg, n.w.rng)
 	if n.w.pol.CorePick {
 		o.router = newRouter(n, o.svc)
@@ -100,7 +100,7 @@
 
 // start pays for an attempt from the request's allowance.
 func (o *outbound) start(a *attempt) bool {
-	g, ok := a.call.purse.Start(&a.call.made, o.cost(a.call).Below())
+	g, ok := a.call.allowance.Start(&a.call.made, o.cost(a.call).Below())
 	a.grant = g
 	if !ok && !o.n.w.pol.Allowance {
 		return true
@@ -125,11 +125,11 @@
 	if r.answered {
 		o.n.levels.Learn(o.n.w.now, o.key(c), early.Report{Target: a.to.id, Own: r.answer.own, Chain: r.answer.chain, Slots: r.answer.limit})
 	}
-	c.purse.Settle(&c.made, &a.grant, retry.Answer{Outcome: r.outcome, Unspent: r.unspent, Made: r.made})
+	c.allowance.Settle(&c.made, &a.grant, retry.Answer{Outcome: r.outcome, Unspent: r.unspent, Made: r.made})
 	if r.outcome == request.Completed {
 		o.cost(c).Observe(&o.n.w.retryCfg, r.made)
 	}
-	o.brake.Observe(o.n.w.now, r.outcome, r.code)
+	o.budget.Observe(o.n.w.now, r.outcome, r.code)
 }
 
 // Backoff of the baselines between two tries of a hop.
@@ -157,17 +157,17 @@
 	w := o.n.w
 	res := retry.Result{
 		Outcome: r.outcome, Code: r.code, Deadline: c.deadline, Attempts: c.made.Attempts(),
-		Priority: w.priority(c.tree, o.svc), Level: o.n.levels.Level(w.now, o.key(c)), Left: c.purse.Left(), Below: o.cost(c).Below(),
+		Priority: w.priority(c.tree, o.svc), Level: o.n.levels.Level(w.now, o.key(c)), Left: c.allowance.Left(), Below: o.cost(c).Below(),
 		MayHaveRun: c.made.MayHaveRun(), AtMostOnce: c.tree.class.AtMostOnce, Idempotent: !c.tree.class.AtMostOnce,
 	}
 	if !w.pol.Allowance {
 		res.Left = retry.MaxAllowance
 	}
-	brake := &o.brake
-	if !w.pol.Brake {
-		free := retry.NewBrake(&w.retryCfg, w.now)
-		brake = &free
+	budget := &o.budget
+	if !w.pol.ServiceBudget {
+		free := retry.NewServiceBudget(&w.retryCfg, w.now)
+		budget = &free
 	}
-	d := o.decider.Decide(w.now, &res, brake)
+	d := o.decider.Decide(w.now, &res, budget)
 	return d.Wait, d.Retry()
 }
--- a/bench/replay/policy.go
+++ b/bench/replay/policy.go
@@ -15,31 +15,31 @@
 
 // Policy says which parts of peardrift take part in a run.
 type Policy struct {
-	Name       string
-	About      string
-	Gate       GateKind
-	CorePick   bool // route core; else the less loaded of two random targets
-	CoreRetry  bool // allowance per request and brake; else HopTries at each hop
-	HopTries   int  // attempts a hop makes without CoreRetry
-	Early      bool // callers refuse by the levels that they learned
-	EarlyEntry bool // only at the entry, not in calls of a request that has run
-	ChainLevel bool // a service answers with the level of the services below it too
-	Allowance  bool // the request's allowance is split and returned
-	Brake      bool // retries draw on a budget that successes fill
-	Deadlines  bool // the whole request's deadline travels with each call
-	Cancel     bool // work for a caller that has gone is stopped
-	ChainOrder bool // one hashed order for all hops; else each hop draws its own
-	DeepFirst  bool // depth decides within an importance
-	Queue      bool // calls wait for a slot; else they run at once or are refused
-	Level      bool // the gate sets a level, which callers learn
-	Order      bool // the queue is in the order of importance; else of arrival
+	Name          string
+	About         string
+	Gate          GateKind
+	CorePick      bool // route core; else the less loaded of two random targets
+	CoreRetry     bool // allowance per request and budget; else HopTries at each hop
+	HopTries      int  // attempts a hop makes without CoreRetry
+	Early         bool // callers refuse by the levels that they learned
+	EarlyEntry    bool // only at the entry, not in calls of a request that has run
+	ChainLevel    bool // a service answers with the level of the services below it too
+	Allowance     bool // the request's allowance is split and returned
+	ServiceBudget bool // retries draw on a budget that successes fill
+	Deadlines     bool // the whole request's deadline travels with each call
+	Cancel        bool // work for a caller that has gone is stopped
+	ChainOrder    bool // one hashed order for all hops; else each hop draws its own
+	DeepFirst     bool // depth decides within an importance
+	Queue         bool // calls wait for a slot; else they run at once or are refused
+	Level         bool // the gate sets a level, which callers learn
+	Order         bool // the queue is in the order of importance; else of arrival
 }
 
 // whole is peardrift with all its parts.
 func whole() Policy {
 	return Policy{
 		Name: "peardrift", About: "all parts", Gate: GateCore, CorePick: true, CoreRetry: true, HopTries: baselineTries,
-		Early: true, ChainLevel: true, Allowance: true, Brake: true, Deadlines: true, Cancel: true,
+		Early: true, ChainLevel: true, Allowance: true, ServiceBudget: true, Deadlines: true, Cancel: true,
 		ChainOrder: true, DeepFirst: true, Queue: true, Level: true, Order: true,
 	}
 }
@@ -71,7 +71,7 @@
 		earlyAtEntry(),
 		without("chain-level", func(p *Policy) { p.ChainLevel = false }),
 		without("allowance", func(p *Policy) { p.Allowance = false }),
-		without("brake", func(p *Policy) { p.Brake = false }),
+		without("budget", func(p *Policy) { p.ServiceBudget = false }),
 		without("retry-bounds", func(p *Policy) { p.CoreRetry = false }),
 		without("deadlines", func(p *Policy) { p.Deadlines = false }),
 		without("time-bounds", func(p *Policy) { p.Deadlines, p.Cancel = false, false }),
--- a/bench/replay/target.go
+++ b/bench/replay/target.go
@@ -128,7 +128,7 @@
 			if step[i].Chance < 1 && n.w.rng.Float64() >= step[i].Chance {
 				continue
 			}
-			out = append(out, &call{n: n, spec: &step[i].Call, tree: a.call.tree, parent: a, purse: &a.purse,
+			out = append(out, &call{n: n, spec: &step[i].Call, tree: a.call.tree, parent: a, allowance: &a.allowance,
 				path: path, repeat: a.again,
 				depth: a.call.depth + 1, deadline: n.w.deadline(a.call.deadline)})
 		}
--- a/internal/core/retry/purse.go
+++ b/internal/core/retry/allowance.go
@@ -6,31 +6,31 @@
 // malformed or hostile number can't undo the bound.
 const MaxAllowance = 64
 
-// Purse is the allowance of one request at one node, in extra attempts.
+// RequestAllowance is the allowance of one request at one node, in extra attempts.
 // The zero value holds nothing.
-type Purse struct {
+type RequestAllowance struct {
 	left   int
 	made   int
 	repeat bool
 	closed bool
 }
 
-// NewPurse returns the purse of a request that came with the given allowance,
+// NewRequestAllowance returns the allowance of a request that came with the given allowance,
 // cut to 0..MaxAllowance. repeat says that an earlier attempt of the same call
 // may have run; then each call made below costs one.
-func NewPurse(allowance int, repeat bool) Purse {
-	return Purse{left: min(max(allowance, 0), MaxAllowance), repeat: repeat}
+func NewRequestAllowance(allowance int, repeat bool) RequestAllowance {
+	return RequestAllowance{left: min(max(allowance, 0), MaxAllowance), repeat: repeat}
 }
 
 // Left returns the extra attempts that are left here.
-func (p *Purse) Left() int { return p.left }
+func (p *RequestAllowance) Left() int { return p.left }
 
 // Made returns the attempts made by and below this node for the request, as
 // far as answers told; the node reports it upward with its answer.
-func (p *Purse) Made() int { return p.made }
+func (p *RequestAllowance) Made() int { return p.made }
 
 // Repeat reports whether this execution repeats one that may have run.
-func (p *Purse) Repeat() bool { return p.repeat }
+func (p *RequestAllowance) Repeat() bool { return p.repeat }
 
 // Call is one sub-call of a request: the attempts made of it so far.
 // The zero value is a call of which no attempt was made.
@@ -76,10 +76,10 @@
 
 // Start pays for the next attempt of c and returns what it carries. It returns
 // false, and changes nothing, if the attempt must be paid for and nothing is
-// left, or the purse is closed; the call is then refused with
+// left, or the allowance is closed; the call is then refused with
 // status.CodeRetriesExhausted. below is the callee's usual number of calls
 // (Cost.Below): a callee that makes none is given no allowance.
-func (p *Purse) Start(c *Call, below int) (Grant, bool) {
+func (p *RequestAllowance) Start(c *Call, below int) (Grant, bool) {
 	if p.closed {
 		return Grant{}, false
 	}
@@ -104,7 +104,7 @@
 
 // share is how much one attempt takes along. A repeat gets what its calls will
 // cost, since each of them must be paid for.
-func (p *Purse) share(repeat bool, below int) int {
+func (p *RequestAllowance) share(repeat bool, below int) int {
 	if below == 0 || (repeat && below > 0) {
 		return below
 	}
@@ -115,7 +115,7 @@
 // call with the same grant does nothing (a duplicated answer must not create
 // allowance), nor does one after Close (a late answer's part was already
 // reported upward as spent).
-func (p *Purse) Settle(c *Call, g *Grant, a Answer) {
+func (p *RequestAllowance) Settle(c *Call, g *Grant, a Answer) {
 	if !g.open {
 		return
 	}
@@ -136,13 +136,13 @@
 
 // Close ends the request here and returns the unspent part, to be reported
 // upward. Grants still out count as spent. Later calls change nothing.
-func (p *Purse) Close() int {
+func (p *RequestAllowance) Close() int {
 	n := p.left
 	p.left, p.closed = 0, true
 	return n
 }
 
-func (p *Purse) take(n int) int {
+func (p *RequestAllowance) take(n int) int {
 	n = min(max(n, 0), p.left)
 	p.left -= n
 	return n
--- a/internal/core/retry/purse_test.go
+++ b/internal/core/retry/allowance_test.go
@@ -44,7 +44,7 @@
 )
 
 // chain runs a request over a graph; every failed attempt is made again as long
-// as the purse pays for it, which is the worst that any decider can do.
+// as the allowance pays for it, which is the worst that any decider can do.
 type chain struct {
 	rng      *rand.Rand
 	attempts int
@@ -52,7 +52,7 @@
 	later    []func() // zombies: executions that their callers gave up on
 }
 
-func (ch *chain) call(c *call, p *Purse) {
+func (ch *chain) call(c *call, p *RequestAllowance) {
 	var sub Call
 	for {
 		ch.runLater(false)
@@ -70,7 +70,7 @@
 }
 
 // attempt plays one attempt and reports whether the caller is content.
-func (ch *chain) attempt(c *call, p *Purse, sub *Call, g *Grant) bool {
+func (ch *chain) attempt(c *call, p *RequestAllowance, sub *Call, g *Grant) bool {
 	lost := Answer{Outcome: request.Unknown}
 	switch f := fate(ch.rng.IntN(int(fates))); f {
 	case refused:
@@ -100,7 +100,7 @@
 
 // run executes a call at its callee with what the attempt carried.
 func (ch *chain) run(c *call, g Grant) Answer {
-	p := NewPurse(g.Allowance, g.Repeat)
+	p := NewRequestAllowance(g.Allowance, g.Repeat)
 	for _, k := range c.kids {
 		ch.call(k, &p)
 	}
@@ -118,7 +118,7 @@
 // Symptom: one slow lookup deep in a chain turns into dozens of calls.
 // Events: each hop retries on its own; answers are lost, late or duplicated,
 // executions that their callers gave up on go on making calls.
-// Cause: no hop knows what the others spent. The purse bounds the sum.
+// Cause: no hop knows what the others spent. The allowance bounds the sum.
 func TestChainBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
@@ -126,7 +126,7 @@
 		a := rapid.IntRange(0, 12).Draw(t, "allowance")
 		for range 100 { // requests
 			ch := &chain{rng: rng, reached: map[*call]bool{}}
-			entry := NewPurse(a, false)
+			entry := NewRequestAllowance(a, false)
 			ch.call(drawGraph(rng, depth), &entry)
 			entry.Close()
 			ch.runLater(true)
@@ -137,9 +137,9 @@
 	})
 }
 
-func TestPurseSplit(t *testing.T) {
+func TestRequestAllowanceSplit(t *testing.T) {
 	is := is.New(t)
-	p := NewPurse(6, false)
+	p := NewRequestAllowance(6, false)
 	var a, b Call
 	ga, ok := p.Start(&a, -1)
 	is.True(ok)
@@ -162,11 +162,11 @@
 	is.True(!ok)
 }
 
-func TestPurseUnspentIsCapped(t *testing.T) {
+func TestRequestAllowanceUnspentIsCapped(t *testing.T) {
 	is := is.New(t)
-	p := NewPurse(1000, false)
+	p := NewRequestAllowance(1000, false)
 	is.Equal(p.Left(), MaxAllowance)
-	p = NewPurse(2, false)
+	p = NewRequestAllowance(2, false)
 	var c Call
 	g, _ := p.Start(&c, -1)
 	p.Settle(&c, &g, Answer{Outcome: request.Completed, Unspent: 50})
--- a/internal/core/retry/brake.go
+++ b/internal/core/retry/budget.go
@@ -8,13 +8,13 @@
 	"peardrift/internal/status"
 )
 
-// Brake is the retry budget of one callee service at one node.
+// ServiceBudget is the retry budget of one callee service at one node.
 //
 // Symptom it prevents: a service slows, each of its callers sends again, the
 // service gets several times the load it already could not carry, and stays
 // saturated after the cause is gone. Tied to successes, the budget dries up as
 // soon as attempts stop succeeding, on each node alone and without any message.
-type Brake struct {
+type ServiceBudget struct {
 	cfg     *Config
 	tokens  float64
 	rate    float64 // attempts a second that come without success
@@ -24,16 +24,16 @@
 	at      time.Duration
 }
 
-// NewBrake returns a brake with a budget of one attempt, so that a node that has
+// NewServiceBudget returns a budget that holds one attempt, so that a node that has
 // just started can't add a burst of its own.
-func NewBrake(cfg *Config, now time.Duration) Brake {
-	return Brake{cfg: cfg, tokens: min(1, cfg.Burst), rate: cfg.MinRate, burst: cfg.Burst, at: now}
+func NewServiceBudget(cfg *Config, now time.Duration) ServiceBudget {
+	return ServiceBudget{cfg: cfg, tokens: min(1, cfg.Burst), rate: cfg.MinRate, burst: cfg.Burst, at: now}
 }
 
 // Share sets the part of the fleet's budget that falls to this one of so many
 // nodes, where the fleet has one. The unspent part of a node that fails is lost,
 // never spent twice, so that the sum holds whichever nodes come and go.
-func (b *Brake) Share(nodes int) {
+func (b *ServiceBudget) Share(nodes int) {
 	if b.cfg.FleetBudget <= 0 || nodes <= 0 {
 		return
 	}
@@ -47,16 +47,16 @@
 const burstShare = 0.5
 
 // Observe takes in the result of one attempt at the service.
-func (b *Brake) Observe(now time.Duration, o request.Outcome, code status.Code) {
+func (b *ServiceBudget) Observe(now time.Duration, o request.Outcome, code status.Code) {
 	b.note(now, o, code, b.cfg.Ratio)
 }
 
 // ObserveCall is Observe for an attempt of a call that a target makes.
-func (b *Brake) ObserveCall(now time.Duration, o request.Outcome, code status.Code) {
+func (b *ServiceBudget) ObserveCall(now time.Duration, o request.Outcome, code status.Code) {
 	b.note(now, o, code, b.cfg.CallRatio)
 }
 
-func (b *Brake) note(now time.Duration, o request.Outcome, code status.Code, earned float64) {
+func (b *ServiceBudget) note(now time.Duration, o request.Outcome, code status.Code, earned float64) {
 	b.advance(now)
 	b.total++
 	switch {
@@ -69,7 +69,7 @@
 
 // Overloaded reports whether refusals for load dominate what the service
 // answers to this node.
-func (b *Brake) Overloaded(now time.Duration) bool {
+func (b *ServiceBudget) Overloaded(now time.Duration) bool {
 	b.advance(now)
 	return b.total >= b.cfg.MinSample && b.refused > b.cfg.RefusedShare*b.total
 }
@@ -77,7 +77,7 @@
 // Take draws a retry from the budget, which costs n attempts; false if the
 // budget doesn't hold that many. A retry that costs more than Burst needs a full
 // budget.
-func (b *Brake) Take(now time.Duration, n int) bool {
+func (b *ServiceBudget) Take(now time.Duration, n int) bool {
 	b.advance(now)
 	price := min(float64(n), b.burst)
 	if b.tokens < price {
@@ -88,14 +88,14 @@
 }
 
 // Budget returns the attempts that the budget holds now, for metrics.
-func (b *Brake) Budget(now time.Duration) float64 {
+func (b *ServiceBudget) Budget(now time.Duration) float64 {
 	b.advance(now)
 	return b.tokens
 }
 
 // advance moves to now; a time before the last one is taken as the last one,
 // so that events that arrive out of order neither refill nor decay twice.
-func (b *Brake) advance(now time.Duration) {
+func (b *ServiceBudget) advance(now time.Duration) {
 	if now <= b.at {
 		return
 	}
--- a/internal/core/retry/chain_test.go
+++ b/internal/core/retry/chain_test.go
@@ -20,7 +20,7 @@
 	lost     float64 // share of other calls whose answer is lost
 	attempts int
 	costs    []Cost
-	brakes   []Brake
+	budgets  []ServiceBudget
 	decide   *Decider
 	now      time.Duration
 }
@@ -29,11 +29,11 @@
 	cfg := DefaultConfig()
 	l := &lookup{
 		cfg: &cfg, rng: rand.New(rand.NewPCG(1, 2)), depth: depth, slow: slow, lost: lost,
-		costs: make([]Cost, depth), brakes: make([]Brake, depth),
+		costs: make([]Cost, depth), budgets: make([]ServiceBudget, depth),
 	}
 	l.decide = NewDecider(&cfg, l.rng)
-	for i := range l.brakes {
-		l.brakes[i] = NewBrake(&cfg, 0)
+	for i := range l.budgets {
+		l.budgets[i] = NewServiceBudget(&cfg, 0)
 	}
 	return l
 }
@@ -57,8 +57,8 @@
 	return l.rng.Float64() < l.lost
 }
 
-// bounded makes it with the request's purse.
-func (l *lookup) bounded(d int, p *Purse) bool {
+// bounded makes it with the request's allowance.
+func (l *lookup) bounded(d int, p *RequestAllowance) bool {
 	var sub Call
 	for {
 		g, ok := p.Start(&sub, l.costs[d].Below())
@@ -78,8 +78,8 @@
 			Outcome: a.Outcome, Code: status.CodeConnectionLost, Attempts: sub.Attempts(),
 			Left: p.Left(), Below: l.costs[d].Below(), MayHaveRun: sub.MayHaveRun(), Idempotent: true,
 		}
-		l.brakes[d].Observe(l.now, r.Outcome, r.Code)
-		if !l.decide.Decide(l.now, &r, &l.brakes[d]).Retry() {
+		l.budgets[d].Observe(l.now, r.Outcome, r.Code)
+		if !l.decide.Decide(l.now, &r, &l.budgets[d]).Retry() {
 			return a.Outcome == request.Completed
 		}
 	}
@@ -89,7 +89,7 @@
 	if d+1 == l.depth {
 		return Answer{Outcome: request.Completed, Unspent: g.Allowance}
 	}
-	p := NewPurse(g.Allowance, g.Repeat)
+	p := NewRequestAllowance(g.Allowance, g.Repeat)
 	a := Answer{Outcome: request.Failed}
 	if l.bounded(d+1, &p) {
 		a.Outcome = request.Completed
@@ -101,7 +101,7 @@
 // request is one request from its entry node, 10 ms after the one before.
 func (l *lookup) request() bool {
 	l.now += 10 * time.Millisecond
-	p := NewPurse(l.cfg.Attempts, false)
+	p := NewRequestAllowance(l.cfg.Attempts, false)
 	return l.bounded(0, &p)
 }
 
@@ -125,7 +125,7 @@
 		t.Fatalf("%d attempts for one request", worst)
 	}
 	if most := requests*4 + requests/10; l.attempts > most {
-		t.Fatalf("%d attempts, at most %d expected with the brake", l.attempts, most)
+		t.Fatalf("%d attempts, at most %d expected with the budget", l.attempts, most)
 	}
 }
 
@@ -146,7 +146,7 @@
 			l := newLookup(4, c.slow, c.lost)
 			report(b, l, func() bool { return l.perHop(0) })
 		})
-		b.Run(c.name+"/purse", func(b *testing.B) {
+		b.Run(c.name+"/allowance", func(b *testing.B) {
 			l := newLookup(4, c.slow, c.lost)
 			report(b, l, l.request)
 		})
--- a/internal/core/retry/decide.go
+++ b/internal/core/retry/decide.go
@@ -66,7 +66,7 @@
 
 	// Attempts made of this call so far (Call.Attempts).
 	Attempts int
-	// Left in the purse (Purse.Left) and usual number of calls Below the callee
+	// Left in the allowance (RequestAllowance.Left) and usual number of calls Below the callee
 	// (Cost.Below).
 	Left  int
 	Below int
@@ -108,8 +108,8 @@
 }
 
 // Decide says whether another attempt is made after r, and draws it from the
-// brake's budget if so.
-func (d *Decider) Decide(now time.Duration, r *Result, b *Brake) Decision {
+// budget's budget if so.
+func (d *Decider) Decide(now time.Duration, r *Result, b *ServiceBudget) Decision {
 	if reason := d.judge(now, r, b); reason != Again {
 		return Decision{Reason: reason}
 	}
@@ -123,7 +123,7 @@
 	return Decision{Reason: Again, Wait: wait}
 }
 
-func (d *Decider) judge(now time.Duration, r *Result, b *Brake) Reason {
+func (d *Decider) judge(now time.Duration, r *Result, b *ServiceBudget) Reason {
 	if reason := mayRepeat(r); reason != Again {
 		return reason
 	}
@@ -192,7 +192,7 @@
 // as the request's priority is above the level. Refused for load by one target,
 // a request is tried elsewhere only if its importance is above the level's: one
 // of the same importance is near the margin everywhere.
-func overloaded(now time.Duration, r *Result, b *Brake) bool {
+func overloaded(now time.Duration, r *Result, b *ServiceBudget) bool {
 	if r.Outcome != request.Refused || r.MayHaveRun {
 		return r.Level > 0 || b.Overloaded(now)
 	}
--- a/internal/core/retry/decide_test.go
+++ b/internal/core/retry/decide_test.go
@@ -51,7 +51,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			cfg := DefaultConfig()
-			b := NewBrake(&cfg, 0)
+			b := NewServiceBudget(&cfg, 0)
 			d := NewDecider(&cfg, rand.New(rand.NewPCG(1, 2)))
 			r := tt.from
 			tt.edit(&r)
@@ -66,11 +66,11 @@
 
 // Symptom: load on a failing service rises with each caller that sends again.
 // Events: all attempts at a service fail for a minute, each is to be retried.
-// Cause: retries were not tied to successes. The brake leaves MinRate.
-func TestBrakeDriesUp(t *testing.T) {
+// Cause: retries were not tied to successes. The budget leaves MinRate.
+func TestServiceBudgetDriesUp(t *testing.T) {
 	is := is.New(t)
 	cfg := DefaultConfig()
-	b := NewBrake(&cfg, 0)
+	b := NewServiceBudget(&cfg, 0)
 	retries := 0
 	for now := time.Duration(0); now < time.Minute; now += 10 * time.Millisecond {
 		b.Observe(now, request.Failed, status.CodeTargetFailed)
@@ -81,11 +81,11 @@
 	is.True(retries <= 1+int(cfg.MinRate*60)) // the first token and the minimum rate
 }
 
-func TestBrakeFollowsSuccesses(t *testing.T) {
+func TestServiceBudgetFollowsSuccesses(t *testing.T) {
 	is := is.New(t)
 	cfg := DefaultConfig()
 	cfg.MinRate = 0
-	b := NewBrake(&cfg, 0)
+	b := NewServiceBudget(&cfg, 0)
 	b.Take(0, 1)
 	retries := 0
 	for i := range 1000 {
@@ -98,10 +98,10 @@
 	is.True(retries >= 98 && retries <= 100) // Ratio of the successes
 }
 
-func TestBrakeStopsWhenRefusalsDominate(t *testing.T) {
+func TestServiceBudgetStopsWhenRefusalsDominate(t *testing.T) {
 	is := is.New(t)
 	cfg := DefaultConfig()
-	b := NewBrake(&cfg, 0)
+	b := NewServiceBudget(&cfg, 0)
 	for range 10 {
 		b.Observe(0, request.Completed, "")
 	}
@@ -119,7 +119,7 @@
 
 func TestAllocs(t *testing.T) {
 	cfg := DefaultConfig()
-	b := NewBrake(&cfg, 0)
+	b := NewServiceBudget(&cfg, 0)
 	d := NewDecider(&cfg, rand.New(rand.NewPCG(1, 2)))
 	r := Result{Outcome: request.Refused, Code: status.CodeDraining, Attempts: 1, Left: 3}
 	n := testing.AllocsPerRun(100, func() { usual(d, &r, &b) })
@@ -128,8 +128,8 @@
 	}
 }
 
-func usual(d *Decider, r *Result, b *Brake) Decision {
-	p := NewPurse(3, false)
+func usual(d *Decider, r *Result, b *ServiceBudget) Decision {
+	p := NewRequestAllowance(3, false)
 	var c Call
 	g, _ := p.Start(&c, -1)
 	b.Observe(0, request.Refused, r.Code)
@@ -139,7 +139,7 @@
 
 func BenchmarkAttempt(b *testing.B) {
 	cfg := DefaultConfig()
-	br := NewBrake(&cfg, 0)
+	br := NewServiceBudget(&cfg, 0)
 	d := NewDecider(&cfg, rand.New(rand.NewPCG(1, 2)))
 	r := Result{Outcome: request.Refused, Code: status.CodeDraining, Attempts: 1, Left: 3}
 	b.ReportAllocs()
--- a/internal/core/retry/repeats.go
+++ b/internal/core/retry/repeats.go
@@ -18,16 +18,16 @@
 // time through another node. Each entry node takes it for a new request with an
 // allowance of its own, and each run of it runs the whole chain below. Here its
 // sendings meet again, whichever nodes they came through: the first that runs is
-// free, later ones draw on a budget that fills as the Brake's does, by this
+// free, later ones draw on a budget that fills as the ServiceBudget's does, by this
 // target's successes. So of one request, over all entry nodes,
 //
 //	runs begun <= targets of the service + what their budgets paid
 //
 // within Config.RepeatWindow of one another. Attempts that a node makes of one
-// sending are free here, as that sending's Purse pays for them.
+// sending are free here, as that sending's RequestAllowance pays for them.
 type Repeats struct {
 	cfg    *Config
-	budget Brake
+	budget ServiceBudget
 	seen   map[Identity]*sending // touched since turned
 	old    map[Identity]*sending // touched in the window before
 	turned time.Duration
@@ -42,7 +42,7 @@
 
 // NewRepeats returns a Repeats that has seen nothing, with a budget of one.
 func NewRepeats(cfg *Config, now time.Duration) Repeats {
-	return Repeats{cfg: cfg, budget: NewBrake(cfg, now), seen: map[Identity]*sending{}, turned: now}
+	return Repeats{cfg: cfg, budget: NewServiceBudget(cfg, now), seen: map[Identity]*sending{}, turned: now}
 }
 
 // Begin books a sending that is about to run; false if it repeats another one
--- a/internal/core/retry/share_test.go
+++ b/internal/core/retry/share_test.go
@@ -21,7 +21,7 @@
 	for _, nodes := range []int{3, 15, 40} {
 		taken := 0
 		for range nodes {
-			b := NewBrake(&cfg, 0)
+			b := NewServiceBudget(&cfg, 0)
 			b.Share(nodes)
 			for at := time.Duration(0); at < cfg.FleetWindow; at += 10 * time.Millisecond {
 				b.ObserveCall(at, request.Completed, "") // earns nothing
@@ -44,7 +44,7 @@
 	is.True(cfg.Free(request.Refused, status.CodeDraining))
 	is.True(!cfg.Free(request.Refused, status.CodeTargetShed)) // it has reached one
 	is.True(!cfg.Free(request.Unknown, status.CodeConnectionLost))
-	p := NewPurse(1, false)
+	p := NewRequestAllowance(1, false)
 	var c Call
 	for range 3 {
 		g, ok := p.Start(&c, 0)
@@ -60,7 +60,7 @@
 	is := is.New(t)
 	cfg := DefaultConfig()
 	d := NewDecider(&cfg, nil)
-	b := NewBrake(&cfg, 0)
+	b := NewServiceBudget(&cfg, 0)
 	r := Result{Outcome: request.Unknown, Code: status.CodeConnectionLost, Attempts: 2, Left: 5, Idempotent: true, Runs: 2, MaxRuns: 2, MayHaveRun: true}
 	is.Equal(d.Decide(0, &r, &b).Reason, PerCall)
 }
--- a/internal/dataplane/answer.go
+++ b/internal/dataplane/answer.go
@@ -63,7 +63,7 @@
 	h.Code = r.code
 	h.Retry = r.retry.String()
 	h.Level = r.answer.Level
-	h.Allowance = out.purse.left()
+	h.Allowance = out.allowance.left()
 }
 
 // hostService returns the service that a Host header names: its part before the
--- a/internal/dataplane/call.go
+++ b/internal/dataplane/call.go
@@ -18,29 +18,29 @@
 
 // outgoing is one call from this node to a service, over all its attempts.
 type outgoing struct {
-	info     *confset.ServiceInfo
-	class    *confset.Class // of the callee
-	meta     wire.Meta
-	id       request.ID
-	sampled  bool   // the request's spans are recorded
-	span     SpanID // of the hop that makes the call
-	priority request.Priority
-	deadline time.Duration
-	purse    purse
-	parent   *running          // the request on whose behalf the own target calls; nil at an entry
-	req      *protocol.Request // complete but for meta and trace; reused by attempts
-	once     bool              // the body is a stream and can be sent once
+	info      *confset.ServiceInfo
+	class     *confset.Class // of the callee
+	meta      wire.Meta
+	id        request.ID
+	sampled   bool   // the request's spans are recorded
+	span      SpanID // of the hop that makes the call
+	priority  request.Priority
+	deadline  time.Duration
+	allowance allowance
+	parent    *running          // the request on whose behalf the own target calls; nil at an entry
+	req       *protocol.Request // complete but for meta and trace; reused by attempts
+	once      bool              // the body is a stream and can be sent once
 
 	// sub and grant are call's own. They stand here because what takes a pointer
 	// through an interface would have each attempt allocate them.
 	sub   retry.Call
 	grant retry.Grant
-	entry entryPurse // the purse of a whole request
+	entry entryAllowance // the allowance of a whole request
 }
 
-// purse pays for attempts. The entry's own and a running request's differ in
+// allowance pays for attempts. The entry's own and a running request's differ in
 // who else draws on them.
-type purse interface {
+type allowance interface {
 	start(c *retry.Call, below int) (retry.Grant, bool)
 	settle(c *retry.Call, g *retry.Grant, a retry.Answer)
 	left() int
@@ -143,7 +143,7 @@
 	if !ok {
 		return fail(now, status.Refuse(status.CodeNoTarget, later(), "no target of %s can take the call", c.info.Name)), false
 	}
-	c.grant, ok = c.purse.start(sub, cl.below(c.class.Name))
+	c.grant, ok = c.allowance.start(sub, cl.below(c.class.Name))
 	if !ok {
 		r := fail(now, status.Refuse(status.CodeRetriesExhausted, later(), "the request's retries are used up"))
 		cl.done(ch, &result{code: status.CodeCanceled})
@@ -156,7 +156,7 @@
 	if c.parent != nil {
 		c.parent.note(e.now(), r)
 	}
-	c.purse.settle(sub, &c.grant, retry.Answer{
+	c.allowance.settle(sub, &c.grant, retry.Answer{
 		Outcome: r.outcome, Unspent: r.answer.Unspent, Made: r.answer.Made,
 		Free: e.cfg.Retry.Free(r.outcome, r.code),
 	})
@@ -245,7 +245,7 @@
 		Priority:   c.priority,
 		Level:      e.levels.level(c),
 		Attempts:   sub.Attempts(),
-		Left:       c.purse.left(),
+		Left:       c.allowance.left(),
 		Below:      cl.below(c.class.Name),
 		Runs:       sub.Runs(),
 		MaxRuns:    c.class.Runs,
--- a/internal/dataplane/call_test.go
+++ b/internal/dataplane/call_test.go
@@ -71,7 +71,7 @@
 	req.Header.SetHost("svc.t")
 	return &outgoing{
 		info: info, class: &info.Classes[0], id: newID(), req: req,
-		deadline: e.now() + time.Minute, purse: &entryPurse{purse: retry.NewPurse(3, false)},
+		deadline: e.now() + time.Minute, allowance: &entryAllowance{allowance: retry.NewRequestAllowance(3, false)},
 	}
 }
 
--- a/internal/dataplane/callee.go
+++ b/internal/dataplane/callee.go
@@ -19,7 +19,7 @@
 	gen     uint64
 	addrs   map[request.TargetID]string
 	table   *route.Table
-	brake   retry.Brake
+	budget  retry.ServiceBudget
 	decider *retry.Decider
 	costs   map[request.Class]*retry.Cost
 	forget  func(request.TargetID) // told of targets that have gone
@@ -40,7 +40,7 @@
 		cfg:     &e.cfg,
 		now:     e.now,
 		table:   route.NewTable(&e.cfg.Route, e.self.Place, rng),
-		brake:   retry.NewBrake(&e.cfg.Retry, e.now()),
+		budget:  retry.NewServiceBudget(&e.cfg.Retry, e.now()),
 		decider: retry.NewDecider(&e.cfg.Retry, rng),
 		costs:   make(map[request.Class]*retry.Cost),
 		forget:  e.levels.forget,
@@ -55,7 +55,7 @@
 		return
 	}
 	cl.gen = v.Gen
-	cl.brake.Share(v.Nodes)
+	cl.budget.Share(v.Nodes)
 	peers := v.Peers(name)
 	ts := make([]route.Target, len(peers))
 	before := cl.addrs
@@ -117,9 +117,9 @@
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	if c.parent == nil {
-		cl.brake.Observe(cl.now(), r.outcome, r.code)
+		cl.budget.Observe(cl.now(), r.outcome, r.code)
 	} else {
-		cl.brake.ObserveCall(cl.now(), r.outcome, r.code)
+		cl.budget.ObserveCall(cl.now(), r.outcome, r.code)
 	}
 	if r.outcome != request.Completed {
 		return
@@ -153,7 +153,7 @@
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	r.Usual = cl.usual
-	return cl.decider.Decide(cl.now(), r, &cl.brake)
+	return cl.decider.Decide(cl.now(), r, &cl.budget)
 }
 
 // kind says what the result tells of the target.
--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -195,7 +195,7 @@
 		sampled:  e.cfg.Sampled(id),
 		priority: request.PriorityOf(class.Importance, id),
 		deadline: e.now() + e.patience(c, class.Deadline),
-		entry:    entryPurse{purse: retry.NewPurse(class.Attempts, false)},
+		entry:    entryAllowance{allowance: retry.NewRequestAllowance(class.Attempts, false)},
 		meta: wire.Meta{
 			Tenant:     info.Tenant,
 			Class:      class.Name,
@@ -204,7 +204,7 @@
 			Origin:     info.Name,
 		},
 	}
-	out.purse = &out.entry
+	out.allowance = &out.entry
 	e.routed(v, out)
 	if fault := e.fillRequest(out, c); fault != nil {
 		return nil, fault
@@ -239,15 +239,15 @@
 		return nil, status.Refuse(status.CodeMalformed, 0, "the chain is deeper than %d calls", wire.MaxDepth)
 	}
 	out := &outgoing{
-		info:     info,
-		class:    class,
-		id:       x.id,
-		sampled:  x.sampled,
-		priority: x.priority,
-		deadline: min(x.deadline, e.now()+e.patience(c, class.Deadline)),
-		purse:    x,
-		parent:   x,
-		meta:     x.meta,
+		info:      info,
+		class:     class,
+		id:        x.id,
+		sampled:   x.sampled,
+		priority:  x.priority,
+		deadline:  min(x.deadline, e.now()+e.patience(c, class.Deadline)),
+		allowance: x,
+		parent:    x,
+		meta:      x.meta,
 	}
 	if x.firstUse(out.key()) {
 		e.levels.used(x.work(), out)
@@ -359,27 +359,27 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-// entryPurse is the purse of a request at its entry; only call's loop uses it,
+// entryAllowance is the allowance of a request at its entry; only call's loop uses it,
 // but a streamed answer may settle later.
-type entryPurse struct {
-	mu    sync.Mutex
-	purse retry.Purse
+type entryAllowance struct {
+	mu        sync.Mutex
+	allowance retry.RequestAllowance
 }
 
-func (p *entryPurse) start(c *retry.Call, below int) (retry.Grant, bool) {
+func (p *entryAllowance) start(c *retry.Call, below int) (retry.Grant, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.purse.Start(c, below)
+	return p.allowance.Start(c, below)
 }
 
-func (p *entryPurse) settle(c *retry.Call, g *retry.Grant, a retry.Answer) {
+func (p *entryAllowance) settle(c *retry.Call, g *retry.Grant, a retry.Answer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.purse.Settle(c, g, a)
+	p.allowance.Settle(c, g, a)
 }
 
-func (p *entryPurse) left() int {
+func (p *entryAllowance) left() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.purse.Left()
+	return p.allowance.Left()
 }
--- a/internal/dataplane/inflight.go
+++ b/internal/dataplane/inflight.go
@@ -16,7 +16,7 @@
 // SpanID is the span that a target sees as its parent.
 type SpanID [8]byte
 
-// running is a request that runs on the own target. Its purse pays for the
+// running is a request that runs on the own target. Its allowance pays for the
 // target's outgoing calls.
 type running struct {
 	id       request.ID
@@ -29,14 +29,14 @@
 	deadline time.Duration
 	ctx      context.Context // ends with the request, and with it the target's calls
 
-	mu      sync.Mutex
-	purse   retry.Purse
-	open    int           // attempts below that have not ended
-	unknown bool          // some call below may have run with no known result
-	used    []early.Key   // services called so far
-	below   status.Code   // of the call below that ended badly last; empty: none did
-	since   time.Duration // when open was last 0
-	idle    time.Duration // for how long the target could only wait for others
+	mu        sync.Mutex
+	allowance retry.RequestAllowance
+	open      int           // attempts below that have not ended
+	unknown   bool          // some call below may have run with no known result
+	used      []early.Key   // services called so far
+	below     status.Code   // of the call below that ended badly last; empty: none did
+	since     time.Duration // when open was last 0
+	idle      time.Duration // for how long the target could only wait for others
 
 	next *running // begun before it, of the same identity; guarded by registry.mu
 }
@@ -44,19 +44,19 @@
 func (x *running) start(c *retry.Call, below int) (retry.Grant, bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.purse.Start(c, below)
+	return x.allowance.Start(c, below)
 }
 
 func (x *running) settle(c *retry.Call, g *retry.Grant, a retry.Answer) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.purse.Settle(c, g, a)
+	x.allowance.Settle(c, g, a)
 }
 
 func (x *running) left() int {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.purse.Left()
+	return x.allowance.Left()
 }
 
 // firstUse reports whether no call to the key was made before.
@@ -129,8 +129,8 @@
 func (x *running) close() (unspent, made int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	made = x.purse.Made()
-	return x.purse.Close(), made
+	made = x.allowance.Made()
+	return x.allowance.Close(), made
 }
 
 // doubtful reports whether a call below may have run with no known result, or
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -155,15 +155,15 @@
 	}
 	s.tenant = e.tenants.of(s.meta.Tenant)
 	s.own = running{
-		id:       s.trace.id,
-		name:     string(s.c.Request.Header.Peek(e.cfg.Dialect.Request)),
-		sampled:  s.trace.sampled,
-		class:    s.class.Name,
-		span:     s.hop.Span,
-		meta:     s.meta,
-		priority: request.PriorityOf(s.meta.Importance, s.trace.id),
-		deadline: deadline,
-		purse:    retry.NewPurse(s.meta.Allowance, s.meta.Repeat),
+		id:        s.trace.id,
+		name:      string(s.c.Request.Header.Peek(e.cfg.Dialect.Request)),
+		sampled:   s.trace.sampled,
+		class:     s.class.Name,
+		span:      s.hop.Span,
+		meta:      s.meta,
+		priority:  request.PriorityOf(s.meta.Importance, s.trace.id),
+		deadline:  deadline,
+		allowance: retry.NewRequestAllowance(s.meta.Allowance, s.meta.Repeat),
 	}
 	s.hop.Name = s.own.name
 	s.running = &s.own
