Log who asks the platform, and a configuration that may be old

The watch changed what a process believes without a line. It now tells its role, and when its mark goes stale or is fresh again. The two handlers that wait on the control goroutine share one function.

--- a/internal/core/watch/state.go
+++ b/internal/core/watch/state.go
@@ -95,9 +95,15 @@
 // held; ok is false if there is none.
 func (s *State) Mark() (at time.Duration, ok bool) { return s.mark, s.marked }
 
+// Stale reports whether the mark is so old, or missing, that the platform is asked
+// whatever the parent says.
+func (s *State) Stale(now time.Duration) bool { return s.stale(now) }
+
+// Root reports whether the node is one of those that ask the platform all the time.
+func (s *State) Root(now time.Duration) bool { return s.root(now) }
+
 func (s *State) stale(now time.Duration) bool { return !s.marked || now-s.mark > s.cfg.Stale }
 
-// root reports whether the node is one of those that ask the platform all the time.
 func (s *State) root(now time.Duration) bool {
 	return s.complete && s.tree.root && now >= s.settled
 }
--- a/internal/node/services.go
+++ b/internal/node/services.go
@@ -47,29 +47,26 @@
 
 // Ask waits for the answer as long as the core keeps the peer waiting.
 func (s *configService) Ask(in *inforce.Ask, out *inforce.Reply) error {
-	var answer <-chan inforce.Reply
-	if !s.control.ask(func() { answer = s.control.conf.asked(*in) }) {
-		return status.New(status.CodeDraining, "the node is stopping")
-	}
-	select {
-	case *out = <-answer:
-		return nil
-	case <-s.control.done:
-		return status.New(status.CodeDraining, "the node is stopping")
-	}
+	return await(s.control, out, func() <-chan inforce.Reply { return s.control.conf.asked(*in) })
 }
 
 // Next waits for the answer as long as the watch keeps the child waiting.
 func (s *configService) Next(in *NextArgs, out *NextReply) error {
-	var answer <-chan NextReply
-	if !s.control.ask(func() { answer = s.control.conf.watch.asked(*in) }) {
-		return status.New(status.CodeDraining, "the node is stopping")
+	return await(s.control, out, func() <-chan NextReply { return s.control.conf.watch.asked(*in) })
+}
+
+// await puts a question on the control goroutine and waits for its answer.
+func await[T any](c *control, out *T, question func() <-chan T) error {
+	stopping := status.New(status.CodeDraining, "the node is stopping")
+	var answer <-chan T
+	if !c.ask(func() { answer = question() }) {
+		return stopping
 	}
 	select {
 	case *out = <-answer:
 		return nil
-	case <-s.control.done:
-		return status.New(status.CodeDraining, "the node is stopping")
+	case <-c.done:
+		return stopping
 	}
 }
 
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -46,6 +46,8 @@
 	post   func(func())
 	now    func() time.Duration
 
+	root    bool          // as logged last
+	stale   time.Duration // since when the mark has been stale; 0 while it is fresh
 	asks    uint64
 	answers map[uint64]pendingNext
 	lost    time.Time // since when the platform has not answered; zero while it does
@@ -72,6 +74,7 @@
 		calls: n.calls, meter: meter, submit: n.pool.Submit, post: c.post,
 		now:     func() time.Duration { return uptime() - start },
 		answers: make(map[uint64]pendingNext),
+		stale:   1, // a node that starts has no proof yet
 	}
 }
 
@@ -80,6 +83,24 @@
 func (w *watcher) tick() {
 	if w != nil {
 		w.do(w.core.Tick(w.now()))
+		w.logState(w.now())
+	}
+}
+
+// logState tells when the node begins or ceases to ask the platform for the others,
+// and when it can't say any more that its version is the newest.
+func (w *watcher) logState(now time.Duration) {
+	if root := w.core.Root(now); root != w.root {
+		w.root = root
+		w.log.Info("watch role", zap.Bool("root", root))
+	}
+	switch stale := w.core.Stale(now); {
+	case stale && w.stale == 0:
+		w.stale = max(now, 1)
+		w.log.Warn("configuration may be old", zap.Bool("root", w.root))
+	case !stale && w.stale != 0:
+		w.log.Info("configuration is the newest", zap.Duration("after", now-w.stale))
+		w.stale = 0
 	}
 }
 
