--- a/internal/core/member/start_test.go
+++ b/internal/core/member/start_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
 )
 
 // Guards against members that start together and stay strangers: each joins through
@@ -42,3 +44,38 @@
 	})
 	return c
 }
+
+// Guards against members that join holding up the news of one that has long been there:
+// it gives the state within its budget, and only one that has just started beyond it.
+func TestTheStateIsGivenBeyondTheBudgetOnlyAfterAStart(t *testing.T) {
+	is := is.New(t)
+	net := newTestNet(DefaultConfig(), 1)
+	net.cluster(30, oneRegion)
+	net.run(5 * time.Second)
+	n := net.nodes[3].s
+	pull := func() *Message {
+		n.Spend(1 << 20)
+		return n.HandleRequest(net.now, &Message{
+			Kind: Pull, From: net.nodes[4].rec.ID, Status: Alive, Incarnation: 100, Room: maxJoin * uint32(net.cfg.MaxItems),
+		})
+	}
+	is.True(len(pull().Packed) > 0)
+	net.run(net.cfg.CatchUp)
+	is.Equal(len(pull().Packed), 0)
+}
+
+// Guards against a fleet at rest whose members go on fetching the state.
+func TestTheStateIsNotFetchedAgainAtRest(t *testing.T) {
+	is := is.New(t)
+	net := newTestNet(DefaultConfig(), 1)
+	net.cluster(30, oneRegion)
+	net.run(net.cfg.CatchUp + 5*time.Second)
+	for _, n := range net.nodes {
+		n.s.join.refreshes = 0
+	}
+	net.run(30 * time.Second)
+	for _, n := range net.nodes {
+		is.Equal(n.s.join.refreshes, 0)
+		is.True(!n.s.join.fetching)
+	}
+}
