Leave a target whose address serves another service, and close a stream once

The node now says "misdirected", and callers leave the target for its incarnation.

The reader belongs to the stream alone now.

--- a/internal/adapter/hertzhttp/client.go
+++ b/internal/adapter/hertzhttp/client.go
@@ -200,6 +200,7 @@
 	}
 	cc.ours.Store(true) // until someone reads
 	res.Stream = &Stream{r: resp.BodyStream(), conn: cc, stop: stop, keep: !resp.ConnectionClose()}
+	resp.ConstructBodyStream(nil, nil) // which would close the reader a second time
 	res.Length = max(n, -1)
 	return nil
 }
--- a/internal/adapter/hertzhttp/client_test.go
+++ b/internal/adapter/hertzhttp/client_test.go
@@ -389,3 +389,37 @@
 	_ = c.Close()
 	is.Equal(limit.Open(), 0)
 }
+
+// Guards against two answers that are read through one reader: the codec pools readers,
+// and gives one that was closed twice to two calls.
+func TestAStreamThatWasReleasedWithItsAnswerServesNoOther(t *testing.T) {
+	is := is.New(t)
+	addr := peer(t, func(_ int, c net.Conn, r *http.Request) {
+		write(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n"+r.URL.Path+"\r\n0\r\n\r\n")
+	})
+	cl := NewClient(DefaultClientConfig())
+	defer cl.Close()
+	stream := func(path string) (*Stream, *protocol.Response) {
+		resp := protocol.AcquireResponse()
+		res, err := cl.Do(context.Background(), addr, get(path), resp)
+		is.NoErr(err)
+		is.True(res.Stream != nil)
+		return res.Stream, resp
+	}
+	for range 100 { // the pool may forget, and then proves nothing
+		s, resp := stream("/0")
+		is.NoErr(s.Close())
+		protocol.ReleaseResponse(resp)
+		a, _ := stream("/a")
+		b, _ := stream("/b")
+		for _, x := range []struct {
+			s    *Stream
+			want string
+		}{{a, "/a"}, {b, "/b"}} {
+			got, err := io.ReadAll(x.s)
+			is.NoErr(err)
+			is.Equal(string(got), x.want)
+			is.NoErr(x.s.Close())
+		}
+	}
+}
--- a/internal/dataplane/call_test.go
+++ b/internal/dataplane/call_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	"peardrift/internal/core/request"
 	"peardrift/internal/core/retry"
 	"peardrift/internal/core/route"
+	"peardrift/internal/status"
 	"peardrift/internal/wire"
 )
 
@@ -162,3 +164,29 @@
 	is.Equal(r.outcome, request.Unknown)
 	is.Equal(r.attempts, 2)
 }
+
+// Guards against a target that is gone and whose address another service's node has
+// taken over: it refuses at once, always looks idle, and would draw calls until the
+// membership has noticed, seconds later.
+func TestATargetWhoseAddressServesAnotherServiceIsLeft(t *testing.T) {
+	is := is.New(t)
+	var there, elsewhere atomic.Int32
+	other := fakeNode(t, func(_ context.Context, c *app.RequestContext) {
+		elsewhere.Add(1)
+		wire.SetAnswer(&c.Response.Header, &wire.Answer{Outcome: request.Refused, Code: status.CodeMisdirected})
+		c.SetStatusCode(http.StatusServiceUnavailable)
+	})
+	right := fakeNode(t, func(_ context.Context, c *app.RequestContext) {
+		there.Add(1)
+		wire.SetAnswer(&c.Response.Header, &wire.Answer{Outcome: request.Completed})
+	})
+	e, info := caller(t, other, right)
+	for range 200 {
+		out := outgoingTo(e, info)
+		resp := protocol.AcquireResponse()
+		is.Equal(e.call(context.Background(), out, resp).outcome, request.Completed)
+		e.ProbeTargets(func(f func()) error { f(); return nil })
+	}
+	is.Equal(there.Load(), int32(200))
+	is.True(elsewhere.Load() <= 1)
+}
--- a/internal/dataplane/callee.go
+++ b/internal/dataplane/callee.go
@@ -175,7 +175,7 @@
 		return route.Ignored
 	case status.CodeOverloaded, status.CodeOverShare, status.CodeTargetShed:
 		return route.Shed
-	case status.CodeDraining:
+	case status.CodeDraining, status.CodeMisdirected:
 		return route.Leaves
 	case status.CodeConnectFailed, status.CodeConnectionLost:
 		if r.answered {
--- a/internal/dataplane/explain.go
+++ b/internal/dataplane/explain.go
@@ -52,7 +52,7 @@
 func forNow(code status.Code) bool {
 	switch code {
 	case status.CodeOverloaded, status.CodeOverShare, status.CodeDeadline, status.CodeNoTarget,
-		status.CodeDraining, status.CodeNotReady, status.CodeConnectFailed,
+		status.CodeDraining, status.CodeNotReady, status.CodeMisdirected, status.CodeConnectFailed,
 		status.CodeRetriesExhausted, status.CodeSuspect, status.CodeIsolationBusy, status.CodeCanceled:
 		return true
 	}
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -109,7 +109,7 @@
 	if info.Name != e.self.Service {
 		// A caller with an old view: an address that another service's target
 		// has taken over must not run the call.
-		return status.Refuse(status.CodeNotReady, 0, "no target of %s is here", info.Name)
+		return status.Refuse(status.CodeMisdirected, 0, "no target of %s is here", info.Name)
 	}
 	if !info.Accepts(meta.Tenant) {
 		return status.Refuse(status.CodeForbidden, 0, "%s takes no requests of tenant %s", info.Name, meta.Tenant)
@@ -123,7 +123,7 @@
 // newest that some node has must not refuse for that.
 func (e *Engine) acceptRouted(s *serving, v *View) *status.Error {
 	if s.meta.Service != e.self.Service {
-		return status.Refuse(status.CodeNotReady, 0, "no target of %s is here", s.meta.Service)
+		return status.Refuse(status.CodeMisdirected, 0, "no target of %s is here", s.meta.Service)
 	}
 	if v.Leaving {
 		return status.Refuse(status.CodeDraining, 0, "the node is stopping, use another")
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -41,6 +41,7 @@
 	CodeNoTarget         Code = "no-target"
 	CodeDraining         Code = "draining"
 	CodeNotReady         Code = "not-ready"
+	CodeMisdirected      Code = "misdirected" // another service's node is at the address
 	CodeConnectFailed    Code = "connect-failed"
 	CodeRetriesExhausted Code = "retries-exhausted"
 	CodeIsolationBusy    Code = "isolation-busy"
