--- a/internal/core/watch/state.go
+++ b/internal/core/watch/state.go
@@ -97,21 +97,17 @@
 
 // Stale reports whether the mark is so old, or missing, that the platform is asked
 // whatever the parent says.
-func (s *State) Stale(now time.Duration) bool { return s.stale(now) }
+func (s *State) Stale(now time.Duration) bool { return !s.marked || now-s.mark > s.cfg.Stale }
 
 // Root reports whether the node is one of those that ask the platform all the time.
-func (s *State) Root(now time.Duration) bool { return s.root(now) }
-
-func (s *State) stale(now time.Duration) bool { return !s.marked || now-s.mark > s.cfg.Stale }
-
-func (s *State) root(now time.Duration) bool {
+func (s *State) Root(now time.Duration) bool {
 	return s.complete && s.tree.root && now >= s.settled
 }
 
 // step asks whom there is to ask.
 func (s *State) step(now time.Duration) {
-	root := s.root(now)
-	stale := s.stale(now)
+	root := s.Root(now)
+	stale := s.Stale(now)
 	if s.platform.id == 0 && now >= s.next && (root || stale) {
 		s.askPlatform(now)
 	}
@@ -179,7 +175,7 @@
 	if r.Version > s.version {
 		s.marked = false // there is a newer one, which the parent could not give
 	}
-	if !news || s.stale(now) {
+	if !news || s.Stale(now) {
 		s.turn()
 	}
 	// A peer that answers at once without news is followed by another at the next
@@ -205,7 +201,7 @@
 func (s *State) platformFailed(now time.Duration) {
 	s.platform = question{}
 	pause := s.cfg.RetryMin
-	if !s.root(now) {
+	if !s.Root(now) {
 		most := max(s.cfg.RetryMax, time.Second*time.Duration(s.near)/time.Duration(s.cfg.RetryRate))
 		pause = min(s.cfg.RetryMin<<min(s.failed, 16), most)
 	}
--- a/internal/core/watch/watch_test.go
+++ b/internal/core/watch/watch_test.go
@@ -86,7 +86,7 @@
 func (w *world) roots() []*node {
 	var out []*node
 	for _, n := range w.nodes {
-		if n.state.root(w.now) {
+		if n.state.Root(w.now) {
 			out = append(out, n)
 		}
 	}
