Step the tests' fleets by one virtual clock

Cause: the watch's test world brought the third heap of events beside those of the membership's and the configuration's tests. Change: internal/simtime, used by the three; events due at one time now run in the order of queueing in all of them.

--- a/internal/core/inforce/spread_test.go
+++ b/internal/core/inforce/spread_test.go
@@ -1,7 +1,6 @@
 package inforce
 
 import (
-	"container/heap"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -16,6 +15,7 @@
 	"peardrift/internal/core/confset"
 	"peardrift/internal/core/request"
 	"peardrift/internal/port/porttest"
+	"peardrift/internal/simtime"
 )
 
 func manyPeers(n, regions int) []Peer {
@@ -73,9 +73,8 @@
 // fleet steps the states of many nodes under a virtual clock. Heads are gossiped
 // by a model: each node exchanges what it knows with exchanges others a second.
 type fleet struct {
-	rng    *rand.Rand
-	now    time.Duration
-	queue  timers
+	rng *rand.Rand
+	simtime.Queue
 	peers  []Peer
 	near   map[string][]Peer
 	nodes  []*State
@@ -101,24 +100,6 @@
 	overhead    = 80 // bytes of TCP/IP and RPC headers of a message
 )
 
-type timer struct {
-	at time.Duration
-	f  func()
-}
-
-type timers []timer
-
-func (q timers) Len() int           { return len(q) }
-func (q timers) Less(i, j int) bool { return q[i].at < q[j].at }
-func (q timers) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-func (q *timers) Push(x any)        { *q = append(*q, x.(timer)) }
-func (q *timers) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
-}
-
 func newFleet(cfg Config, n int, loss float64) *fleet {
 	f := &fleet{
 		rng: rand.New(rand.NewPCG(1, 2)), peers: manyPeers(n, 3), near: make(map[string][]Peer),
@@ -134,31 +115,24 @@
 		s := New(cfg, p, rand.New(rand.NewPCG(3, uint64(i))), 0)
 		s.SetPeers(f.peers, f.near[p.Region], true)
 		f.nodes = append(f.nodes, s)
-		f.every(tickEvery, func() { f.do(i, s.Tick(f.now)) })
+		f.every(tickEvery, func() { f.do(i, s.Tick(f.Now)) })
 		f.every(time.Second/exchanges, func() { f.gossip(i, f.rng.IntN(n)) })
 	}
 	return f
 }
 
-func (f *fleet) after(d time.Duration, g func()) { heap.Push(&f.queue, timer{f.now + d, g}) }
-
 // every repeats g with a random phase.
 func (f *fleet) every(d time.Duration, g func()) {
 	var again func()
 	again = func() {
 		g()
-		f.after(d, again)
+		f.After(d, again)
 	}
-	f.after(time.Duration(f.rng.Int64N(int64(d))), again)
+	f.After(time.Duration(f.rng.Int64N(int64(d))), again)
 }
 
 func (f *fleet) run(until time.Duration) {
-	for f.queue[0].at < until {
-		t := heap.Pop(&f.queue).(timer)
-		f.now = t.at
-		t.f()
-	}
-	f.now = until
+	f.RunUntil(until)
 }
 
 // send delivers from one node to another, unless the message is lost.
@@ -171,7 +145,7 @@
 	if f.peers[from].Region != f.peers[to].Region {
 		d = between
 	}
-	f.after(d, func() {
+	f.After(d, func() {
 		f.bytes[to] += size + overhead
 		g()
 	})
@@ -179,10 +153,10 @@
 
 // installed notes that a version and all before it are in force on a node.
 func (f *fleet) installed(i int, version int64) {
-	f.inForc[i] = f.now
+	f.inForc[i] = f.Now
 	for v := version; v > 0 && f.have[i] < v; v-- {
 		if f.holds[v]++; f.holds[v] == len(f.nodes) {
-			f.whole[v] = f.now
+			f.whole[v] = f.Now
 		}
 	}
 	f.have[i] = version
@@ -193,10 +167,10 @@
 		return
 	}
 	for _, h := range slices.Clone(f.heads[a]) {
-		f.do(b, f.nodes[b].Learn(f.now, h))
+		f.do(b, f.nodes[b].Learn(f.Now, h))
 	}
 	for _, h := range slices.Clone(f.heads[b]) {
-		f.do(a, f.nodes[a].Learn(f.now, h))
+		f.do(a, f.nodes[a].Learn(f.Now, h))
 	}
 }
 
@@ -217,9 +191,9 @@
 			f.send(i, j, sizeOf(a.Ask), func() {
 				f.asked++
 				f.asks[f.asked] = func(r Reply) {
-					f.send(j, i, sizeOf(r), func() { f.do(i, s.HandleReply(f.now, a.ID, r)) })
+					f.send(j, i, sizeOf(r), func() { f.do(i, s.HandleReply(f.Now, a.ID, r)) })
 				}
-				f.do(j, f.nodes[j].HandleAsk(f.now, f.asked, a.Ask))
+				f.do(j, f.nodes[j].HandleAsk(f.Now, f.asked, a.Ask))
 			})
 		case Answer:
 			reply := f.asks[a.ID]
@@ -231,19 +205,19 @@
 			f.heads[i] = []confset.Head{a.Head}
 		case LoadObject:
 			f.loads++
-			f.after(platformRTT, func() {
+			f.After(platformRTT, func() {
 				body, _ := f.store.Body(ctx, a.Head.Tenant, a.Head.Digest)
-				f.do(i, s.HandleLoaded(f.now, a.ID, body))
+				f.do(i, s.HandleLoaded(f.Now, a.ID, body))
 			})
 		case ReadHead:
-			f.after(platformRTT, func() {
+			f.After(platformRTT, func() {
 				r, _ := f.store.Head(ctx, a.Tenant)
-				f.do(i, s.HandleHead(f.now, a.ID, confset.Head{Tenant: r.Tenant, Version: r.Version, Digest: r.Digest}))
+				f.do(i, s.HandleHead(f.Now, a.ID, confset.Head{Tenant: r.Tenant, Version: r.Version, Digest: r.Digest}))
 			})
 		case ReadTenants:
-			f.after(platformRTT, func() {
+			f.After(platformRTT, func() {
 				tenants, _, _ := f.store.Tenants(ctx)
-				f.do(i, s.HandleTenants(f.now, a.ID, tenants))
+				f.do(i, s.HandleTenants(f.Now, a.ID, tenants))
 			})
 		}
 	}
@@ -343,7 +317,7 @@
 				for i := range changes {
 					set.Services[2+i%20].Slots = i + 10
 					f.apply(b, set, int64(i+1))
-					applied[int64(i+2)] = f.now
+					applied[int64(i+2)] = f.Now
 					f.run(start + minute*time.Duration(i+1)/changes)
 				}
 				inMinute, busiest := f.total(), slices.Max(f.bytes)
--- a/internal/core/member/fault_test.go
+++ b/internal/core/member/fault_test.go
@@ -75,7 +75,7 @@
 	net := restingNet(20, oneRegion)
 	n := net.nodes[5]
 	before := n.s.Stats().Suspicions
-	n.frozen = net.now + 30*time.Second
+	n.frozen = net.Now + 30*time.Second
 	net.run(45 * time.Second)
 	is.Equal(n.s.Stats().Pauses, uint64(1))
 	is.Equal(n.s.Stats().Suspicions, before)
@@ -127,8 +127,8 @@
 	net := restingNet(10, oneRegion)
 	n, peer := net.nodes[0], net.nodes[1]
 	beat := &Message{Kind: Heartbeat, From: peer.rec.ID, Incarnation: peer.s.Incarnation(), Body: peer.s.body, Seq: 1000, Room: 500}
-	is.True(n.s.HandleRequest(net.now, beat) != nil)
-	n.s.PutFact(net.now, Fact{Kind: ConfigHead, Key: 5, Version: 1})
+	is.True(n.s.HandleRequest(net.Now, beat) != nil)
+	n.s.PutFact(net.Now, Fact{Kind: ConfigHead, Key: 5, Version: 1})
 	for _, tt := range []struct {
 		seq, got uint32
 		facts    int
@@ -138,7 +138,7 @@
 		{1003, 1002, 0}, // and not after it arrived
 	} {
 		beat.Seq, beat.Got = tt.seq, tt.got
-		r := n.s.HandleRequest(net.now, beat)
+		r := n.s.HandleRequest(net.Now, beat)
 		is.Equal(len(r.Facts), tt.facts)
 	}
 }
--- a/internal/core/member/net_test.go
+++ b/internal/core/member/net_test.go
@@ -1,23 +1,21 @@
 package member
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"peardrift/internal/core/request"
+	"peardrift/internal/simtime"
 )
 
 // testNet delivers the messages of several states under a virtual clock.
 type testNet struct {
-	now    time.Duration
+	simtime.Queue
 	rng    *rand.Rand
 	cfg    Config
 	nodes  []*testNode
 	byAddr map[string]*testNode
-	events eventHeap
-	seq    int
 	loss   float64                       // chance that a request or a reply is lost
 	dup    float64                       // chance that a request arrives twice
 	cut    func(from, to *testNode) bool // nil: no cuts
@@ -31,27 +29,6 @@
 	next   time.Duration
 }
 
-type event struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int      { return len(h) }
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
-}
-func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return e
-}
-
 const testDelay = 10 * time.Millisecond
 
 func newTestNet(cfg Config, seed uint64) *testNet {
@@ -72,7 +49,7 @@
 
 // start adds a node that joins through the given ones.
 func (t *testNet) start(rec Record, seeds ...*testNode) *testNode {
-	n := &testNode{rec: rec, next: t.now + time.Duration(t.rng.Int64N(int64(t.cfg.TickEvery)))}
+	n := &testNode{rec: rec, next: t.Now + time.Duration(t.rng.Int64N(int64(t.cfg.TickEvery)))}
 	n.s = New(t.cfg, rec, rand.New(rand.NewPCG(uint64(rec.ID), uint64(rec.Incarnation))))
 	var peers []Peer
 	for _, p := range seeds {
@@ -105,23 +82,15 @@
 	t.start(rec, seed)
 }
 
-func (t *testNet) after(d time.Duration, run func()) {
-	t.seq++
-	heap.Push(&t.events, event{t.now + d, t.seq, run})
-}
-
 // run advances the clock.
 func (t *testNet) run(d time.Duration) {
-	end := t.now + d
-	for t.now < end {
-		t.now += testDelay
-		for len(t.events) > 0 && t.events[0].at <= t.now {
-			heap.Pop(&t.events).(event).run()
-		}
+	end := t.Now + d
+	for t.Now < end {
+		t.RunUntil(t.Now + testDelay)
 		for _, n := range t.nodes {
-			if !n.down && n.frozen <= t.now && n.next <= t.now {
-				n.next = t.now + t.cfg.TickEvery
-				t.do(n, n.s.Tick(t.now))
+			if !n.down && n.frozen <= t.Now && n.next <= t.Now {
+				n.next = t.Now + t.cfg.TickEvery
+				t.do(n, n.s.Tick(t.Now))
 			}
 		}
 	}
@@ -147,7 +116,7 @@
 			whenThawed(t, n, f)
 		}
 	}
-	t.after(x.Timeout, func() { finish(func() { n.s.HandleFailure(t.now, x.To) }) })
+	t.After(x.Timeout, func() { finish(func() { n.s.HandleFailure(t.Now, x.To) }) })
 	to := t.byAddr[x.To.Control]
 	if t.lost(n, to) {
 		return
@@ -158,16 +127,16 @@
 		times = 2
 	}
 	for range times {
-		t.after(testDelay, func() {
+		t.After(testDelay, func() {
 			whenThawed(t, to, func() {
 				to.s.Spend(x.Msg.Size() + 150)
-				r := to.s.HandleRequest(t.now, x.Msg)
+				r := to.s.HandleRequest(t.Now, x.Msg)
 				if r == nil || t.lost(to, n) {
 					return
 				}
 				to.s.Spend(r.Size() + 150)
-				t.after(testDelay, func() {
-					finish(func() { n.s.Spend(r.Size() + 150); n.s.HandleReply(t.now, x.To, r) })
+				t.After(testDelay, func() {
+					finish(func() { n.s.Spend(r.Size() + 150); n.s.HandleReply(t.Now, x.To, r) })
 				})
 			})
 		})
@@ -178,8 +147,8 @@
 func whenThawed(t *testNet, n *testNode, f func()) {
 	switch {
 	case n.down:
-	case n.frozen > t.now:
-		t.after(n.frozen-t.now, func() { whenThawed(t, n, f) })
+	case n.frozen > t.Now:
+		t.After(n.frozen-t.Now, func() { whenThawed(t, n, f) })
 	default:
 		f()
 	}
--- a/internal/core/member/prop_test.go
+++ b/internal/core/member/prop_test.go
@@ -64,7 +64,7 @@
 func (t *testNet) upOther(i int) *testNode {
 	for j := range t.nodes {
 		n := t.nodes[(i+1+j)%len(t.nodes)]
-		if !n.down && n != t.nodes[i] && n.s.Joined() && n.frozen <= t.now {
+		if !n.down && n != t.nodes[i] && n.s.Joined() && n.frozen <= t.Now {
 			return n
 		}
 	}
@@ -77,9 +77,9 @@
 	n := net.nodes[i]
 	switch rapid.SampledFrom([]string{"leave", "depart", "kill", "restart", "freeze", "fact", "update", "cut", "split", "heal", "loss"}).Draw(t, "what") {
 	case "leave":
-		n.s.Leave(net.now)
+		n.s.Leave(net.Now)
 	case "depart":
-		n.s.Depart(net.now)
+		n.s.Depart(net.Now)
 		net.run(time.Second)
 		n.down = true
 	case "kill":
@@ -89,14 +89,14 @@
 			net.restart(i, seed)
 		}
 	case "freeze":
-		n.frozen = net.now + time.Duration(rapid.IntRange(1, 40).Draw(t, "seconds"))*time.Second
+		n.frozen = net.Now + time.Duration(rapid.IntRange(1, 40).Draw(t, "seconds"))*time.Second
 	case "fact":
 		*version++
-		n.s.PutFact(net.now, Fact{Kind: ConfigHead, Key: 1, Version: *version})
+		n.s.PutFact(net.Now, Fact{Kind: ConfigHead, Key: 1, Version: *version})
 	case "update":
 		rec := n.rec
-		rec.Slots = uint32(net.now / time.Second)
-		n.s.Update(net.now, rec)
+		rec.Slots = uint32(net.Now / time.Second)
+		n.s.Update(net.Now, rec)
 	case "cut":
 		net.cut = func(a, b *testNode) bool { return a.rec.Region != b.rec.Region }
 	case "split":
@@ -130,7 +130,7 @@
 		}
 		net.cut, net.loss, net.dup = nil, 0, 0
 		for _, n := range net.nodes {
-			n.frozen = min(n.frozen, net.now)
+			n.frozen = min(n.frozen, net.Now)
 		}
 		for range 30 {
 			if net.run(10 * time.Second); net.disagree() == "" {
@@ -185,7 +185,7 @@
 			if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
 				n.down = true
 			} else {
-				n.frozen = net.now + time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms"))*time.Millisecond
+				n.frozen = net.Now + time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms"))*time.Millisecond
 			}
 			net.run(time.Duration(rapid.IntRange(1, 15).Draw(t, "wait")) * time.Second)
 			for _, a := range net.nodes {
--- a/internal/core/member/start_test.go
+++ b/internal/core/member/start_test.go
@@ -55,7 +55,7 @@
 	n := net.nodes[3].s
 	pull := func() *Message {
 		n.Spend(1 << 20)
-		return n.HandleRequest(net.now, &Message{
+		return n.HandleRequest(net.Now, &Message{
 			Kind: Pull, From: net.nodes[4].rec.ID, Status: Alive, Incarnation: 100, Room: maxJoin * uint32(net.cfg.MaxItems),
 		})
 	}
--- a/internal/core/member/state_test.go
+++ b/internal/core/member/state_test.go
@@ -47,8 +47,8 @@
 	net := newTestNet(DefaultConfig(), 2)
 	net.cluster(30, twoRegions)
 	net.run(40 * time.Second)
-	net.nodes[3].s.Leave(net.now)
-	net.nodes[4].s.PutFact(net.now, Fact{Kind: ConfigHead, Key: 7, Version: 9, Value: []byte("digest")})
+	net.nodes[3].s.Leave(net.Now)
+	net.nodes[4].s.PutFact(net.Now, Fact{Kind: ConfigHead, Key: 7, Version: 9, Value: []byte("digest")})
 	net.run(5 * time.Second)
 	for _, n := range net.nodes {
 		is.Equal(net.status(n, net.nodes[3]), "leaving")
@@ -56,7 +56,7 @@
 		is.True(ok)
 		is.Equal(f.Version, uint64(9))
 	}
-	net.nodes[3].s.Depart(net.now)
+	net.nodes[3].s.Depart(net.Now)
 	net.run(3 * time.Second)
 	net.nodes[3].down = true
 	net.run(20 * time.Second)
@@ -100,7 +100,7 @@
 		is.Equal(m.Incarnation, uint32(110))
 	}
 	n := net.nodes[9]
-	n.frozen = net.now + 30*time.Second
+	n.frozen = net.Now + 30*time.Second
 	net.run(45 * time.Second)
 	m, _ := net.nodes[0].s.Lookup(n.rec.ID)
 	is.Equal(m.Incarnation, uint32(111)) // it refuted
@@ -113,7 +113,7 @@
 	net.cluster(20, oneRegion)
 	net.run(30 * time.Second)
 	for i := range 20 {
-		net.nodes[i].frozen = net.now + 5*time.Second
+		net.nodes[i].frozen = net.Now + 5*time.Second
 		net.run(7 * time.Second)
 	}
 	for _, n := range net.nodes {
--- a/internal/core/watch/watch_test.go
+++ b/internal/core/watch/watch_test.go
@@ -71,7 +71,7 @@
 					w.accept()
 					w.watch(time.Second)
 					for _, n := range w.roots()[:roots] {
-						n.upset = w.now
+						n.upset = w.Now
 						fault(n)
 					}
 					w.watch(wait)
@@ -86,7 +86,7 @@
 func (w *world) roots() []*node {
 	var out []*node
 	for _, n := range w.nodes {
-		if n.state.Root(w.now) {
+		if n.state.Root(w.Now) {
 			out = append(out, n)
 		}
 	}
@@ -95,13 +95,13 @@
 
 func (n *node) kill() {
 	n.up = false
-	n.upset = n.w.now
+	n.upset = n.w.Now
 	n.w.tell(n.w.delay)
 }
 
 func (n *node) revive() {
 	if !n.up {
-		n.upset = n.w.now
+		n.upset = n.w.Now
 		n.start()
 		n.w.tell(500 * time.Millisecond)
 	}
@@ -109,7 +109,7 @@
 
 func (n *node) thaw() {
 	if n.frozen {
-		n.frozen, n.upset = false, n.w.now
+		n.frozen, n.upset = false, n.w.Now
 		held := n.held
 		n.held = nil
 		for _, f := range held {
@@ -152,10 +152,10 @@
 	for i := range count {
 		n := some[(from+i)%len(some)]
 		if n.up {
-			n.upset = w.now
+			n.upset = w.Now
 			begin(n)
-			w.after(lasts, func() {
-				n.upset = w.now
+			w.After(lasts, func() {
+				n.upset = w.Now
 				end(n)
 			})
 		}
@@ -164,16 +164,16 @@
 
 func (w *world) disturb(what *bool, lasts time.Duration) {
 	*what = true
-	w.platform.upset = w.now
+	w.platform.upset = w.Now
 	if what == &w.platform.silent {
 		for _, c := range w.platform.waiting {
 			c.over = true // its answer is lost
 		}
 		w.platform.waiting = nil
 	}
-	w.after(lasts, func() {
+	w.After(lasts, func() {
 		*what = false
-		w.platform.upset = w.now
+		w.platform.upset = w.Now
 	})
 }
 
@@ -185,7 +185,7 @@
 	w.platform.waiting = nil
 	for _, n := range w.nodes {
 		clear(n.answers)
-		n.upset = w.now
+		n.upset = w.Now
 	}
 }
 
--- a/internal/core/watch/world_test.go
+++ b/internal/core/watch/world_test.go
@@ -1,12 +1,12 @@
 package watch
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"peardrift/internal/core/request"
+	"peardrift/internal/simtime"
 )
 
 const (
@@ -20,10 +20,8 @@
 // world steps the states of many nodes under a virtual clock, beside a platform
 // that accepts versions.
 type world struct {
-	rng      *rand.Rand
-	now      time.Duration
-	queue    events
-	order    int
+	rng *rand.Rand
+	simtime.Queue
 	nodes    []*node
 	byID     map[request.TargetID]*node
 	platform platform
@@ -65,30 +63,9 @@
 	asked   uint64
 }
 
-type event struct {
-	at    time.Duration
-	order int
-	f     func()
-}
-
-type events []event
-
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
-}
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *events) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
-}
-
 func newWorld(n int, seed uint64, fatal func(string, ...any)) *world {
 	w := &world{
-		rng: rand.New(rand.NewPCG(seed, 1)), now: time.Minute, delay: 3 * time.Second,
+		rng: rand.New(rand.NewPCG(seed, 1)), Queue: simtime.Queue{Now: time.Minute}, delay: 3 * time.Second,
 		platform: platform{accepted: []time.Duration{0}, upset: never}, fatal: fatal,
 		byID: make(map[request.TargetID]*node),
 	}
@@ -104,24 +81,11 @@
 	return w
 }
 
-func (w *world) after(d time.Duration, f func()) {
-	w.order++
-	heap.Push(&w.queue, event{at: w.now + d, order: w.order, f: f})
-}
-
-func (w *world) run(d time.Duration) {
-	end := w.now + d
-	for len(w.queue) > 0 && w.queue[0].at <= end {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.f()
-	}
-	w.now = end
-}
+func (w *world) run(d time.Duration) { w.RunUntil(w.Now + d) }
 
 // tell lets all nodes know, after a time, which are up.
 func (w *world) tell(d time.Duration) {
-	w.after(d, func() {
+	w.After(d, func() {
 		var up []Peer
 		for _, n := range w.nodes {
 			if n.up {
@@ -129,7 +93,7 @@
 			}
 		}
 		for _, n := range w.nodes {
-			n.later(0, func() { n.do(n.state.SetPeers(w.now, up, true)) })
+			n.later(0, func() { n.do(n.state.SetPeers(w.Now, up, true)) })
 		}
 	})
 }
@@ -139,19 +103,19 @@
 	n.up, n.frozen, n.held = true, false, nil
 	n.version = 0
 	n.answers = make(map[uint64]func(Reply))
-	n.state = New(ConfigFor(bound), n.peer.ID, rand.New(rand.NewPCG(n.w.rng.Uint64(), 2)), n.w.now)
+	n.state = New(ConfigFor(bound), n.peer.ID, rand.New(rand.NewPCG(n.w.rng.Uint64(), 2)), n.w.Now)
 	n.later(time.Duration(n.w.rng.Int64N(int64(tick))), n.tick)
 }
 
 func (n *node) tick() {
-	n.do(n.state.Tick(n.w.now))
+	n.do(n.state.Tick(n.w.Now))
 	n.later(tick, n.tick)
 }
 
 // later runs f at the node: not in another life of it, and not while it is frozen.
 func (n *node) later(d time.Duration, f func()) {
 	life := n.life
-	n.w.after(d, func() {
+	n.w.After(d, func() {
 		switch {
 		case n.life != life || !n.up:
 		case n.frozen:
@@ -181,24 +145,24 @@
 func (n *node) hold(version int64) {
 	if version > n.version {
 		n.version = version
-		n.do(n.state.SetVersion(n.w.now, version))
+		n.do(n.state.SetVersion(n.w.Now, version))
 	}
 }
 
 func (n *node) askPlatform(a AskPlatform) {
 	w := n.w
 	w.calls++
-	n.later(a.Limit, func() { n.do(n.state.HandleFailure(w.now, a.ID)) })
-	w.after(oneWay, func() {
+	n.later(a.Limit, func() { n.do(n.state.HandleFailure(w.Now, a.ID)) })
+	w.After(oneWay, func() {
 		p := &w.platform
 		switch {
 		case n.cut || p.silent:
 			return
 		case p.refuses:
-			n.later(oneWay, func() { n.do(n.state.HandleFailure(w.now, a.ID)) })
+			n.later(oneWay, func() { n.do(n.state.HandleFailure(w.Now, a.ID)) })
 			return
 		}
-		c := &call{after: a.After, until: w.now + a.Wait}
+		c := &call{after: a.After, until: w.Now + a.Wait}
 		c.answer = func(version int64, quiet bool) {
 			c.over = true
 			n.later(oneWay, func() {
@@ -206,7 +170,7 @@
 					return
 				}
 				n.hold(version)
-				n.do(n.state.HandlePlatform(w.now, a.ID, version, quiet))
+				n.do(n.state.HandlePlatform(w.Now, a.ID, version, quiet))
 			})
 		}
 		if p.version > a.After {
@@ -214,7 +178,7 @@
 			return
 		}
 		p.waiting = append(p.waiting, c)
-		w.after(a.Wait, func() {
+		w.After(a.Wait, func() {
 			if !c.over && !p.silent {
 				c.answer(0, true)
 			}
@@ -224,7 +188,7 @@
 
 func (n *node) askPeer(a AskPeer) {
 	w := n.w
-	n.later(a.Limit, func() { n.do(n.state.HandleFailure(w.now, a.ID)) })
+	n.later(a.Limit, func() { n.do(n.state.HandleFailure(w.Now, a.ID)) })
 	to := w.byID[a.To.ID]
 	to.later(oneWay, func() {
 		if to.apart || n.apart {
@@ -237,10 +201,10 @@
 					return
 				}
 				n.hold(r.Version)
-				n.do(n.state.HandleReply(w.now, a.ID, r))
+				n.do(n.state.HandleReply(w.Now, a.ID, r))
 			})
 		}
-		to.do(to.state.HandleAsk(w.now, to.asked, a.Ask))
+		to.do(to.state.HandleAsk(w.Now, to.asked, a.Ask))
 	})
 }
 
@@ -248,7 +212,7 @@
 func (w *world) accept() {
 	p := &w.platform
 	p.version++
-	p.accepted = append(p.accepted, w.now)
+	p.accepted = append(p.accepted, w.Now)
 	waiting := p.waiting
 	p.waiting = nil
 	for _, c := range waiting {
@@ -261,7 +225,7 @@
 // due returns the newest version that has to be in force by now.
 func (w *world) due() int64 {
 	for v := w.platform.version; v > 0; v-- {
-		if w.now >= w.platform.accepted[v]+bound {
+		if w.Now >= w.platform.accepted[v]+bound {
 			return v
 		}
 	}
@@ -271,14 +235,14 @@
 // check fails if a node that is in touch lacks a version that is due.
 func (w *world) check() {
 	p := &w.platform
-	if p.silent || p.refuses || w.now < p.upset+contact {
+	if p.silent || p.refuses || w.Now < p.upset+contact {
 		return
 	}
 	due := w.due()
 	for i, n := range w.nodes {
-		calm := n.up && !n.frozen && !n.cut && !n.apart && w.now >= n.upset+contact
+		calm := n.up && !n.frozen && !n.cut && !n.apart && w.Now >= n.upset+contact
 		if calm && n.version < due {
-			w.fatal("at %v node %d of %d has version %d, due is %d of %d", w.now, i, len(w.nodes), n.version, due, p.version)
+			w.fatal("at %v node %d of %d has version %d, due is %d of %d", w.Now, i, len(w.nodes), n.version, due, p.version)
 		}
 	}
 }
@@ -286,7 +250,7 @@
 // watch runs for a while and checks all along.
 func (w *world) watch(d time.Duration) {
 	const step = 50 * time.Millisecond
-	for end := w.now + d; w.now < end; {
+	for end := w.Now + d; w.Now < end; {
 		w.run(step)
 		w.check()
 	}
