Judge reports in core/lifetime, not in platform/

Cause: platform/, which decides nothing, judged whether a report was of the own service and whether its start could be.

--- a/internal/core/lifetime/tracker_test.go
+++ b/internal/core/lifetime/tracker_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"peardrift/internal/port"
+	"peardrift/internal/status"
 )
 
 func report(instance string, seq int64) port.Report {
@@ -122,3 +124,25 @@
 	is.True(tr.Report(start(2000, 1)).Takes)
 	is.True(!tr.Report(port.Report{Instance: "a", Leaving: true, Last: true}).Takes) // of the latest
 }
+
+// Guards against a report that can't be the own target's being taken for it, and against
+// a start in the future that makes all later ones look like earlier ones.
+func TestReportsThatCantBeAreRefused(t *testing.T) {
+	is := is.New(t)
+	now := time.UnixMilli(1_767_225_600_000)
+	ok := port.Report{Instance: "a", Service: "s.t", Born: now.UnixMilli()}
+	is.NoErr(Check(ok, "s.t", now))
+	is.NoErr(Check(port.Report{Instance: "a", Last: true}, "s.t", now)) // names no service
+	for _, change := range []func(r *port.Report){
+		func(r *port.Report) { r.Instance = "" },
+		func(r *port.Report) { r.Service = "" },
+		func(r *port.Report) { r.Service = "other.t" },
+		func(r *port.Report) { r.Born = -1 },
+		func(r *port.Report) { r.Born = now.Add(2 * maxAhead).UnixMilli() },
+		func(r *port.Report) { r.Last, r.Born = true, -1 },
+	} {
+		r := ok
+		change(&r)
+		is.Equal(status.CodeOf(Check(r, "s.t", now)), status.CodeMalformed)
+	}
+}
--- a/internal/node/outside.go
+++ b/internal/node/outside.go
@@ -23,10 +23,10 @@
 	// InForceIn is the time within which an accepted set is to be in force at
 	// every node; 0 for a default.
 	InForceIn time.Duration
-	// Reports returns the handler to which the own target reports. take returns
-	// whether a report is in force, so that it may be acknowledged; refused is
-	// told of what is no report of the own target.
-	Reports func(take func(port.Report) bool, refused func(error)) hertzhttp.Handler
+	// Reports returns the handler to which the own target reports. take returns nil
+	// once a report is in force, so that it may be acknowledged; refused is called
+	// with why something is no report.
+	Reports func(take func(port.Report) error, refused func(error)) hertzhttp.Handler
 	// Bootstrap says that the whole fleet starts for the first time.
 	Bootstrap bool
 	// RetryBudget is the attempts beyond the first that all nodes together may
@@ -41,9 +41,16 @@
 	Close()
 }
 
-// reported takes in what the own target says. When it returns true that is in force.
-func (n *Node) reported(r port.Report) bool {
-	return n.control.ask(func() { n.control.reported(r) })
+// reported takes in what the own target says. When it returns nil that is in force.
+func (n *Node) reported(r port.Report) error {
+	if err := lifetime.Check(r, n.self.Service, time.Now()); err != nil {
+		n.refused(err)
+		return err
+	}
+	if !n.control.ask(func() { n.control.reported(r) }) {
+		return errStopping
+	}
+	return nil
 }
 
 // refused tells of a report that was not taken.
--- a/internal/port/sets.go
+++ b/internal/port/sets.go
@@ -40,6 +40,7 @@
 type Report struct {
 	Instance string // its name
 	Born     int64  // when it started, in Unix milliseconds; 0 if it doesn't say
+	Service  request.Service
 	Address  string // where it serves; empty if it doesn't say
 	Slots    int    // requests that it runs at once; 0 if it doesn't say
 	Leaving  bool   // it takes no new work
