Begin no call for a request that has failed, and test the watch's guards

Between the look at calls under way and the end of the request a call could begin; and a call read after the request's end was taken for a request of its own. A failing answer ends the begin of attempts in the same step as the look, and the last 256 failures are remembered, so that their late calls are refused.

--- a/bench/e2e/cancel_test.go
+++ b/bench/e2e/cancel_test.go
@@ -114,18 +114,15 @@
 	is.Equal(c.hosts[2].counters().Cancelled, int64(1))
 }
 
-// Symptom: a payment's caller is told "failed" and pays again, though the
-// payment goes on.
-// Events: a target gives up a call below it that is still running, and answers
-// that it failed. Cause: only calls that have ended count as in doubt.
+// Guards against "failed" being said while a call below, given up by its target, runs on.
 func TestFailureWithACallUnderWayIsInDoubt(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, threeServicesWithin(never))
 	hasty := chainConfig("feed.khaosan", 10, target.Call{Service: "media.khaosan", Path: "/m", Required: true})
-	hasty.CallTimeout = 5 * time.Millisecond
+	hasty.CallTimeout = 250 * time.Millisecond // in which the call gets to its target
 	c.add("feed-1", hasty, nil)
 	slow := chainConfig("media.khaosan", 10)
-	slow.ServiceTime, slow.IgnoreCancel = time.Second, true
+	slow.ServiceTime, slow.IgnoreCancel = 2*time.Second, true
 	c.add("media-1", slow, nil)
 	c.publish()
 	to, err := c.ask(c.hosts[0], query{method: "POST", host: "feed.khaosan", path: "/x"}, "mark")
--- a/internal/core/watch/watch_test.go
+++ b/internal/core/watch/watch_test.go
@@ -324,3 +324,117 @@
 		}
 	}
 }
+
+// Guards against children that stay with a parent which is gone, and each ask the
+// platform instead.
+func TestChildrenTurnFromADeadParent(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(96, 1, t.Fatalf)
+	w.delay = time.Hour // nobody is told
+	w.watch(5 * time.Second)
+	w.roots()[0].kill()
+	w.watch(2 * ConfigFor(bound).PeerLimit)
+	before := w.calls
+	const seconds = 10
+	w.watch(seconds * time.Second)
+	cfg := ConfigFor(bound)
+	is.True(w.calls-before <= cfg.Roots*seconds*int(time.Second/cfg.Wait+1))
+}
+
+// Guards against a root that the platform turns away and that waits for it alone.
+func TestARootThatIsTurnedAwayAsksOthers(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(18, 1, t.Fatalf)
+	w.watch(5 * time.Second)
+	root := w.roots()[0]
+	root.cut = true
+	w.watch(bound)
+	w.accept()
+	w.watch(bound)
+	is.Equal(root.version, int64(1))
+}
+
+// asked returns the IDs of the questions to the platform and to a peer.
+func asked(actions []Action) (platform, peer uint64) {
+	for _, a := range actions {
+		if ask, ok := a.(AskPlatform); ok {
+			platform = ask.ID
+		}
+	}
+	return platform, pending(actions)
+}
+
+// begun returns a node of two that has asked the platform and its peer.
+func begun(t *testing.T) (s *State, platform, peer uint64) {
+	s = New(ConfigFor(bound), 2, rand.New(rand.NewPCG(1, 1)), 0)
+	platform, peer = asked(s.SetPeers(0, []Peer{{ID: 1}, {ID: 2}}, false))
+	if platform == 0 || peer == 0 {
+		t.Fatal("a node that starts asks nobody")
+	}
+	return s, platform, peer
+}
+
+// Guards against a mark for a version that could not be put in force.
+func TestAVersionThatIsNotHeldMakesNoMark(t *testing.T) {
+	is := is.New(t)
+	s, platform, _ := begun(t)
+	s.HandlePlatform(10*time.Millisecond, platform, 9, false)
+	_, ok := s.Mark()
+	is.True(!ok)
+
+	s, platform, peer := begun(t)
+	s.HandlePlatform(10*time.Millisecond, platform, 0, false)
+	is.True(!s.Stale(time.Second))
+	s.HandleReply(time.Second, peer, Reply{Version: 9})
+	is.True(s.Stale(time.Second)) // there is a newer one
+}
+
+// Guards against an answer that was held up on the way being taken for a young one.
+func TestALateAnswerOfThePlatformMakesNoYoungMark(t *testing.T) {
+	is := is.New(t)
+	s, platform, _ := begun(t)
+	s.HandlePlatform(ConfigFor(bound).Limit, platform, 0, true)
+	at, ok := s.Mark()
+	is.True(ok)
+	is.Equal(at, ConfigFor(bound).Wait)
+}
+
+// Guards against a node that waits for good for a question that its caller dropped.
+func TestADroppedQuestionIsAskedAgain(t *testing.T) {
+	is := is.New(t)
+	s, first, _ := begun(t)
+	cfg := ConfigFor(bound)
+	again := uint64(0)
+	for now := cfg.Limit; now <= cfg.Limit+cfg.RetryMin+tick; now += tick {
+		if id, _ := asked(s.Tick(now)); id != 0 {
+			again = id
+		}
+	}
+	is.True(again > first)
+}
+
+// Guards against a whole fleet of roots: nodes that start together know of no others.
+func TestANodeThatStartsIsNoRoot(t *testing.T) {
+	is := is.New(t)
+	cfg := ConfigFor(bound)
+	s := New(cfg, 2, rand.New(rand.NewPCG(1, 1)), time.Minute)
+	s.SetPeers(time.Minute, []Peer{{ID: 2}}, true)
+	is.True(!s.Root(time.Minute + cfg.Settle - 1))
+	is.True(s.Root(time.Minute + cfg.Settle))
+}
+
+// Guards against children that wait for a tick though the version is here.
+func TestChildrenAreAnsweredWithTheVersion(t *testing.T) {
+	is := is.New(t)
+	s, _, _ := begun(t)
+	s.HandleAsk(0, 1, Ask{})
+	is.Equal(countAnswers(s.SetVersion(time.Millisecond, 7)), 1)
+}
+
+// Guards against two nodes that ask each other as fast as they can.
+func TestAPeerWithoutNewsIsNotAskedAtOnce(t *testing.T) {
+	is := is.New(t)
+	s, _, peer := begun(t)
+	is.Equal(pending(s.HandleReply(time.Millisecond, peer, Reply{})), uint64(0))
+	is.True(pending(s.Tick(tick)) != 0)
+}
--- a/internal/dataplane/call.go
+++ b/internal/dataplane/call.go
@@ -149,8 +149,11 @@
 		cl.done(ch, &result{code: status.CodeCanceled})
 		return r, false
 	}
-	if c.parent != nil {
-		c.parent.begins(e.now())
+	if c.parent != nil && !c.parent.begins(e.now()) {
+		r := fail(now, status.Refuse(status.CodeCanceled, 0, "the request that the call belongs to is over"))
+		c.allowance.settle(sub, &c.grant, retry.Answer{Outcome: r.outcome, Unspent: c.grant.Allowance})
+		cl.done(ch, r)
+		return r, false
 	}
 	r := e.attempt(ctx, c, ch, &c.grant, sub, resp)
 	if c.parent != nil {
--- a/internal/dataplane/call_test.go
+++ b/internal/dataplane/call_test.go
@@ -190,3 +190,50 @@
 	is.Equal(there.Load(), int32(200))
 	is.True(elsewhere.Load() <= 1)
 }
+
+// Guards against a call that runs for a request whose caller was told that it failed.
+func TestNoAttemptBeginsForARequestThatHasFailed(t *testing.T) {
+	is := is.New(t)
+	var calls atomic.Int32
+	node := fakeNode(t, func(_ context.Context, c *app.RequestContext) {
+		calls.Add(1)
+		wire.SetAnswer(&c.Response.Header, &wire.Answer{Outcome: request.Completed})
+	})
+	e, info := caller(t, node)
+	out := outgoingTo(e, info)
+	x := &running{id: out.id, allowance: retry.NewRequestAllowance(3, false)}
+	out.parent, out.allowance = x, x
+	is.True(!x.fails())
+	r := e.call(context.Background(), out, protocol.AcquireResponse())
+	is.Equal(r.outcome, request.Refused)
+	is.Equal(r.code, status.CodeCanceled)
+	is.Equal(calls.Load(), int32(0))
+	is.Equal(x.left(), 3)
+}
+
+// Guards against a failure said while an attempt below is under way.
+func TestAFailureWithAnAttemptUnderWayIsInDoubt(t *testing.T) {
+	is := is.New(t)
+	x := &running{}
+	is.True(x.begins(0))
+	is.True(x.fails())
+	is.True(!x.begins(0))
+	x.note(0, &result{outcome: request.Completed})
+	is.True(!x.fails())
+}
+
+func TestTheLastFailuresAreRemembered(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry()
+	is.True(!r.hasFailed(request.ID{}, ""))
+	first := &running{id: newID(), name: "one"}
+	r.fail(first)
+	is.True(r.hasFailed(first.id, ""))
+	is.True(r.hasFailed(request.ID{}, "one"))
+	is.True(!r.hasFailed(newID(), "two"))
+	for range maxFailed {
+		r.fail(&running{id: newID()})
+	}
+	is.True(!r.hasFailed(first.id, "one"))
+	is.True(!r.hasFailed(request.ID{}, ""))
+}
--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -37,6 +37,10 @@
 	if ok {
 		x = e.reqs.parent(tc.id, tc.span)
 	}
+	if x == nil && ok && e.reqs.hasFailed(tc.id, "") {
+		e.refuseLate(c, hop)
+		return
+	}
 	if x == nil {
 		// The target calls on its own account, or lost the trace: a request of
 		// its own begins here, of the target's tenant.
@@ -57,7 +61,11 @@
 // the exact name of one that runs here makes a call part of it, so that a caller
 // outside can't claim a place in a chain, and the class that goes with it.
 func (e *Engine) ServeOutbound(ctx context.Context, c *app.RequestContext) {
-	x := e.parentOf(c)
+	x, name := e.parentOf(c)
+	if x == nil && name != "" && e.reqs.hasFailed(request.ID{}, name) {
+		e.refuseLate(c, &Hop{Kind: HopEgress, Span: newSpan(), Start: time.Now(), ID: newID()})
+		return
+	}
 	if x == nil {
 		e.ServeCaller(ctx, c)
 		return
@@ -68,15 +76,22 @@
 	})
 }
 
-// parentOf returns the running request that a call is named after; nil if none.
-func (e *Engine) parentOf(c *app.RequestContext) *running {
+// parentOf returns the running request that a call is named after, nil if there is
+// none, and the name; empty if the call is named after no other.
+func (e *Engine) parentOf(c *app.RequestContext) (x *running, parent string) {
 	d := &e.cfg.Dialect
 	name := string(c.Request.Header.Peek(d.Request))
 	at := strings.LastIndex(name, d.Chain)
 	if d.Chain == "" || at < 0 {
-		return nil
+		return nil, ""
 	}
-	return e.reqs.named(name[:at])
+	return e.reqs.named(name[:at]), name[:at]
+}
+
+// refuseLate refuses a call of a request that has failed meanwhile: it would run on
+// although the request's caller was told that all of it had ended.
+func (e *Engine) refuseLate(c *app.RequestContext, hop *Hop) {
+	e.refuseCall(c, hop, status.Refuse(status.CodeCanceled, 0, "the request that the call belongs to is over"))
 }
 
 // serveOutgoing runs one call for a caller or the own target and answers it.
--- a/internal/dataplane/inflight.go
+++ b/internal/dataplane/inflight.go
@@ -33,6 +33,7 @@
 	allowance retry.RequestAllowance
 	open      int           // attempts below that have not ended
 	unknown   bool          // some call below may have run with no known result
+	over      bool          // the target has answered that it failed
 	used      []early.Key   // services called so far
 	below     status.Code   // of the call below that ended badly last; empty: none did
 	since     time.Duration // when open was last 0
@@ -70,14 +71,19 @@
 	return true
 }
 
-// begins takes in that an attempt below begins.
-func (x *running) begins(now time.Duration) {
+// begins takes in that an attempt below begins; false if it must not, since the
+// request is over.
+func (x *running) begins(now time.Duration) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if x.over {
+		return false
+	}
 	if x.open == 0 {
 		x.since = now
 	}
 	x.open++
+	return true
 }
 
 // note takes in how an attempt below ended.
@@ -133,12 +139,14 @@
 	return x.allowance.Close(), made
 }
 
-// doubtful reports whether a call below may have run with no known result, or
-// is still under way: a target may give up a call and answer before its node
-// has noticed that.
-func (x *running) doubtful() bool {
+// fails takes in that the target has answered that it failed, and reports whether a
+// call below may have run with no known result, or is still under way: a target may
+// give up a call and answer before its node has noticed that. No attempt below begins
+// from now on, or it would run for a request that is said to have failed.
+func (x *running) fails() (doubtful bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.over = true
 	return x.unknown || x.open > 0
 }
 
@@ -149,12 +157,50 @@
 	byID map[request.ID]*running // the one begun last; the others follow by next
 
 	byName map[string]*running
+
+	failed [maxFailed]failure // a ring
+	last   int
 }
 
+// failure names a request whose target has answered that it failed.
+type failure struct {
+	id   request.ID
+	name string
+}
+
+// maxFailed is how many failures are remembered. A call that its target has given up
+// is read milliseconds after the failure, if at all.
+const maxFailed = 256
+
 func newRegistry() *registry {
 	return &registry{byID: make(map[request.ID]*running), byName: make(map[string]*running)}
 }
 
+// fail remembers that a request has failed, for calls of it that come late.
+func (r *registry) fail(x *running) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failed[r.last] = failure{x.id, x.name}
+	r.last = (r.last + 1) % maxFailed
+}
+
+// hasFailed reports whether one of the last failures has an identity or a name; either
+// may be unknown to the caller.
+func (r *registry) hasFailed(id request.ID, name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range r.failed {
+		f := &r.failed[i]
+		if f.id == (request.ID{}) {
+			continue
+		}
+		if f.id == id || name != "" && f.name == name {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *registry) add(x *running) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/dataplane/target.go
+++ b/internal/dataplane/target.go
@@ -96,8 +96,10 @@
 	// The target's own failure: it ran. Whether all of it is known depends on
 	// the calls below: one that may have run leaves the whole in doubt.
 	r.outcome = request.Failed
-	if s.running.doubtful() {
+	if s.running.fails() {
 		r.outcome = request.Unknown
+	} else {
+		e.reqs.fail(s.running)
 	}
 	// A target that passes on the refusal of a call below doesn't shed itself.
 	r.shed = s.running.cause() == "" &&
