--- a/internal/core/member/start_test.go
+++ b/internal/core/member/start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -79,3 +80,38 @@
 		is.True(!n.s.join.fetching)
 	}
 }
+
+// Guards against members that start together and send each other away: all of them are
+// in debt, and fetch the state again.
+func TestAMemberThatHasJustStartedLetsOthersIn(t *testing.T) {
+	is := is.New(t)
+	net := newTestNet(DefaultConfig(), 1)
+	net.cluster(10, oneRegion)
+	net.run(3 * time.Second)
+	n := net.nodes[3].s
+	rec := testRecord(99, "bkk", "z1")
+	join := &Message{Kind: Join, From: rec.ID, Status: Alive, Incarnation: rec.Incarnation, Records: []*Record{&rec}}
+	n.join.again, n.join.fetching = true, true
+	n.Spend(1 << 20)
+	is.True(!n.HandleRequest(net.Now, join).Full)
+	n.join.end()
+	net.run(net.cfg.CatchUp)
+	n.Spend(1 << 20)
+	is.True(n.HandleRequest(net.Now, join).Full) // one that has long been there keeps to its budget
+}
+
+// Guards against a large fleet's state being fetched again by each member that starts.
+func TestTheStateOfALargeFleetIsNotFetchedAgain(t *testing.T) {
+	is := is.New(t)
+	for _, size := range []int{100, maxRefreshed + 1} {
+		s := New(DefaultConfig(), testRecord(0, "bkk", "z"), rand.New(rand.NewPCG(1, 1)))
+		var records []*Record
+		for i := range size {
+			rec := testRecord(i, "bkk", "z")
+			records = append(records, &rec)
+		}
+		s.Load(records)
+		s.Tick(time.Second)
+		is.Equal(s.join.again, size <= maxRefreshed)
+	}
+}
--- a/internal/core/watch/watch_test.go
+++ b/internal/core/watch/watch_test.go
@@ -438,3 +438,12 @@
 	is.Equal(pending(s.HandleReply(time.Millisecond, peer, Reply{})), uint64(0))
 	is.True(pending(s.Tick(tick)) != 0)
 }
+
+// Guards against children that wait for a parent which is no member any more.
+func TestAParentThatIsGoneIsLeftAtOnce(t *testing.T) {
+	is := is.New(t)
+	s, _, first := begun(t)
+	again := pending(s.SetPeers(time.Millisecond, []Peer{{ID: 2}, {ID: 3}}, false))
+	is.True(again > first)
+	is.Equal(s.parent.ID, request.TargetID(3))
+}
--- a/internal/dataplane/call_test.go
+++ b/internal/dataplane/call_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"peardrift/internal/adapter/hertzhttp"
+	"peardrift/internal/core/admission"
 	"peardrift/internal/core/confset"
 	"peardrift/internal/core/request"
 	"peardrift/internal/core/retry"
@@ -237,3 +238,31 @@
 	is.True(!r.hasFailed(first.id, "one"))
 	is.True(!r.hasFailed(request.ID{}, ""))
 }
+
+// Guards against a node that answers for another service as if it would serve it later.
+func TestACallForAnotherServiceIsMisdirected(t *testing.T) {
+	is := is.New(t)
+	e, _ := caller(t)
+	s := &serving{meta: wire.Meta{Service: "else.t"}}
+	fault := e.acceptRouted(s, e.view.Load())
+	is.True(fault != nil)
+	is.Equal(fault.Code, status.CodeMisdirected)
+	is.Equal(fault.Outcome, request.Refused)
+}
+
+// Guards against a target that starts again under its name and keeps its gate's state.
+func TestAStartUnderTheSameNameHasAGateOfItsOwn(t *testing.T) {
+	is := is.New(t)
+	e, _ := caller(t)
+	admitted := func() bool {
+		_, fault := e.gate.enter(context.Background(), admission.Arrival{Deadline: e.now() + time.Minute})
+		return fault == nil
+	}
+	e.SetLifetime(Lifetime{Instance: "a", Born: 1, Slots: 10, Takes: true})
+	is.True(admitted())
+	e.gate.drain()
+	e.SetLifetime(Lifetime{Instance: "a", Born: 1, Slots: 10, Takes: true})
+	is.True(!admitted())
+	e.SetLifetime(Lifetime{Instance: "a", Born: 2, Slots: 10, Takes: true})
+	is.True(admitted())
+}
