--- a/internal/core/member/join.go
+++ b/internal/core/member/join.go
@@ -341,7 +341,7 @@
 	// whether neighbours differ.
 	leastRefreshes = 3
 	// maxRefreshed is the number of members up to which the whole state is fetched
-	// again: it takes some 30 bytes for each.
+	// again. Raising it lets larger fleets that start at once meet sooner.
 	maxRefreshed = 512
 )
 
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -205,7 +205,7 @@
 }
 
 // nextBytes is what a question and its answer take without a set.
-const nextBytes = 64
+const nextBytes = 36
 
 // waive leaves a question and its answer out of the control budget. They are what
 // brings the configuration, and go before all else that is paid from it.
--- /dev/null
+++ b/internal/node/watch_test.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peardrift/internal/adapter/rpc"
+	"peardrift/internal/core/watch"
+)
+
+type quietParent struct{}
+
+func (quietParent) Next(_ *NextArgs, out *NextReply) error {
+	*out = NextReply{Reply: watch.Reply{Version: 12345, Marked: true, Since: -700 * time.Millisecond}}
+	return nil
+}
+
+// Guards against a node that pays for its children from the budget of the membership,
+// or gets credit for them.
+func TestWhatIsWaivedIsWhatAQuestionTakes(t *testing.T) {
+	is := is.New(t)
+	served, called := &rpc.Meter{}, &rpc.Meter{}
+	s := rpc.NewServer(rpc.DefaultConfig(), served)
+	is.NoErr(s.Register(configName, quietParent{}))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() { _ = s.Serve(ln) }()
+	defer s.Close()
+	p := rpc.NewPool(rpc.DefaultConfig(), called)
+	defer p.Close()
+	ask := func() {
+		args := NextArgs{Ask: watch.Ask{Have: 12345}, Base: 12345}
+		is.NoErr(p.Call(context.Background(), ln.Addr().String(), methodNext, &args, &NextReply{}))
+	}
+	ask() // which opens the connection
+	for _, m := range []*rpc.Meter{served, called} {
+		m.Take()
+		before := m.Total()
+		ask()
+		cost := int(m.Total() - before)
+		const more = 9
+		for range more {
+			ask()
+			m.Waive(nextBytes)
+		}
+		left := m.Take() // that of the one that was not waived
+		is.True(left > cost/2 && left < cost*3/2)
+	}
+}
