Give a repeat whose cost is not known all the allowance that is left

Cause, read in the code: only a repeat with nothing left is refused so on a call's first attempt. While no call of the class has completed, what it costs below is not known, and a repeat took one along: enough for its first call, not for the second. Change: a repeat of unknown cost takes along what is left.

--- a/internal/core/retry/allowance.go
+++ b/internal/core/retry/allowance.go
@@ -103,12 +103,17 @@
 const grantFirst = 1
 
 // share is how much one attempt takes along. A repeat gets what its calls will
-// cost, since each of them must be paid for.
+// cost, since each of them must be paid for, and all that is left while that is not
+// known.
 func (p *RequestAllowance) share(repeat bool, below int) int {
-	if below == 0 || (repeat && below > 0) {
+	switch {
+	case below == 0 || repeat && below > 0:
 		return below
+	case repeat:
+		return p.left
+	default:
+		return grantFirst
 	}
-	return grantFirst
 }
 
 // Settle ends an attempt and takes back the unspent part of its grant. A second
--- a/internal/core/retry/allowance_test.go
+++ b/internal/core/retry/allowance_test.go
@@ -172,3 +172,27 @@
 	p.Settle(&c, &g, Answer{Outcome: request.Completed, Unspent: 50})
 	is.Equal(p.Left(), 2) // a callee can't hand back more than it got
 }
+
+// Guards against a repeat that fails halfway for want of allowance while others' costs
+// are not known: it has to pay for each call that it makes.
+func TestARepeatOfUnknownCostTakesAllThatIsLeft(t *testing.T) {
+	is := is.New(t)
+	entry := NewRequestAllowance(4, false)
+	var call Call
+	var unknown Cost
+	first, ok := entry.Start(&call, unknown.Below())
+	is.True(ok)
+	entry.Settle(&call, &first, Answer{Outcome: request.Unknown}) // its grant is lost
+	again, ok := entry.Start(&call, unknown.Below())
+	is.True(ok)
+	is.True(again.Repeat)
+	run := NewRequestAllowance(again.Allowance, again.Repeat)
+	for range 2 {
+		var sub Call
+		g, ok := run.Start(&sub, 0)
+		is.True(ok)
+		run.Settle(&sub, &g, Answer{Outcome: request.Completed})
+	}
+	entry.Settle(&call, &again, Answer{Outcome: request.Completed, Unspent: run.Close()})
+	is.Equal(entry.Left(), 0) // 4, less a lost grant, the repeat and its two calls
+}
