Log the admission level that an entry knew

A request that fails since a gate deep in its chain refuses one of its calls could have been refused at its entry, or not: the lines said by which level the gate refused, not which level the entry had compared with. Lines of an entry now have known_below, so that entries that know too little can be told from levels that have changed since.

--- a/internal/dataplane/answer.go
+++ b/internal/dataplane/answer.go
@@ -63,6 +63,7 @@
 	h.Code = r.code
 	h.Retry = r.retry.String()
 	h.Level = r.answer.Level
+	h.Known = out.known
 	h.Allowance = out.allowance.left()
 }
 
--- a/internal/dataplane/call.go
+++ b/internal/dataplane/call.go
@@ -25,6 +25,7 @@
 	sampled   bool   // the request's spans are recorded
 	span      SpanID // of the hop that makes the call
 	priority  request.Priority
+	known     request.Level // that an entry compared the priority with
 	deadline  time.Duration
 	allowance allowance
 	parent    *running          // the request on whose behalf the own target calls; nil at an entry
--- a/internal/dataplane/hop.go
+++ b/internal/dataplane/hop.go
@@ -48,6 +48,7 @@
 	Code      status.Code // why, where the node itself answered
 	Retry     string      // why there was no further attempt
 	Level     request.Level
+	Known     request.Level // of the callee and the services below it, at an entry's check
 	Allowance int
 	Queued    time.Duration
 	Version   int64 // of the set that it was judged by
--- a/internal/dataplane/levels.go
+++ b/internal/dataplane/levels.go
@@ -28,6 +28,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	v := l.table.Check(l.now(), c.key(), c.priority)
+	c.known = v.Level
 	if !v.Refuse {
 		return nil
 	}
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -63,6 +63,9 @@
 	if h.Level > 0 {
 		fields = append(fields, zaplog.Level(h.Level))
 	}
+	if h.Kind == dataplane.HopEntry {
+		fields = append(fields, zap.Float64("known_below", h.Known.AsImportance()))
+	}
 	if h.Queued > 0 {
 		fields = append(fields, zap.Duration("queued", h.Queued))
 	}
