Reproduce entries that let in what the deepest service refuses

The replay gains a deployment of the incident's shape (ten calls in sequence to a small service whose targets differ in speed, some seventy callers), a demand of 2.3 times what is sustainable with clients that mostly heed the advice, and the settings of the users' platform; its classes count tries that fail after work.

go test ./bench/replay -run TestEntriesRefuse go test ./internal/core/early -run TestSeldomHeard

--- a/bench/cmd/replay/main.go
+++ b/bench/cmd/replay/main.go
@@ -16,8 +16,8 @@
 )
 
 type options struct {
-	Deployments []string `short:"d" long:"deployment" description:"khaosan, kalahari, shared or ladder; may be repeated (default: khaosan and kalahari, shared for flood)"`
-	Scenarios   []string `short:"s" long:"scenario" description:"normal, worst, surge, slow, replace, restart, failfast, flood or all; may be repeated" default:"worst"`
+	Deployments []string `short:"d" long:"deployment" description:"khaosan, kalahari, shared, ladder or chatty; may be repeated (default: khaosan and kalahari, shared for flood)"`
+	Scenarios   []string `short:"s" long:"scenario" description:"normal, worst, surge, crowd, slow, replace, restart, failfast, flood or all; may be repeated" default:"worst"`
 	Policies    []string `short:"p" long:"policy" description:"a policy, or baselines, ablations, all; may be repeated" default:"peardrift"`
 	Seed        uint64   `long:"seed" description:"first seed" default:"1"`
 	Seeds       int      `long:"seeds" description:"number of seeds" default:"5"`
--- a/bench/cmd/replay/table.go
+++ b/bench/cmd/replay/table.go
@@ -93,7 +93,7 @@
 
 func classTable(b *strings.Builder, c *testCase, rows []row) {
 	w := tabwriter.NewWriter(b, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "policy\tclass\tdemand/s\tbest/s\tdone/s\tserved %\tfirst try %\t")
+	fmt.Fprintln(w, "policy\tclass\tdemand/s\tbest/s\tdone/s\tfailed/s\tserved %\tfirst try %\t")
 	for i := range rows {
 		r := &rows[i]
 		for k := range c.dep.Classes {
@@ -101,10 +101,11 @@
 			of := func(f func(replay.ClassResult) float64) func(*replay.Result) float64 {
 				return func(x *replay.Result) float64 { return f(x.Classes[name]) }
 			}
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t\n", r.policy.Name, name,
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t\n", r.policy.Name, name,
 				r.cell("%.0f", of(func(x replay.ClassResult) float64 { return x.Demand })),
 				r.cell("%.0f", of(func(x replay.ClassResult) float64 { return x.Best })),
 				r.cell("%.0f", of(func(x replay.ClassResult) float64 { return x.Done })),
+				r.cell("%.0f", of(func(x replay.ClassResult) float64 { return x.Failed })),
 				r.cell("%.1f", of(func(x replay.ClassResult) float64 { return 100 * x.Served })),
 				r.cell("%.1f", of(func(x replay.ClassResult) float64 { return 100 * x.First })))
 		}
--- a/bench/replay/client.go
+++ b/bench/replay/client.go
@@ -80,6 +80,7 @@
 // timeout gives the try up; the entry node sees the connection close.
 func (u *user) timeout(c *call) {
 	u.cur = nil
+	u.w.m.failed(u)
 	if u.w.pol.Cancel {
 		u.w.after(u.w.dep.ClientDelay, c.cancel)
 	}
@@ -99,6 +100,9 @@
 		return
 	}
 	u.w.m.useless += r.work
+	if r.outcome != request.Refused {
+		u.w.m.failed(u)
+	}
 	u.again(r.retryAfter)
 }
 
--- a/bench/replay/core.go
+++ b/bench/replay/core.go
@@ -12,6 +12,15 @@
 	"peardrift/internal/status"
 )
 
+// Settings of nodes on the users' platform, as in package node.
+const (
+	platformHeadroom    = 0.06
+	platformFloor       = 1
+	platformZoneGap     = 0.5
+	platformRetryBudget = 97
+	platformRetryWindow = 10 * time.Second
+)
+
 // coreGate drives the admission core as a node does.
 type coreGate struct {
 	n       *node
@@ -24,6 +33,9 @@
 func newCoreGate(n *node) *coreGate {
 	cfg := admission.DefaultConfig()
 	cfg.Slots = n.target.slots
+	if n.w.pol.Platform {
+		cfg.Limit.InitialFraction, cfg.Limit.Headroom = 1, platformHeadroom
+	}
 	if !n.w.pol.Queue {
 		cfg.MaxWait = time.Nanosecond
 	}
@@ -153,6 +165,9 @@
 
 func newRouter(n *node, svc *service) *router {
 	r := &router{n: n, svc: svc, cfg: route.DefaultConfig(), known: -1}
+	if n.w.pol.Platform {
+		r.cfg.Floor, r.cfg.ZoneGap = platformFloor, platformZoneGap
+	}
 	r.table = route.NewTable(&r.cfg, route.Place{Caller: uint64(n.id), Zone: zoneName(n.zone)}, n.w.rng)
 	return r
 }
--- a/bench/replay/measure.go
+++ b/bench/replay/measure.go
@@ -49,6 +49,7 @@
 	arrived []int         // by arrival
 	served  []int         // of those that arrived in the bin
 	done    []int         // by completion
+	failed  []int         // tries that had begun to run, by their end
 	first   []int         // completed at the first try, by arrival
 	took    time.Duration // of those that arrived before the trigger and were served
 }
@@ -68,7 +69,7 @@
 	n := int((h.Lasts+w.dep.Patience)/bin) + 1
 	for i := range w.dep.Classes {
 		m.classes[w.dep.Classes[i].Name] = &series{arrived: make([]int, n), served: make([]int, n),
-			done: make([]int, n), first: make([]int, n)}
+			done: make([]int, n), failed: make([]int, n), first: make([]int, n)}
 	}
 	return m
 }
@@ -78,6 +79,9 @@
 
 func (m *measures) arrived(u *user) { m.classes[u.class.Name].arrived[m.window()]++ }
 
+// failed notes a try that had begun to run and came to nothing.
+func (m *measures) failed(u *user) { m.classes[u.class.Name].failed[m.window()]++ }
+
 func (m *measures) completed(u *user, t *tree, work time.Duration) {
 	s, born := m.classes[u.class.Name], int(u.born/bin)
 	m.useful += work
--- a/bench/replay/outcomes_test.go
+++ b/bench/replay/outcomes_test.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -74,6 +75,24 @@
 	}
 }
 
+// Guards against entries that forget admission levels between two answers of a target,
+// and so begin requests that are refused deep in the chain.
+func TestEntriesRefuseWhatTheDeepestServiceRefuses(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprintf("seed-%d", seed+1), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			d := workload.Chatty().Scaled(4)
+			p := onPlatform()
+			r := Run(d, workload.Generate(d, workload.ScenarioFor("crowd", d, testLengths), seed+1), p, seed+1)
+			lookup := r.Classes["lookup"]
+			t.Logf("asked %.0f/s, completed %.0f/s, failed %.0f/s, useless %.3f", lookup.Demand, lookup.Done, lookup.Failed, r.Useless)
+			is.True(lookup.Failed <= 0.8*lookup.Demand) // tries that failed after work, for each user
+			is.True(lookup.Done >= 0.4*lookup.Best)     // goodput in the last slots
+		})
+	}
+}
+
 // Symptom: notices of one tenant fail in the morning although its own demand is
 // as ever. Events: the other tenant sends ten times as much to the service they
 // share. Cause: capacity was given to whoever asks most.
--- a/bench/replay/policy.go
+++ b/bench/replay/policy.go
@@ -33,6 +33,7 @@
 	Queue         bool // calls wait for a slot; else they run at once or are refused
 	Level         bool // the gate sets a level, which callers learn
 	Order         bool // the queue is in the order of importance; else of arrival
+	Platform      bool // the settings of nodes on the users' platform
 }
 
 // whole is peardrift with all its parts.
@@ -92,9 +93,16 @@
 	return p
 }
 
+// onPlatform is peardrift as its nodes run on the users' platform.
+func onPlatform() Policy {
+	p := earlyAtEntry()
+	p.Name, p.About, p.Platform = "platform", "peardrift with the settings of the users' platform", true
+	return p
+}
+
 // Policies lists all policies, peardrift first.
 func Policies() []Policy {
-	return slices.Concat([]Policy{whole()}, Baselines(), Ablations())
+	return slices.Concat([]Policy{whole(), onPlatform()}, Baselines(), Ablations())
 }
 
 // PolicyFor returns the policy of that name.
--- a/bench/replay/result.go
+++ b/bench/replay/result.go
@@ -33,6 +33,7 @@
 // ClassResult is what became of one class in the trigger.
 type ClassResult struct {
 	Demand, Done, Best float64 // per second
+	Failed             float64 // tries a second that had begun to run and came to nothing
 	Served             float64 // part of the users that arrived in the trigger and got their answer
 	First              float64 // part of them that got it at the first try
 }
@@ -67,7 +68,7 @@
 	for i := range d.Classes {
 		name := d.Classes[i].Name
 		s := m.classes[name]
-		r.Classes[name] = ClassResult{Demand: demand[name], Done: mean(s.done, from, to), Best: best[name],
+		r.Classes[name] = ClassResult{Demand: demand[name], Done: mean(s.done, from, to), Best: best[name], Failed: mean(s.failed, from, to),
 			Served: ratio(s.served, s.arrived, from, to), First: ratio(s.first, s.arrived, from, to)}
 		r.Best += best[name]
 		r.Took += s.took
--- a/bench/replay/target.go
+++ b/bench/replay/target.go
@@ -21,6 +21,7 @@
 type target struct {
 	slots, conns int
 	real         int // slots that work, slots if all do
+	speed        float64
 	used         int
 	waiting      []*attempt
 	started      time.Duration
@@ -57,7 +58,7 @@
 func (n *node) work(a *attempt) {
 	n.target.used++
 	a.running, a.began = true, n.w.now
-	mean := float64(a.call.spec.Work) * n.svc.slow
+	mean := float64(a.call.spec.Work) * n.svc.slow / n.target.speed
 	if age := n.w.now - n.target.started; n.target.cold && age < coldTime {
 		mean *= 1 + (coldFactor-1)*(1-age.Seconds()/coldTime.Seconds())
 	}
--- a/bench/replay/workload/deployment.go
+++ b/bench/replay/workload/deployment.go
@@ -25,6 +25,18 @@
 	Targets     int
 	Slots       int // requests that one target runs side by side, waiting for calls included
 	Connections int // requests that one target holds, running or waiting for a slot
+
+	// Speeds are how fast the targets work, in turn; all at 1 if there are none.
+	// Their mean must be 1, so that the slots say what the service can do.
+	Speeds []float64
+}
+
+// Speed is how fast the target of that index works.
+func (s *Service) Speed(i int) float64 {
+	if len(s.Speeds) == 0 {
+		return 1
+	}
+	return s.Speeds[i%len(s.Speeds)]
 }
 
 // Class is one kind of whole request.
@@ -85,10 +97,10 @@
 		Name: tenant, Zones: 4, ZoneDelay: ms(1.5), LocalDelay: ms(0.1), ClientDelay: ms(1),
 		Deep: "archive", Patience: 4 * time.Second, Timeout: 2 * time.Second,
 		Services: []Service{
-			{"archive", 6, 130, 850},
-			{"notices", 4, 190, 1250},
-			{"media", 4, 190, 1250},
-			{"feed", 4, 25, 250},
+			{Name: "archive", Targets: 6, Slots: 130, Connections: 850},
+			{Name: "notices", Targets: 4, Slots: 190, Connections: 1250},
+			{Name: "media", Targets: 4, Slots: 190, Connections: 1250},
+			{Name: "feed", Targets: 4, Slots: 25, Connections: 250},
 		},
 		Classes: []Class{
 			{"headline-status", tenant, 20, 0.10, false, call("notices", ms(5))},
@@ -112,10 +124,10 @@
 		Name: tenant, Zones: 3, ZoneDelay: ms(1.5), LocalDelay: ms(0.1), ClientDelay: ms(8),
 		Deep: "policydesk", Patience: 8 * time.Second, Timeout: 4 * time.Second,
 		Services: []Service{
-			{"policydesk", 5, 170, 1150},
-			{"settleworks", 4, 200, 1400},
-			{"evidencebox", 3, 300, 1800},
-			{"claimtrack", 3, 65, 500},
+			{Name: "policydesk", Targets: 5, Slots: 170, Connections: 1150},
+			{Name: "settleworks", Targets: 4, Slots: 200, Connections: 1400},
+			{Name: "evidencebox", Targets: 3, Slots: 300, Connections: 1800},
+			{Name: "claimtrack", Targets: 3, Slots: 65, Connections: 500},
 		},
 		Classes: []Class{
 			{"claim-status", tenant, 20, 0.58, false, call("claimtrack", ms(5),
@@ -136,7 +148,7 @@
 	return &Deployment{
 		Name: "shared", Zones: 3, ZoneDelay: ms(1.5), LocalDelay: ms(0.1), ClientDelay: ms(4),
 		Deep: "store", Patience: 3 * time.Second, Timeout: time.Second,
-		Services: []Service{{"store", 3, 120, 800}, {"desk", 3, 100, 700}},
+		Services: []Service{{Name: "store", Targets: 3, Slots: 120, Connections: 800}, {Name: "desk", Targets: 3, Slots: 100, Connections: 700}},
 		Classes: []Class{
 			{"khaosan-read", "khaosan", 40, 0.5, false, desk(call("store", ms(40)))},
 			{"kalahari-read", "kalahari", 40, 0.5, false, desk(call("store", ms(40)))},
@@ -165,7 +177,7 @@
 		}
 		chain = next
 		slots := slotsPerHop * (ladderDepth + 1 - hop)
-		d.Services = append(d.Services, Service{name, 3, slots, 8 * slots})
+		d.Services = append(d.Services, Service{Name: name, Targets: 3, Slots: slots, Connections: 8 * slots})
 	}
 	d.Classes = []Class{
 		{"read", tenant, 40, 0.9, false, chain},
@@ -174,10 +186,45 @@
 	return d
 }
 
+// sequence makes a call n times, one after the other.
+func sequence(n int, c Call) [][]Sub {
+	steps := make([][]Sub, n)
+	for i := range steps {
+		steps[i] = step(times(1, c))
+	}
+	return steps
+}
+
+// Chatty is no deployment of the brief: most requests call one small service ten
+// times in sequence, through two services above it. Its few targets differ in speed
+// by three and have some seventy callers. One refusal in ten calls loses the request.
+func Chatty() *Deployment {
+	const tenant = "chatty"
+	index := call("box", ms(15), sequence(5, call("track", ms(63)))...)
+	verify := call("settle", ms(15), step(times(1, index)))
+	uneven := []float64{0.5, 1, 1, 1.5}
+	return &Deployment{
+		Name: tenant, Zones: 4, ZoneDelay: ms(0.9), LocalDelay: ms(0.2), ClientDelay: ms(3),
+		Deep: "track", Patience: 6 * time.Second, Timeout: 1500 * time.Millisecond,
+		Services: []Service{
+			{Name: "desk", Targets: 32, Slots: 96, Connections: 676, Speeds: []float64{0.6, 1, 1.4}},
+			{Name: "settle", Targets: 23, Slots: 109, Connections: 754, Speeds: uneven},
+			{Name: "box", Targets: 7, Slots: 357, Connections: 2242, Speeds: uneven},
+			{Name: "track", Targets: 4, Slots: 267, Connections: 1882, Speeds: uneven},
+		},
+		Classes: []Class{
+			{"lookup", tenant, 20, 0.56, false, call("desk", ms(250), sequence(2, verify)...)},
+			{"status", tenant, 70, 0.16, false, call("track", ms(100))},
+			{"upload", tenant, 70, 0.06, false, call("box", ms(300))},
+			{"payout", tenant, 90, 0.22, true, call("settle", ms(330), step(times(2, index)))},
+		},
+	}
+}
+
 // Deployments lists the deployments by name.
 func Deployments() map[string]*Deployment {
 	all := map[string]*Deployment{}
-	for _, d := range []*Deployment{Khaosan(), Kalahari(), Shared(), Ladder()} {
+	for _, d := range []*Deployment{Khaosan(), Kalahari(), Shared(), Ladder(), Chatty()} {
 		all[d.Name] = d
 	}
 	return all
--- a/bench/replay/workload/scenario.go
+++ b/bench/replay/workload/scenario.go
@@ -44,6 +44,8 @@
 const (
 	NormalLoad = 0.6
 	SurgeLoad  = 2.0
+	crowdLoad  = 2.3
+	crowdHard  = 0.2
 	slowFactor = 4
 	shrinkage  = 6
 	hasty      = 4
@@ -62,7 +64,7 @@
 }
 
 // ScenarioNames lists the scenarios in the order of the tables.
-var ScenarioNames = []string{"normal", "worst", "surge", "slow", "replace", "restart", "lost", "shrink", "hasty", "failfast", "flood"}
+var ScenarioNames = []string{"normal", "worst", "surge", "crowd", "slow", "replace", "restart", "lost", "shrink", "hasty", "failfast", "flood"}
 
 // ScenarioFor returns a scenario as it applies to a deployment, or nil.
 func ScenarioFor(name string, d *Deployment, l Lengths) *Scenario {
@@ -82,6 +84,8 @@
 		return &Scenario{Name: name, About: "a deep service slows, demand surges, clients retry hard", Phases: surge, Faults: []Event{slowed, cured}, Hard: 1}
 	case "surge":
 		return &Scenario{Name: name, About: "twice the sustainable demand, clients retry hard", Phases: surge, Faults: nil, Hard: 1}
+	case "crowd":
+		return &Scenario{Name: name, About: "far more than the sustainable demand, most clients heed the advice", Phases: l.phases(Phase{Load: crowdLoad}), Hard: crowdHard}
 	case "slow":
 		return &Scenario{Name: name, About: "a deep service slows at normal demand", Phases: l.phases(Phase{Load: NormalLoad}), Faults: []Event{slowed, cured}, Hard: 1}
 	case "replace":
--- a/bench/replay/world.go
+++ b/bench/replay/world.go
@@ -49,6 +49,10 @@
 func newWorld(d *workload.Deployment, p Policy, h workload.Header, seed uint64) *world {
 	w := &world{dep: d, pol: p, hard: h.Hard, rng: rand.New(rand.NewPCG(seed, 0x3c0e)),
 		retryCfg: retry.DefaultConfig(), earlyCfg: early.DefaultConfig()}
+	if p.Platform {
+		w.retryCfg.CallRatio, w.retryCfg.RefusedFree = 0, true
+		w.retryCfg.FleetBudget, w.retryCfg.FleetWindow = platformRetryBudget, platformRetryWindow
+	}
 	w.timeout = time.Duration(float64(d.Timeout) / max(1, h.Hasty))
 	w.zones = make([][]*node, d.Zones)
 	w.m = newMeasures(w, h)
@@ -74,7 +78,8 @@
 	n := &node{w: w, index: w.nodes, svc: svc, zone: (len(svc.nodes) + svc.index) % w.dep.Zones}
 	w.nodes++
 	n.id = request.TargetIDOf(fmt.Sprintf("%s-%d", svc.spec.Name, len(svc.nodes)))
-	n.target = target{slots: svc.spec.Slots, real: svc.spec.Slots, conns: svc.spec.Connections, started: w.now}
+	n.target = target{slots: svc.spec.Slots, real: svc.spec.Slots, conns: svc.spec.Connections,
+		speed: svc.spec.Speed(len(svc.nodes)), started: w.now}
 	n.reset()
 	svc.nodes = append(svc.nodes, n)
 	w.zones[n.zone] = append(w.zones[n.zone], n)
--- a/internal/core/early/early_test.go
+++ b/internal/core/early/early_test.go
@@ -91,6 +91,29 @@
 // Symptom: goodput of a deep chain swings, and callers refuse requests while the
 // callee has free slots. Events: the callee's level peaks for a moment, since
 // what was admitted above still comes in. Cause: callers went by the peak.
+// Guards against callers that open a service since each of its many targets answers
+// them too seldom.
+func TestSeldomHeardTargetsKeepTheServiceClosed(t *testing.T) {
+	const targets, gap, high = 16, 150 * ms, feed + 0xc000
+	is := is.New(t)
+	tab := newTable()
+	now := time.Duration(0)
+	answer := func(i int, level request.Level) {
+		now += gap
+		tab.Learn(now, archive, Report{Target: request.TargetID(i%targets + 1), Own: level, Slots: 100})
+	}
+	for i := range 4 * targets {
+		answer(i, high)
+		if i >= targets {
+			is.Equal(tab.Level(now+gap-ms, archive), high) // while answers go on
+		}
+	}
+	for i := range targets / 2 {
+		answer(i, 0)
+	}
+	is.Equal(tab.Level(now, archive), request.Level(0)) // as soon as a part of them takes all
+}
+
 func TestPeakOfLevelIsNotHeldAgainstRequests(t *testing.T) {
 	is := is.New(t)
 	tab := newTable()
