Age a callee's level by the service's reports, not by each target's

Cause: a caller learns admission levels from answers, by target, and each target's level began to age 250 ms after its last answer, to nothing within a second. A caller of 32 targets, most of whose requests are refused early, hears of each every two seconds or so; of the levels that it knew most were aged, and the low quantile that counts took the oldest. So the entries opened the more the better they refused.

Change: reports age by the service's newest; one counts in full while it is at most three seconds older than that. A service from which nothing comes opens as before.

--- a/internal/core/early/config.go
+++ b/internal/core/early/config.go
@@ -4,12 +4,17 @@
 
 // Config holds the settings of the package.
 type Config struct {
-	// Hold is how long a learned level counts in full. Default 250ms. Longer
-	// refuses more steadily on rare traffic and recovers later.
+	// Hold is how long a service's level counts in full after the last report of any
+	// of its targets. Default 250ms. Longer refuses more steadily on rare traffic and
+	// recovers later.
 	Hold time.Duration
-	// Age is when a level without news counts as 0; from Hold on it falls in
+	// Age is when the level of a service without reports counts as 0; from Hold on it falls in
 	// proportion. Default 1s. Longer slows recovery.
 	Age time.Duration
+	// Outdated is how much older than the service's newest report a target's may be
+	// and still count. Default 3s. Longer keeps the reports of targets that a caller
+	// seldom calls; shorter follows changes sooner.
+	Outdated time.Duration
 	// Span is over how long the lowest of a target's levels counts: the last one
 	// to two spans. Default 250ms. Longer rides out deeper chains' overshoot and
 	// refuses later.
@@ -55,6 +60,7 @@
 	return Config{
 		Hold:       250 * time.Millisecond,
 		Age:        time.Second,
+		Outdated:   3 * time.Second,
 		Span:       250 * time.Millisecond,
 		Quantile:   0.25,
 		MinTargets: 2,
--- a/internal/core/early/doc.go
+++ b/internal/core/early/doc.go
@@ -9,9 +9,11 @@
 // A Table holds the levels that one node learned, by callee service and class.
 // The level of a service is a capacity-weighted quantile over its targets, so
 // that one outlier neither shuts nor opens the service; of each target the lowest
-// of the last moments counts, so that a passing peak doesn't either. Levels age out within a
-// second without news, and a small share of the refused is let through: so the
-// node learns of a recovery soon, whatever the traffic.
+// of the last moments counts, so that a passing peak doesn't either. The level of a
+// service ages out within a second without reports from any of its targets, and a small
+// share of the refused is let through: so the node learns of a recovery soon, whatever
+// the traffic. A target's report doesn't age by itself, since a caller hears of each of
+// many targets too seldom for that.
 //
 // A Chain holds which callees each of the node's own classes uses, and works
 // out from the Table what level the node reports upward for that class and
--- a/internal/core/early/table.go
+++ b/internal/core/early/table.go
@@ -229,24 +229,37 @@
 	l.at, l.fresh = now, true
 }
 
-// knownFor is for how many times Age without news a target still counts as one
-// that could be heard of. Symptom otherwise: a service that has lost all targets
+// knownFor is for how many times Age without a report a target still counts as one
+// that could report. Symptom otherwise: a service that has lost all targets
 // but one is called with what that one refuses, since the lost ones are waited
 // for; Forget does the same at once.
 const knownFor = 5
 
+// newest returns when a target of the service last reported.
+func (l *levels) newest() time.Duration {
+	at := never
+	for i := range l.heard {
+		at = max(at, l.heard[i].at)
+	}
+	return at
+}
+
 // quantile returns the lowest level such that targets with more than Quantile
 // of the capacity heard of are at or below it.
 func (t *Table) quantile(now time.Duration, l *levels, of func(*heard) request.Level) request.Level {
 	t.sort = t.sort[:0]
+	newest := l.newest()
+	age := now - newest
+	if age >= t.cfg.Age {
+		return 0
+	}
 	total, known := 0, 0
 	for i := range l.heard {
 		h := &l.heard[i]
-		age := now - h.at
-		if age < knownFor*t.cfg.Age {
+		if now-h.at < knownFor*t.cfg.Age {
 			known++
 		}
-		if age >= t.cfg.Age {
+		if newest-h.at >= t.cfg.Outdated {
 			continue
 		}
 		total += h.weight
