Follow the era of the platform's store

In a drill the store may return from a copy some seconds old and give versions out again. Nothing wrote the rows to join through again.

The position of the watch is now era and version, an answer of an earlier era that was held up is taken as lost, and the nodes that see the return look at the rows to join through once within two seconds. The configuration in force stays. The header costs the traffic path nothing: only calls to the store read it.

Left of the issue: the model of a fleet in virtual time, a target's leave that the copy forgot (nodes keep leaves in memory, none at the store), a path test under load.

--- a/internal/adapter/tallymetrics/node.go
+++ b/internal/adapter/tallymetrics/node.go
@@ -44,6 +44,7 @@
 type Counters struct {
 	ControlBytes  tally.Counter // bytes sent and received for control, headers included
 	ConfigChanges tally.Counter // configuration versions that came in force
+	StoreRewinds  tally.Counter // returns of the platform's store from an older copy
 	TargetCrashes tally.Counter // times that the own target went away while it ran requests
 }
 
@@ -51,6 +52,7 @@
 	return Counters{
 		ControlBytes:  s.Counter("control_bytes_total"),
 		ConfigChanges: s.Counter("config_changes_total"),
+		StoreRewinds:  s.Counter("store_rewinds_total"),
 		TargetCrashes: s.Counter("target_crashes_total"),
 	}
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -46,6 +46,7 @@
 func (n *Node) start(ctx context.Context) {
 	n.run(func() { _ = n.server.Serve(n.ln) })
 	n.run(func() { n.control.loop(ctx, member.DefaultConfig().TickEvery) })
+	n.followRewinds(ctx)
 	n.run(func() { n.join(ctx) })
 	if n.health != nil {
 		n.run(func() { n.health.run(ctx) })
@@ -77,7 +78,7 @@
 // join announces the node: through the peers of the settings at once, and
 // through the platform as soon as it answers.
 func (n *Node) join(ctx context.Context) {
-	s := &seeds{table: n.table, self: seed{Control: n.record().Control, Region: n.self.Place.Region}}
+	s := n.seeds()
 	var known []member.Peer
 	for _, p := range n.set.Peers {
 		known = append(known, member.Peer{Control: p})
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -64,6 +64,20 @@
 	List(ctx context.Context, prefix string) ([]Item, error)
 }
 
+// Rewind is a return of the platform's store from an older copy: what was written
+// since is gone, and its versions are given out again.
+type Rewind struct {
+	FromEra, ToEra int64
+	Before, After  int64 // newest versions of rows that were seen in either; 0: none
+}
+
+// Rewinds is implemented by tables that tell of such a return.
+type Rewinds interface {
+	// OnRewind sets what is told, once for each return that is seen. Call it before the
+	// first use of the table; f may be called from any goroutine and must not block.
+	OnRewind(f func(Rewind))
+}
+
 // Objects is the platform's object store. Objects are written once under a
 // name that includes their digest, so that a repeated write is harmless.
 type Objects interface {
