Let the latest reports decide where a callee is heard of seldom

A service's level is a low quantile of its targets', so callers that hear of 16 targets in turn go by the reports from before the surge until three quarters of them have answered anew.

Reports within Hold of the newest count, and older ones only while fewer than four are newer. TestARiseIsKnownAfterAFewReports failed before (0 after five reports).

--- a/internal/core/early/config.go
+++ b/internal/core/early/config.go
@@ -15,6 +15,10 @@
 	// and still count. Default 3s. Longer keeps the reports of targets that a caller
 	// seldom calls; shorter follows changes sooner.
 	Outdated time.Duration
+	// MinReports is how many targets' reports count however rare they are; of reports
+	// that are older than the newest by Hold, no more do. Default 4. Higher is steadier
+	// on rare traffic, lower follows changes sooner.
+	MinReports int
 	// Span is over how long the lowest of a target's levels counts: the last one
 	// to two spans. Default 250ms. Longer rides out deeper chains' overshoot and
 	// refuses later.
@@ -61,6 +65,7 @@
 		Hold:       250 * time.Millisecond,
 		Age:        time.Second,
 		Outdated:   3 * time.Second,
+		MinReports: 4,
 		Span:       250 * time.Millisecond,
 		Quantile:   0.25,
 		MinTargets: 2,
--- a/internal/core/early/early_test.go
+++ b/internal/core/early/early_test.go
@@ -114,6 +114,25 @@
 	is.Equal(tab.Level(now, archive), request.Level(0)) // as soon as a part of them takes all
 }
 
+// Guards against callers that learn of an overload only when nearly all of a service's
+// targets have reported it.
+func TestARiseIsKnownAfterAFewReports(t *testing.T) {
+	const targets, gap = 16, 150 * ms
+	is := is.New(t)
+	tab := newTable()
+	for i := range 2 * targets {
+		level := request.Level(0)
+		if i >= targets {
+			level = feed
+		}
+		now := time.Duration(i) * gap
+		tab.Learn(now, archive, Report{Target: request.TargetID(i%targets + 1), Own: level, Slots: 100})
+		if i >= targets+4 {
+			is.Equal(tab.Level(now, archive), feed)
+		}
+	}
+}
+
 func TestPeakOfLevelIsNotHeldAgainstRequests(t *testing.T) {
 	is := is.New(t)
 	tab := newTable()
--- a/internal/core/early/table.go
+++ b/internal/core/early/table.go
@@ -235,6 +235,24 @@
 // for; Forget does the same at once.
 const knownFor = 5
 
+// counts reports whether a target's report still says something beside the newest. Of
+// a service that a caller seldom hears of the latest few count, so that it learns of a
+// change before all targets have reported it.
+func (t *Table) counts(l *levels, newest, at time.Duration) bool {
+	age := newest - at
+	return age < t.cfg.Hold || age < t.cfg.Outdated && l.since(at) < t.cfg.MinReports
+}
+
+// since returns how many targets have reported after a time.
+func (l *levels) since(at time.Duration) (n int) {
+	for i := range l.heard {
+		if l.heard[i].at > at {
+			n++
+		}
+	}
+	return n
+}
+
 // newest returns when a target of the service last reported.
 func (l *levels) newest() time.Duration {
 	at := never
@@ -259,7 +277,7 @@
 		if now-h.at < knownFor*t.cfg.Age {
 			known++
 		}
-		if newest-h.at >= t.cfg.Outdated {
+		if !t.counts(l, newest, h.at) {
 			continue
 		}
 		total += h.weight
