--- a/internal/adapter/zaplog/fields.go
+++ b/internal/adapter/zaplog/fields.go
@@ -27,6 +27,10 @@
 // Level is the field of an admission level, as an importance.
 func Level(l request.Level) zap.Field { return zap.Float64("refused_below", l.AsImportance()) }
 
+// Known is the field of the admission level that an entry knew of its callee and the
+// services below it, as an importance.
+func Known(l request.Level) zap.Field { return zap.Float64("known_below", l.AsImportance()) }
+
 // Service is the field of a service.
 func Service(s request.Service) zap.Field { return zap.String("service", string(s)) }
 
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -64,7 +64,7 @@
 		fields = append(fields, zaplog.Level(h.Level))
 	}
 	if h.Kind == dataplane.HopEntry {
-		fields = append(fields, zap.Float64("known_below", h.Known.AsImportance()))
+		fields = append(fields, zaplog.Known(h.Known))
 	}
 	if h.Queued > 0 {
 		fields = append(fields, zap.Duration("queued", h.Queued))
