Follow the store's returns before anything uses it, and until it answers

The callback was set after the control goroutine had begun to ask the store, and the look at the rows to join through was given up if the store was still away. Found in reading the change.

--- a/internal/node/rewind.go
+++ b/internal/node/rewind.go
@@ -37,7 +37,8 @@
 	n.run(func() { n.rejoin(ctx, seen, rewindSpread) })
 }
 
-// rejoin looks at the rows to join through after each return of the store.
+// rejoin looks at the rows to join through after each return of the store, again until
+// the store answers.
 func (n *Node) rejoin(ctx context.Context, seen <-chan port.Rewind, spread time.Duration) {
 	for {
 		select {
@@ -45,11 +46,14 @@
 			return
 		case <-seen:
 		}
-		if !wait(ctx, rand.N(spread)) {
-			return
-		}
-		if _, _, err := n.seeds().join(ctx); err != nil {
-			n.log.Warn("no nodes from the platform", zaplog.Failure(err))
+		for again := true; again; {
+			if !wait(ctx, rand.N(spread)) {
+				return
+			}
+			_, _, err := n.seeds().join(ctx)
+			if again = err != nil; again {
+				n.log.Warn("no nodes from the platform", zaplog.Failure(err))
+			}
 		}
 	}
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -44,9 +44,9 @@
 }
 
 func (n *Node) start(ctx context.Context) {
+	n.followRewinds(ctx)
 	n.run(func() { _ = n.server.Serve(n.ln) })
 	n.run(func() { n.control.loop(ctx, member.DefaultConfig().TickEvery) })
-	n.followRewinds(ctx)
 	n.run(func() { n.join(ctx) })
 	if n.health != nil {
 		n.run(func() { n.health.run(ctx) })
