--- a/internal/core/early/doc.go
+++ b/internal/core/early/doc.go
@@ -12,8 +12,8 @@
 // of the last moments counts, so that a passing peak doesn't either. The level of a
 // service ages out within a second without reports from any of its targets, and a small
 // share of the refused is let through: so the node learns of a recovery soon, whatever
-// the traffic. A target's report doesn't age by itself, since a caller hears of each of
-// many targets too seldom for that.
+// the traffic. A report doesn't age beside newer ones of other targets: each of many targets
+// reports to a caller too seldom for that.
 //
 // A Chain holds which callees each of the node's own classes uses, and works
 // out from the Table what level the node reports upward for that class and
--- a/internal/core/early/table.go
+++ b/internal/core/early/table.go
@@ -235,9 +235,9 @@
 // for; Forget does the same at once.
 const knownFor = 5
 
-// counts reports whether a target's report still says something beside the newest. Of
-// a service that a caller seldom hears of the latest few count, so that it learns of a
-// change before all targets have reported it.
+// counts reports whether a target's report still counts beside the newest. Where reports
+// are rare the latest few count, so that a change is known before all targets have
+// reported it.
 func (t *Table) counts(l *levels, newest, at time.Duration) bool {
 	age := newest - at
 	return age < t.cfg.Hold || age < t.cfg.Outdated && l.since(at) < t.cfg.MinReports
