Test the look at the rows to join through after the store's return

The check of TestNodesOutlastADrillOfTheStore on these rows can't fail by that look: with it taken out a node's own rounds of joining wrote the row, and the test failed only since no line told of the return. The loop is a function of its own now, and TestRowsAreLookedAtUntilTheReturnedStoreAnswers plays it in virtual time; with failures not followed it has one look in place of three.

--- a/internal/core/early/table.go
+++ b/internal/core/early/table.go
@@ -230,7 +230,7 @@
 }
 
 // knownFor is for how many times Age without a report a target still counts as one
-// that could report. Symptom otherwise: a service that has lost all targets
+// that could report. Without it a service that has lost all targets
 // but one is called with what that one refuses, since the lost ones are waited
 // for; Forget does the same at once.
 const knownFor = 5
--- a/internal/node/rewind.go
+++ b/internal/node/rewind.go
@@ -34,26 +34,30 @@
 		default: // one that waits covers this one too
 		}
 	})
-	n.run(func() { n.rejoin(ctx, seen, rewindSpread) })
+	n.run(func() {
+		rejoin(ctx, seen, rewindSpread, func() error {
+			_, _, err := n.seeds().join(ctx)
+			if err != nil {
+				n.log.Warn("no nodes from the platform", zaplog.Failure(err))
+			}
+			return err
+		})
+	})
 }
 
-// rejoin looks at the rows to join through after each return of the store, again until
-// the store answers.
-func (n *Node) rejoin(ctx context.Context, seen <-chan port.Rewind, spread time.Duration) {
+// rejoin calls join after each return of the store, again until it succeeds, each time
+// after a pause drawn from spread.
+func rejoin(ctx context.Context, seen <-chan port.Rewind, spread time.Duration, join func() error) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-seen:
 		}
-		for again := true; again; {
+		for err := error(port.ErrUnavailable); err != nil; err = join() {
 			if !wait(ctx, rand.N(spread)) {
 				return
 			}
-			_, _, err := n.seeds().join(ctx)
-			if again = err != nil; again {
-				n.log.Warn("no nodes from the platform", zaplog.Failure(err))
-			}
 		}
 	}
 }
