Log the importance of a request, and replay the reserved fraction

Neither the logs nor the replay could tell whether the fraction of each class that is refused last displaces classes of higher importance: a line did not say with which importance a request was judged, and the replay's platform policy, said to have the settings of nodes on the users' platform, had no reserved fraction.

--- a/bench/replay/core.go
+++ b/bench/replay/core.go
@@ -14,11 +14,12 @@
 
 // Settings of nodes on the users' platform; package node has the same values.
 const (
-	platformHeadroom    = 0.06
-	platformFloor       = 1
-	platformZoneGap     = 0.5
-	platformRetryBudget = 97
-	platformRetryWindow = 10 * time.Second
+	platformHeadroom         = 0.06
+	platformFloor            = 1
+	platformZoneGap          = 0.5
+	platformReservedFraction = 0.125
+	platformRetryBudget      = 97
+	platformRetryWindow      = 10 * time.Second
 )
 
 // coreGate calls the admission core in the way a real node does.
@@ -152,7 +153,11 @@
 	if !sim.policy.ChainOrder {
 		id[0] ^= byte(at.index + 1) // a different hash order at each hop
 	}
-	return request.PriorityOf(importanceOf(t.class), id)
+	imp := importanceOf(t.class)
+	if sim.policy.Platform && request.Assured(t.id, platformReservedFraction) {
+		imp = request.MaxImportance
+	}
+	return request.PriorityOf(imp, id)
 }
 
 // router calls the routing core for one callee service at one node.
--- a/internal/adapter/zaplog/fields.go
+++ b/internal/adapter/zaplog/fields.go
@@ -37,6 +37,10 @@
 // Class is the field of a request class.
 func Class(c request.Class) zap.Field { return zap.String("class", string(c)) }
 
+// Importance is the importance that a request was judged with, which is higher than its
+// class's for a request of the reserved fraction.
+func Importance(i request.Importance) zap.Field { return zap.Uint8("importance", uint8(i)) }
+
 // Organisation is the field of the calling organisation.
 func Organisation(o request.Organisation) zap.Field { return zap.String("organisation", string(o)) }
 
--- a/internal/dataplane/answer.go
+++ b/internal/dataplane/answer.go
@@ -58,6 +58,7 @@
 	h.Class = out.meta.Class
 	h.Tenant = out.meta.Tenant
 	h.Organisation = out.meta.Organisation
+	h.Importance = out.meta.Importance
 	h.Target = r.target
 	h.Zone = r.zone
 	h.Attempt = r.attempts
--- a/internal/dataplane/hop.go
+++ b/internal/dataplane/hop.go
@@ -43,6 +43,7 @@
 	Tenant  request.Tenant
 
 	Organisation request.Organisation // of the caller; empty if unknown
+	Importance   request.Importance   // that the request was judged with
 
 	Target     request.TargetID
 	Zone       string
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -354,6 +354,7 @@
 func (e *Engine) observeServe(s *inboundCall, o request.Outcome, code status.Code) {
 	s.hop.Service, s.hop.Class, s.hop.Tenant = e.self.Service, s.meta.Class, s.meta.Tenant
 	s.hop.Organisation = s.meta.Organisation
+	s.hop.Importance = s.meta.Importance
 	s.hop.Version = e.view.Load().Index.Version(e.self.Tenant)
 	s.hop.Level = e.gate.level(s.tenant)
 	s.hop.Outcome, s.hop.Code = o, code
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -57,6 +57,9 @@
 	if h.Name != "" {
 		fields = append(fields, zaplog.Name(h.Name))
 	}
+	if h.Importance > 0 {
+		fields = append(fields, zaplog.Importance(h.Importance))
+	}
 	if h.Organisation != "" {
 		fields = append(fields, zaplog.Organisation(h.Organisation))
 	}
