--- a/bench/replay/outcomes_test.go
+++ b/bench/replay/outcomes_test.go
@@ -93,6 +93,24 @@
 	}
 }
 
+// Guards against a class that needs a tenth of the deepest service's slots and is refused
+// because the requests of higher importance and the reserved fraction need all of them.
+func TestSmallClassIsServedDuringOverload(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprintf("seed-%d", seed+1), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			d := workload.Chatty().Scaled(4)
+			r := Run(d, workload.Generate(d, workload.ScenarioFor("crowd", d, testPhaseDurations), seed+1), platformPolicy(), seed+1)
+			for name, c := range r.Classes {
+				t.Logf("%s: asked %.0f/s, served %.3f, at the first try %.3f", name, c.Demand, c.Served, c.ServedFirst)
+			}
+			is.True(r.Classes["status"].ServedFirst >= 0.9)
+			is.True(r.Classes["lookup"].ServedFirst >= 0.8*platformReservedFraction)
+		})
+	}
+}
+
 // Guards against capacity in proportion to demand: one tenant sends ten times its usual
 // load to a shared service, and requests of the other, at normal demand, fail.
 func TestTenantFloodDoesNotAffectOtherTenant(t *testing.T) {
