Exempt classes of little demand from the admission level

Cause: an eighth of each class's requests is ranked with importance 100, however many calls it makes. With the payouts that was more than the deepest service's capacity from second 1.5 on, so the level lay within importance 100 and all other requests were refused, also of a class that needs 7% of the slots.

A fifth of a gate's capacity is now reserved, on the users' platform, for importances that the level would refuse, the highest first. One whose demand fits is exempt; the more it exceeds the reserve, the less of it is, so that a flood gains nothing and the most important classes lose a fifth at most. Answers carry the exemptions, so that entries admit what the gate admits.

--- a/bench/replay/core.go
+++ b/bench/replay/core.go
@@ -18,6 +18,7 @@
 	platformFloor            = 1
 	platformZoneGap          = 0.5
 	platformReservedFraction = 0.125
+	platformReservedShare    = 0.2
 	platformRetryBudget      = 97
 	platformRetryWindow      = 10 * time.Second
 )
@@ -36,6 +37,7 @@
 	cfg.Slots = n.target.slots
 	if n.sim.policy.Platform {
 		cfg.Limit.InitialFraction, cfg.Limit.Headroom = 1, platformHeadroom
+		cfg.ReservedShare = platformReservedShare
 	}
 	if !n.sim.policy.Queue {
 		cfg.MaxWait = time.Nanosecond
@@ -125,13 +127,10 @@
 }
 
 func (g *coreGate) feedback(a *attempt) calleeFeedback {
-	x := calleeFeedback{
-		level:    g.core.TenantLevel(g.node.sim.tenantIndex(a.call.root.class.Tenant)),
-		inFlight: g.node.target.load(),
-		limit:    g.node.target.slots,
-	}
+	x := calleeFeedback{inFlight: g.node.target.load(), limit: g.node.target.slots}
+	x.level, x.exempt = g.core.TenantLevel(g.node.sim.tenantIndex(a.call.root.class.Tenant))
 	if g.node.sim.policy.ChainLevel {
-		x.chainLevel = g.node.chain.Level(g.node.sim.now, workKey(a.call.root))
+		x.chainLevel = g.node.chain.Level(g.node.sim.now, workKey(a.call.root), g.priority(a))
 	}
 	return x
 }
--- a/bench/replay/outbound.go
+++ b/bench/replay/outbound.go
@@ -12,8 +12,9 @@
 
 // calleeFeedback is the load state that a callee's node reports with its response.
 type calleeFeedback struct {
-	level      request.Level // of the target
-	chainLevel request.Level // of its downstream services
+	level      request.Level   // of the target
+	exempt     []request.Level // from it
+	chainLevel request.Level   // of its downstream services
 	inFlight   int
 	limit      int
 }
@@ -125,7 +126,7 @@
 	}
 	c := a.call
 	if r.hasResponse {
-		o.node.levels.Learn(o.node.sim.now, o.key(c), earlyrefusal.Report{Target: a.callee.id, Own: r.feedback.level, Chain: r.feedback.chainLevel, Slots: r.feedback.limit})
+		o.node.levels.Learn(o.node.sim.now, o.key(c), earlyrefusal.Report{Target: a.callee.id, Own: r.feedback.level, Exempt: r.feedback.exempt, Chain: r.feedback.chainLevel, Slots: r.feedback.limit})
 	}
 	c.allowance.Settle(&c.retryState, &a.grant, retry.Answer{Outcome: r.outcome, Unspent: r.unspentAllowance, AttemptsMade: r.callsMade})
 	if r.outcome == request.Completed {
@@ -157,9 +158,10 @@
 // decideRetry lets the retry core decide.
 func (o *outbound) decideRetry(c *call, r result) (time.Duration, bool) {
 	sim := o.node.sim
+	p := sim.priority(c.root, o.service)
 	res := retry.Result{
 		Outcome: r.outcome, Code: r.code, Deadline: c.deadline, Attempts: c.retryState.Attempts(),
-		Priority: sim.priority(c.root, o.service), Level: o.node.levels.Level(sim.now, o.key(c)), AllowanceLeft: c.allowance.Left(), CallsBelow: o.cost(c).Below(),
+		Priority: p, Level: o.node.levels.LevelFor(sim.now, o.key(c), p), AllowanceLeft: c.allowance.Left(), CallsBelow: o.cost(c).Below(),
 		MayHaveRun: c.retryState.MayHaveRun(), AtMostOnce: c.root.class.AtMostOnce, Idempotent: !c.root.class.AtMostOnce,
 	}
 	if !sim.policy.Allowance {
--- a/internal/core/admission/config.go
+++ b/internal/core/admission/config.go
@@ -52,6 +52,13 @@
 	// linearly to 1. Higher values admit more requests that may miss their deadline;
 	// lower values refuse requests while slots are free.
 	SpareUtilization float64
+	// ReservedShare is the share of the capacity, from 0 to below 1, that importances
+	// below the admission level may use, the highest first. An importance whose whole
+	// demand fits is not refused for its rank; one whose demand is greater gets the less,
+	// the more it exceeds it. Default 0: importances are refused strictly in order. Higher
+	// values serve more classes of little demand and take that capacity from the highest
+	// importances.
+	ReservedShare float64
 	// RetryAfter is the minimum retry delay sent with a refusal. Default 1 s. It
 	// grows with the ratio of demand to capacity and gets up to 100% jitter. With
 	// higher values refused callers come back later, even after the overload has
--- a/internal/core/admission/demand.go
+++ b/internal/core/admission/demand.go
@@ -39,34 +39,33 @@
 
 func bucketOf(p request.Priority) int { return min(int(p>>bucketShift), buckets-1) }
 
-// record adds an arrival. An arrival below the level is a probe, or was admitted
-// upstream before the level rose, and does not predict demand.
-func (d *demand) record(p request.Priority, weight float64, level request.Level) {
-	if p >= level {
-		d.arrived[bucketOf(p)] += float32(weight)
-	}
+// record adds an arrival that the level admits. One that it refuses is a probe, or was
+// admitted upstream before the level rose, and does not predict demand.
+func (d *demand) record(p request.Priority, weight float64) {
+	d.arrived[bucketOf(p)] += float32(weight)
 }
 
-// endWindow closes a window during which the level was constant. Arrivals above the
-// level are measured. Below it nothing is visible, because callers that know the
-// level send nothing there. The importance that contains the level is extrapolated
-// from its part above the level, since hashes are uniformly distributed; the rates
-// of lower importances are multiplied by keep.
-func (d *demand) endWindow(length time.Duration, level request.Level, keep float32) {
-	weight := float32(1 - math.Pow(rateRetention, max(1, length.Seconds()/rateDecayInterval.Seconds())))
-	scale := 1 / float32(length.Seconds())
-	seen := int((level + bucketWidth - 1) >> bucketShift) // lowest fully visible bucket
-	for i := range d.rate {
-		if i >= seen {
-			d.rate[i] += weight * (d.arrived[i]*scale - d.rate[i])
-		} else if i != seen-1 {
-			d.rate[i] *= keep
-		}
+// windowSample is how the arrivals of one window enter the rates.
+type windowSample struct {
+	weight float32 // of the window in the moving average
+	scale  float32 // from arrivals to a rate
+	keep   float32 // fraction of a rate that remains where nothing is visible
+}
+
+// endWindow closes a window during which the level and the exemptions were constant.
+// Admitted arrivals are measured. The others are not visible, because callers that know
+// the level send nothing there. An importance of which a part is admitted is
+// extrapolated from it, since hashes are uniformly distributed; the rates of importances
+// that are refused entirely are multiplied by keep.
+func (d *demand) endWindow(length time.Duration, level request.Level, x exemptions, keep float32) {
+	w := windowSample{
+		weight: float32(1 - math.Pow(rateRetention, max(1, length.Seconds()/rateDecayInterval.Seconds()))),
+		scale:  1 / float32(length.Seconds()),
+		keep:   keep,
 	}
-	if part := request.Level(seen)<<bucketShift - level; part > 0 {
-		d.rate[seen-1] = d.partialRate(seen-1, part, weight, scale, keep)
+	for imp := range importances {
+		d.endImportance(imp, x.visibleFrom(imp, level), &w)
 	}
-	d.extrapolate(seen)
 	clear(d.arrived[:])
 	d.total = 0
 	for _, r := range d.rate {
@@ -74,50 +73,93 @@
 	}
 }
 
+// endImportance updates the rates of one importance, of which the part from visible on
+// was admitted.
+func (d *demand) endImportance(imp int, visible request.Level, w *windowSample) {
+	first, end := imp*hashBuckets, (imp+1)*hashBuckets
+	seen := int((visible + bucketWidth - 1) >> bucketShift) // lowest fully visible bucket
+	for i := seen; i < end; i++ {
+		d.rate[i] += w.weight * (d.arrived[i]*w.scale - d.rate[i])
+	}
+	shown := seen
+	if part := request.Level(seen)<<bucketShift - visible; part > 0 {
+		shown--
+		d.rate[shown] = d.partialRate(shown, part, w)
+	}
+	if shown == end {
+		for i := first; i < end; i++ {
+			d.rate[i] *= w.keep
+		}
+		return
+	}
+	d.extrapolate(first, shown, end)
+}
+
 // minVisibleWidth is the smallest visible part of a bucket from which its rate is
 // estimated.
 const minVisibleWidth = bucketWidth / 16
 
-// partialRate returns the rate of the bucket that contains the level, of which only
-// the part above the level is visible.
-func (d *demand) partialRate(i int, part request.Level, weight, scale, keep float32) float32 {
+// partialRate returns the rate of a bucket of which only a part is visible.
+func (d *demand) partialRate(i int, part request.Level, w *windowSample) float32 {
 	if part < minVisibleWidth {
-		return d.rate[i] * keep
+		return d.rate[i] * w.keep
 	}
-	whole := d.arrived[i] * scale * bucketWidth / float32(part)
-	return d.rate[i] + weight*float32(part)/bucketWidth*(whole-d.rate[i])
+	whole := d.arrived[i] * w.scale * bucketWidth / float32(part)
+	return d.rate[i] + w.weight*float32(part)/bucketWidth*(whole-d.rate[i])
 }
 
-// extrapolate fills the hidden buckets of the importance that is partly visible.
-func (d *demand) extrapolate(seen int) {
-	first := (seen - 1) / hashBuckets * hashBuckets
-	if seen <= first || seen > buckets {
+// extrapolate sets the hidden buckets from first to shown to the mean of the visible
+// ones up to end.
+func (d *demand) extrapolate(first, shown, end int) {
+	if shown == first {
 		return
 	}
-	shown := d.rate[seen-1 : first+hashBuckets]
 	mean := float32(0)
-	for _, r := range shown {
-		mean += r / float32(len(shown))
+	for _, r := range d.rate[shown:end] {
+		mean += r / float32(end-shown)
 	}
-	for i := first; i < seen-1; i++ {
+	for i := first; i < shown; i++ {
 		d.rate[i] = mean
 	}
 }
 
-// levelFor returns the lowest level at which the remaining demand fits the capacity:
-// 0 if all of it fits.
-func (d *demand) levelFor(capacity float64) request.Level {
+// levelFor returns the lowest level at which the remaining demand fits the capacity, 0 if
+// all of it fits, and the exemptions from it that use the reserved part of the capacity.
+func (d *demand) levelFor(capacity, reserved float64) (request.Level, exemptions) {
 	if d.total <= capacity {
-		return 0
+		return 0, nil
+	}
+	level := d.cut(capacity, nil)
+	if reserved <= 0 {
+		return level, nil
 	}
+	x := d.exempt(level, reserved)
+	return d.cut(capacity, x), x
+}
+
+// cut returns the lowest level at which what is not exempt fits beside what is.
+func (d *demand) cut(capacity float64, x exemptions) request.Level {
 	sum := 0.0
+	for _, from := range x {
+		imp := int(from.Importance())
+		sum += d.ofImportance(imp) * float64(importanceStart(imp+1)-from) / importanceWidth
+	}
 	for i := buckets - 1; i >= 0; i-- {
 		r := float64(d.rate[i])
+		if from, ok := x.of(i / hashBuckets); ok {
+			r *= hiddenPart(i, from)
+		}
 		if sum+r > capacity {
-			over := (sum + r - capacity) / r // fraction of the bucket to refuse
+			over := min((sum+r-capacity)/r, 1) // fraction of the bucket to refuse
 			return request.Level(i)<<bucketShift + request.Level(over*bucketWidth)
 		}
 		sum += r
 	}
 	return 0
 }
+
+// hiddenPart returns the part of a bucket that lies below a priority.
+func hiddenPart(i int, from request.Level) float64 {
+	start := request.Level(i) << bucketShift
+	return float64(min(max(from, start), start+bucketWidth)-start) / bucketWidth
+}
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -62,7 +62,9 @@
 	t := g.levels.tenant(int(a.Tenant))
 	imp := int(a.Priority.Importance())
 	expected := g.service.estimate(imp)
-	t.demand.record(a.Priority, g.service.factor(imp), t.level)
+	if t.admits(a.Priority) {
+		t.demand.record(a.Priority, g.service.factor(imp))
+	}
 	g.window.arrivals++
 
 	if g.draining {
@@ -343,7 +345,10 @@
 	return low
 }
 
-// TenantLevel returns the admission level of one tenant, to be published to its callers.
-func (g *Gate) TenantLevel(tenant uint16) request.Level {
-	return g.levels.tenant(int(tenant)).level
+// TenantLevel returns the admission level of one tenant and the exemptions from it, to
+// be published to its callers: a request below the level is admitted if its priority is
+// at least that of an exemption of its importance. The caller must not change the list.
+func (g *Gate) TenantLevel(tenant uint16) (request.Level, []request.Level) {
+	t := g.levels.tenant(int(tenant))
+	return t.level, t.exempt
 }
--- a/internal/core/admission/gate_test.go
+++ b/internal/core/admission/gate_test.go
@@ -284,17 +284,18 @@
 	is := is.New(t)
 	var d demand
 	for h := range 65536 / 16 {
-		d.record(prio(10, uint16(h*16)), 1, 0)
-		d.record(prio(40, uint16(h*16)), 1, 0)
+		d.record(prio(10, uint16(h*16)), 1)
+		d.record(prio(40, uint16(h*16)), 1)
 	}
 	for range 40 {
-		d.endWindow(time.Second, 0, 1)
+		d.endWindow(time.Second, 0, nil, 1)
 		d.arrived = d.rate
 	}
 	all := d.total
-	is.Equal(d.levelFor(all*1.01), request.Level(0))
+	level, _ := d.levelFor(all*1.01, 0)
+	is.Equal(level, request.Level(0))
 	for _, part := range []float64{0.9, 0.5, 0.25} {
-		level := d.levelFor(part * all)
+		level, _ := d.levelFor(part*all, 0)
 		left := 0.0
 		for imp := request.Importance(10); imp <= 40; imp += 30 {
 			above := float64(prio(imp+1, 0)) - float64(max(level, prio(imp, 0)))
--- a/internal/core/admission/level.go
+++ b/internal/core/admission/level.go
@@ -33,6 +33,7 @@
 type tenantLevel struct {
 	demand demand
 	level  request.Level
+	exempt exemptions
 	recent [graceWindows]request.Level
 }
 
@@ -53,9 +54,14 @@
 	return t.demand.total
 }
 
+// admits reports whether the current level admits a request.
+func (t *tenantLevel) admits(p request.Priority) bool {
+	return p >= t.level || t.exempt.admit(p)
+}
+
 // refuses reports whether the level refuses a request.
 func (t *tenantLevel) refuses(p request.Priority, deep bool) bool {
-	return p < t.level && (!deep || p < t.graceLevel())
+	return !t.admits(p) && (!deep || p < t.graceLevel())
 }
 
 // levels sets the tenants' admission levels once per window.
@@ -89,6 +95,7 @@
 	utilization   float64 // fraction of the limit in use
 	standingQueue bool    // the queue delay stayed above its target
 	service       float64 // mean service time in seconds, lengthened by a slowdown
+	reservedShare float64 // Config.ReservedShare
 }
 
 // endWindow closes a window and sets the levels. It reports whether a level has
@@ -100,7 +107,7 @@
 	}
 	for _, t := range l.tenants {
 		if t != nil {
-			t.demand.endWindow(m.length, t.level, keep)
+			t.demand.endWindow(m.length, t.level, t.exempt, keep)
 		}
 	}
 	if !l.active && !m.standingQueue {
@@ -159,7 +166,7 @@
 	above := false
 	for i, t := range l.tenants {
 		if t != nil {
-			t.level = t.demand.levelFor(l.allocations[i])
+			t.level, t.exempt = t.demand.levelFor(l.allocations[i], m.reservedShare*l.allocations[i])
 			above = above || t.level > 0
 		}
 	}
--- a/internal/core/admission/window.go
+++ b/internal/core/admission/window.go
@@ -62,6 +62,7 @@
 		utilization:   w.busy.Seconds() / (length.Seconds() * float64(lim)),
 		standingQueue: now-w.delayLowAt >= g.cfg.StandingDelay,
 		service:       g.service.mean * g.service.slowdown(now),
+		reservedShare: g.cfg.ReservedShare,
 	}, &g.ledger, g.cfg.IdleUtilization)
 	needed := g.queueDetector.EndWindow()
 	g.limiter.Observe(limit.Window{
--- a/internal/core/earlyrefusal/chain.go
+++ b/internal/core/earlyrefusal/chain.go
@@ -78,10 +78,10 @@
 }
 
 // Level returns the level at which services further down the chain refuse requests
-// of a class: the highest among the callees that at least MinUseFraction of its requests
-// call. Callees needed by fewer requests are ignored; they refuse those requests
-// themselves.
-func (c *Chain) Level(now time.Duration, w WorkKey) request.Level {
+// of a class and priority: the highest among the callees that at least MinUseFraction of
+// its requests call. Callees needed by fewer requests are ignored; they refuse those
+// requests themselves.
+func (c *Chain) Level(now time.Duration, w WorkKey, p request.Priority) request.Level {
 	cl := c.classes[w]
 	if cl == nil {
 		return 0
@@ -93,7 +93,7 @@
 		if c.decay(u.calls, now-u.at) < need {
 			continue
 		}
-		level = max(level, c.table.latest(now, u.key))
+		level = max(level, c.table.latestFor(now, u.key, p))
 	}
 	return level
 }
--- a/internal/core/earlyrefusal/earlyrefusal_test.go
+++ b/internal/core/earlyrefusal/earlyrefusal_test.go
@@ -149,7 +149,7 @@
 	} {
 		learnLevels(tab, r.at, r.level, r.level)
 		is.Equal(tab.Level(r.at, archiveKey), r.low)
-		is.Equal(chain.Level(r.at, WorkKey{Class: "front"}), r.level) // reported upstream unchanged
+		is.Equal(chain.Level(r.at, WorkKey{Class: "front"}, 0), r.level) // reported upstream unchanged
 	}
 }
 
@@ -180,10 +180,10 @@
 		}
 	}
 	tab.Learn(100*ms, rare, Report{Target: 1, Chain: payPriority})
-	is.Equal(chain.Level(100*ms, WorkKey{Class: "headlines"}), request.Level(0)) // few requests need it
+	is.Equal(chain.Level(100*ms, WorkKey{Class: "headlines"}, 0), request.Level(0)) // few requests need it
 	learnLevels(tab, 110*ms, feedLevel, feedLevel)
-	is.Equal(chain.Level(110*ms, WorkKey{Class: "headlines"}), feedLevel)
-	is.Equal(chain.Level(110*ms, WorkKey{Class: "other"}), request.Level(0))
+	is.Equal(chain.Level(110*ms, WorkKey{Class: "headlines"}, 0), feedLevel)
+	is.Equal(chain.Level(110*ms, WorkKey{Class: "other"}, 0), request.Level(0))
 }
 
 func TestOwnLevelHoldsForAllClasses(t *testing.T) {
@@ -236,8 +236,8 @@
 			tab.Learn(0, k, Report{Target: request.TargetID(i + 1), Own: level, Slots: 100})
 		}
 	}
-	is.Equal(chain.Level(0, WorkKey{Class: "read", Tenant: "khaosan"}), feedLevel)
-	is.Equal(chain.Level(0, WorkKey{Class: "read", Tenant: "kalahari"}), request.Level(0))
+	is.Equal(chain.Level(0, WorkKey{Class: "read", Tenant: "khaosan"}, 0), feedLevel)
+	is.Equal(chain.Level(0, WorkKey{Class: "read", Tenant: "kalahari"}, 0), request.Level(0))
 }
 
 func TestBounds(t *testing.T) {
@@ -282,7 +282,7 @@
 	chain.RecordCall(now, WorkKey{Class: "headlines"}, archiveKey)
 	tab.Check(now, archiveKey, payPriority)
 	tab.Learn(now, archiveKey, Report{Target: 3, Own: feedLevel, Slots: 100})
-	chain.Level(now, WorkKey{Class: "headlines"})
+	chain.Level(now, WorkKey{Class: "headlines"}, 0)
 	return now
 }
 
@@ -302,3 +302,52 @@
 		tab.Check(0, archiveKey, payPriority)
 	}
 }
+
+// Guards against callers that refuse an importance which the callee's targets exempt from
+// their level.
+func TestExemptImportanceIsNotRefused(t *testing.T) {
+	const high, exempt = payPriority + 0x4000, request.Level(70) << 16
+	tests := []struct {
+		name      string
+		exempting int // of four targets
+		want      request.Level
+	}{
+		{"no target", 0, high},
+		{"one of four, no more than the quantile", 1, high},
+		{"two of four", 2, exempt},
+		{"all", 4, exempt},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			tab := newTable()
+			for i := range 4 {
+				r := Report{Target: request.TargetID(i + 1), Own: high, Slots: 100}
+				if i < tt.exempting {
+					r.Exempt = []request.Level{exempt}
+				}
+				tab.Learn(0, archiveKey, r)
+			}
+			chain := NewChain(tab.cfg, tab)
+			chain.RecordRequest(0, WorkKey{Class: "front"})
+			chain.RecordCall(0, WorkKey{Class: "front"}, archiveKey)
+			is.Equal(tab.LevelFor(0, archiveKey, exempt), tt.want)
+			is.Equal(chain.Level(0, WorkKey{Class: "front"}, exempt), tt.want)
+			is.Equal(tab.LevelFor(0, archiveKey, feedLevel), high) // another importance
+			is.Equal(chain.Level(0, WorkKey{Class: "front"}, feedLevel), high)
+		})
+	}
+}
+
+// Guards against an exemption that outlasts the report that carried it.
+func TestExemptionEndsWithNextReport(t *testing.T) {
+	const exempt = request.Level(70) << 16
+	is := is.New(t)
+	tab := newTable()
+	for i := range 4 {
+		tab.Learn(0, archiveKey, Report{Target: request.TargetID(i + 1), Own: payPriority, Exempt: []request.Level{exempt}, Slots: 100})
+	}
+	is.True(!tab.Check(0, archiveKey, exempt).Refuse)
+	learnLevels(tab, 100*ms, payPriority, payPriority, payPriority, payPriority)
+	is.True(tab.Check(100*ms, archiveKey, exempt).Refuse)
+}
--- a/internal/core/earlyrefusal/table.go
+++ b/internal/core/earlyrefusal/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"peardrift/internal/core/request"
@@ -26,6 +27,9 @@
 	// Own is the target's own admission level for the tenant. It applies to all
 	// classes, so a response to one class updates the others.
 	Own request.Level
+	// Exempt lists the priorities from which requests are admitted although they are
+	// below Own, at most one for each importance.
+	Exempt []request.Level
 	// Chain is the level of the services below it for the call's class.
 	Chain request.Level
 	// Slots is the target's capacity, the weight of its levels.
@@ -36,8 +40,9 @@
 type targetReports struct {
 	target      request.TargetID
 	lastLevel   request.Level
-	level       request.Level // minimum since spanStart; in Table.sorted the level compared
-	prevSpanMin request.Level // minimum of the previous span
+	exempt      []request.Level // of the last report
+	level       request.Level   // minimum since spanStart; in Table.sorted the level compared
+	prevSpanMin request.Level   // minimum of the previous span
 	spanStart   time.Duration
 	weight      int
 	reportedAt  time.Duration // time of the last report
@@ -67,16 +72,43 @@
 
 func (h *targetReports) latest() request.Level { return h.lastLevel }
 
+// limitTo returns a level of the target, lowered to its exemption for an importance.
+func (h *targetReports) limitTo(level request.Level, imp request.Importance) request.Level {
+	for _, from := range h.exempt {
+		if from.Importance() == imp {
+			return min(level, from)
+		}
+	}
+	return level
+}
+
 // keyLevels holds the reports and computed levels of one key.
 type keyLevels struct {
 	targets     []targetReports
 	level       request.Level // compared with requests, computed at computedAt
 	latest      request.Level // reported upstream, computed at computedAt
+	exempt      []exemption   // computed at computedAt
 	computedAt  time.Duration
 	fresh       bool
 	probeCredit float64 // fraction of a probe accumulated so far
 }
 
+// exemption holds the levels of a key for an importance that some target exempts.
+type exemption struct {
+	importance    request.Importance
+	level, latest request.Level
+}
+
+// levelsFor returns the levels that apply to a priority.
+func (l *keyLevels) levelsFor(p request.Priority) (level, latest request.Level) {
+	for i := range l.exempt {
+		if x := &l.exempt[i]; x.importance == p.Importance() {
+			return x.level, x.latest
+		}
+	}
+	return l.level, l.latest
+}
+
 // Table holds the levels that one node learned from its callees.
 type Table struct {
 	cfg    *Config
@@ -93,11 +125,11 @@
 
 // Learn records the levels that a response carried.
 func (t *Table) Learn(now time.Duration, k Key, r Report) {
-	t.learn(now, k.ownKey(), &r, r.Own)
-	t.learn(now, k, &r, r.Chain)
+	t.learn(now, k.ownKey(), &r, r.Own, r.Exempt)
+	t.learn(now, k, &r, r.Chain, nil)
 }
 
-func (t *Table) learn(now time.Duration, k Key, r *Report, level request.Level) {
+func (t *Table) learn(now time.Duration, k Key, r *Report, level request.Level, exempt []request.Level) {
 	l := t.keys[k]
 	if l == nil {
 		if len(t.keys) >= t.cfg.MaxKeys {
@@ -111,6 +143,7 @@
 		return // reordered: a newer response has been recorded
 	}
 	h.record(level, max(r.Slots, 1), now, t.cfg.Span)
+	h.exempt = exempt
 	if now-l.computedAt >= t.cfg.CacheTTL {
 		l.fresh = false
 	}
@@ -165,7 +198,7 @@
 
 // Check decides whether the service would refuse a request with priority p.
 func (t *Table) Check(now time.Duration, k Key, p request.Priority) Verdict {
-	level := t.Level(now, k)
+	level := t.LevelFor(now, k, p)
 	if p >= level {
 		return Verdict{Level: level}
 	}
@@ -180,17 +213,24 @@
 }
 
 // Level returns the level learned for a service and class, 0 if it admits everything
-// or is unknown.
+// or is unknown. It disregards exemptions.
 func (t *Table) Level(now time.Duration, k Key) request.Level {
 	own, chain := t.levelsOf(now, k.ownKey()), t.levelsOf(now, k)
 	return max(own.level, chain.level)
 }
 
-// latest returns the last reported level, to be reported upstream. Reporting the
-// recent minimum instead would add its delay at each hop.
-func (t *Table) latest(now time.Duration, k Key) request.Level {
-	own, chain := t.levelsOf(now, k.ownKey()), t.levelsOf(now, k)
-	return max(own.latest, chain.latest)
+// LevelFor is Level for requests of one priority: lower where the service's targets
+// exempt its importance.
+func (t *Table) LevelFor(now time.Duration, k Key, p request.Priority) request.Level {
+	own, _ := t.levelsOf(now, k.ownKey()).levelsFor(p)
+	return max(own, t.levelsOf(now, k).level)
+}
+
+// latestFor returns the last reported level for requests of one priority, to be reported
+// upstream. Reporting the recent minimum instead would add its delay at each hop.
+func (t *Table) latestFor(now time.Duration, k Key, p request.Priority) request.Level {
+	_, own := t.levelsOf(now, k.ownKey()).levelsFor(p)
+	return max(own, t.levelsOf(now, k).latest)
 }
 
 // levelsOf returns the levels of a key, recomputed if stale.
@@ -228,9 +268,27 @@
 	}
 	l.level = t.quantile(now, l, (*targetReports).recentMin)
 	l.latest = t.quantile(now, l, (*targetReports).latest)
+	l.exempt = l.exempt[:0]
+	for i := range l.targets {
+		for _, from := range l.targets[i].exempt {
+			t.refreshExemption(now, l, from.Importance())
+		}
+	}
 	l.computedAt, l.fresh = now, true
 }
 
+// refreshExemption computes the levels of a key for an importance, unless it already has.
+func (t *Table) refreshExemption(now time.Duration, l *keyLevels, imp request.Importance) {
+	if slices.ContainsFunc(l.exempt, func(x exemption) bool { return x.importance == imp }) {
+		return
+	}
+	l.exempt = append(l.exempt, exemption{
+		importance: imp,
+		level:      t.quantile(now, l, func(h *targetReports) request.Level { return h.limitTo(h.recentMin(), imp) }),
+		latest:     t.quantile(now, l, func(h *targetReports) request.Level { return h.limitTo(h.latest(), imp) }),
+	})
+}
+
 // knownForAges is the number of Ages without a report for which a target still
 // counts as able to report. Without this bound, a service that has lost all targets
 // but one would be called with requests that the last one refuses, because the lost
--- a/internal/dataplane/gate.go
+++ b/internal/dataplane/gate.go
@@ -153,7 +153,7 @@
 	g.core.Resume(slots)
 }
 
-func (g *gate) level(tenant uint16) request.Level {
+func (g *gate) level(tenant uint16) (level request.Level, exempt []request.Level) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.core.TenantLevel(tenant)
--- a/internal/dataplane/levels.go
+++ b/internal/dataplane/levels.go
@@ -35,11 +35,11 @@
 	return status.Refuse(status.CodeOverloaded, v.RetryAfter, "%s is overloaded", c.info.Name)
 }
 
-// level returns the level learned for a call's service and class.
+// level returns the level learned for a call's service, class and priority.
 func (l *levels) level(c *outboundCall) request.Level {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.table.Level(l.now(), c.key())
+	return l.table.LevelFor(l.now(), c.key(), c.priority)
 }
 
 // learn records the levels that an answer reported.
@@ -52,6 +52,7 @@
 	l.table.Learn(l.now(), c.key(), earlyrefusal.Report{
 		Target: r.target,
 		Own:    r.answer.Level,
+		Exempt: r.answer.Exempt,
 		Chain:  r.answer.ChainLevel,
 		Slots:  r.answer.Limit,
 	})
@@ -72,10 +73,10 @@
 }
 
 // chainLevel returns the admission level of the downstream services for such requests.
-func (l *levels) chainLevel(w earlyrefusal.WorkKey) request.Level {
+func (l *levels) chainLevel(x *runningRequest) request.Level {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.chain.Level(l.now(), w)
+	return l.chain.Level(l.now(), x.work(), x.priority)
 }
 
 func (c *outboundCall) key() earlyrefusal.Key {
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -331,12 +331,12 @@
 	a := wire.Answer{Outcome: r.outcome, Code: r.code, Pushback: r.retryAfter}
 	st := e.gate.stats()
 	a.InFlight, a.Limit = st.Running+st.Queued, st.Limit
-	a.Level = e.gate.level(s.tenant)
+	a.Level, a.Exempt = e.gate.level(s.tenant)
 	if s.running != nil && r.code == "" && r.outcome != request.Completed {
 		a.DownstreamCode = s.running.downstreamFailure()
 	}
 	if s.running != nil {
-		a.ChainLevel = e.levels.chainLevel(s.running.work())
+		a.ChainLevel = e.levels.chainLevel(s.running)
 	}
 	// While the answer streams, the target may still make calls: its allowance stays
 	// open, and the caller counts the remainder as spent.
@@ -356,7 +356,7 @@
 	s.hop.Organisation = s.meta.Organisation
 	s.hop.Importance = s.meta.Importance
 	s.hop.Version = e.view.Load().Index.Version(e.self.Tenant)
-	s.hop.Level = e.gate.level(s.tenant)
+	s.hop.Level, _ = e.gate.level(s.tenant)
 	s.hop.Outcome, s.hop.Code = o, code
 	s.hop.End = time.Now()
 	e.observe(&s.hop)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -154,7 +154,7 @@
 		cfg.Gate.Limit.InitialFraction = 1 // targets declare their slots
 		cfg.Gate.Limit.Headroom = limitHeadroom
 		cfg.Route.MinHotLoad, cfg.Route.ZoneGap = zoneFullUtilization, zoneGap
-		cfg.AssuredFraction = reservedFraction
+		cfg.AssuredFraction, cfg.Gate.ReservedShare = reservedFraction, reservedShare
 		cfg.Retry.CallRatio, cfg.Retry.FreeRefusals = 0, true
 		cfg.Retry.FleetBudget, cfg.Retry.FleetWindow = out.RetryBudget, out.RetryWindow
 	}
@@ -193,6 +193,10 @@
 	// reservedFraction of each class's requests is refused last: without it the least
 	// important class got 4% of its requests through while the average was 38%.
 	reservedFraction = 0.125
+	// reservedShare of a target's slots is kept for classes of little demand that the
+	// fraction above and more important classes would displace: refusing them frees
+	// hardly anything.
+	reservedShare = 0.2
 	// limitHeadroom keeps targets below 95% of their slots, above which some slow down.
 	limitHeadroom = 0.06
 )
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -236,9 +236,10 @@
 type Answer struct {
 	Outcome        request.Outcome
 	Code           status.Code
-	DownstreamCode status.Code   // why a downstream call failed, if the target itself answered with a failure
-	Level          request.Level // 0: all calls are admitted
-	ChainLevel     request.Level // of the downstream services, for the call's class
+	DownstreamCode status.Code     // why a downstream call failed, if the target itself answered with a failure
+	Level          request.Level   // 0: all calls are admitted
+	ChainLevel     request.Level   // of the downstream services, for the call's class
+	Exempt         []request.Level // priorities from which calls are admitted below Level, one for each importance
 	Unspent        int
 	AttemptsMade   int
 	InFlight       int           // calls running on the target or queued for it
@@ -258,9 +259,16 @@
 	replyInFlight
 	replyLimit
 	replyPushback
+	replyExempt
 	replyFields
 )
 
+// Exemptions are a list within their field.
+const (
+	exemptSeparator = ','
+	maxExempt       = 8 // read from an answer
+)
+
 // SetAnswer writes a to an answer between nodes.
 func SetAnswer(h *protocol.ResponseHeader, a *Answer) {
 	var buf [128]byte
@@ -276,6 +284,13 @@
 			b = strconv.AppendInt(b, n, 10)
 		}
 	}
+	for i, from := range a.Exempt {
+		sep := byte(exemptSeparator)
+		if i == 0 {
+			sep = separator
+		}
+		b = strconv.AppendInt(append(b, sep), int64(from), 10)
+	}
 	h.SetBytesV(HeaderReply, b)
 }
 
@@ -293,6 +308,7 @@
 		DownstreamCode: status.Code(unescape(f[replyBelow])),
 		Level:          request.Level(parseNumber(f[replyLevel], uint64(request.MaxPriority))),
 		ChainLevel:     request.Level(parseNumber(f[replyChain], uint64(request.MaxPriority))),
+		Exempt:         parseExempt(f[replyExempt]),
 		Unspent:        int(parseNumber(f[replyUnspent], 1<<10)),
 		AttemptsMade:   int(parseNumber(f[replyMade], 1<<16)),
 		InFlight:       int(parseNumber(f[replyInFlight], 1<<20)),
@@ -301,6 +317,20 @@
 	}
 }
 
+// parseExempt parses a list of priorities; it returns nil if any is malformed.
+func parseExempt(b []byte) (list []request.Level) {
+	for len(b) > 0 && len(list) < maxExempt {
+		var one []byte
+		one, b, _ = bytes.Cut(b, []byte{exemptSeparator})
+		from, err := strconv.ParseUint(string(one), 10, 32)
+		if err != nil || from > uint64(request.MaxPriority) {
+			return nil
+		}
+		list = append(list, request.Level(from))
+	}
+	return list
+}
+
 // parseNumber parses a value of at most limit; it returns 0 for anything else.
 func parseNumber(b []byte, limit uint64) uint64 {
 	if len(b) == 0 {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -31,6 +32,7 @@
 	in := Answer{
 		Outcome: request.Refused, Code: status.CodeOverloaded, DownstreamCode: status.CodeNoTarget, Level: 7 << 16, ChainLevel: 9 << 16,
 		Unspent: 1, AttemptsMade: 4, InFlight: 20, Limit: 25, Pushback: 1200 * time.Millisecond,
+		Exempt: []request.Level{5 << 16, 0},
 	}
 	var h protocol.ResponseHeader
 	SetAnswer(&h, &in)
@@ -102,11 +104,11 @@
 
 // FuzzAnswer checks that a malformed answer never claims more than "unknown".
 func FuzzAnswer(f *testing.F) {
-	f.Add("refused", "65536", "1/2")
-	f.Add("Refused", "-1", "/")
-	f.Fuzz(func(t *testing.T, outcome, level, load string) {
+	f.Add("refused", "65536", "1/2", "65536,0")
+	f.Add("Refused", "-1", "/", "1,,x")
+	f.Fuzz(func(t *testing.T, outcome, level, load, exempt string) {
 		var h protocol.ResponseHeader
-		h.Set(HeaderReply, strings.Join([]string{outcome, "", "", level, "", "", "", load, load, ""}, ";"))
+		h.Set(HeaderReply, strings.Join([]string{outcome, "", "", level, "", "", "", load, load, "", exempt}, ";"))
 		a := GetAnswer(&h)
 		claimed, _, _ := strings.Cut(string(h.Peek(HeaderReply)), ";")
 		if a.Outcome != request.Unknown && a.Outcome.String() != claimed {
@@ -115,5 +117,8 @@
 		if a.Level > request.MaxPriority || a.InFlight < 0 || a.Limit < 0 {
 			t.Fatalf("out of range: %+v", a)
 		}
+		if len(a.Exempt) > maxExempt || slices.ContainsFunc(a.Exempt, func(l request.Level) bool { return l > request.MaxPriority }) {
+			t.Fatalf("out of range: %+v", a)
+		}
 	})
 }
