Keep a target's calls within the rate limit that its answers name

Cause: nothing read the limit.

All calls of a target pass the gate of the node beside it, so the bound over all callers is held there: calls start at the rate named, with at most a quarter of a second made up for, and within the rate on average over the last 4 s, those before it was named included. The others are refused at once, so that other targets take them; the level rises to the rate's capacity, so that the most important get in and entries refuse early when all targets name limits; the limit reported to callers is what the rate keeps busy. It follows each answer: it rises, falls and ends with them, and with the target's restart. Where a rate is exceeded, one call a second still gets in, less often below one a second, as only an answer can end it.

--- a/internal/adapter/tallymetrics/node.go
+++ b/internal/adapter/tallymetrics/node.go
@@ -9,6 +9,7 @@
 	Running       tally.Gauge // requests running on the target
 	Queued        tally.Gauge // requests queued for the target
 	Limit         tally.Gauge // concurrency limit of the target
+	RateLimit     tally.Gauge // calls per second that the target accepts; 0 if it names no limit
 	Level         tally.Gauge // admission threshold; 0 admits all
 	Backlog       tally.Gauge // seconds to drain the queue at the current limit
 	Demand        tally.Gauge // recent demand in slots
@@ -27,6 +28,7 @@
 		Running:       s.Gauge("target_running"),
 		Queued:        s.Gauge("target_queued"),
 		Limit:         s.Gauge("target_limit"),
+		RateLimit:     s.Gauge("target_rate_limit"),
 		Level:         s.Gauge("admission_level"),
 		Backlog:       s.Gauge("queue_backlog_seconds"),
 		Demand:        s.Gauge("target_demand"),
--- a/internal/core/admission/doc.go
+++ b/internal/core/admission/doc.go
@@ -14,6 +14,7 @@
 //     the level are refused on arrival, and callers that learn the level from
 //     responses refuse them earlier still. All gates order requests alike, so
 //     every hop of a call chain refuses the same requests;
+//   - the rate of requests that the target says it accepts;
 //   - tenants' shares from package share: slots are first assigned to a
 //     tenant, then by importance within the tenant.
 //
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -23,6 +23,7 @@
 	levels        *levels
 	window        window
 	queueDetector *limit.QueueDetector
+	rate          rateLimit
 	limitCutAt    time.Duration // when the limit was last cut because requests queued inside the target
 
 	running   int
@@ -78,6 +79,10 @@
 	if left <= 0 || needed > left {
 		return g.refuse(status.CodeDeadline), out
 	}
+	if !g.rate.allows(now) {
+		g.rate.refused++
+		return g.refuse(g.overloadReason(int(a.Tenant))), out
+	}
 	if g.queue.len() == 0 && g.running < g.limiter.Limit() {
 		g.start(now, g.newEntry(now, a, expected))
 		return Decision{Verdict: Admit}, out
@@ -178,6 +183,7 @@
 	e := &g.pool.entries[i]
 	e.running = true
 	e.started = now
+	g.rate.start(now)
 	g.running++
 	g.service.start(e)
 	g.ledger.Acquire(e.tenant)
@@ -275,7 +281,7 @@
 
 // dispatch assigns free slots to queued entries in queue order.
 func (g *Gate) dispatch(now time.Duration, out []Action) []Action {
-	for g.running < g.limiter.Limit() && g.queue.len() > 0 {
+	for g.running < g.limiter.Limit() && g.queue.len() > 0 && g.rate.allows(now) {
 		i := g.queue.next()
 		e := &g.pool.entries[i]
 		if g.cannotFinish(now, e) {
@@ -312,10 +318,11 @@
 	return out
 }
 
-// Resume ends a drain after the target has restarted. The limit starts over, since
-// measurements of the previous incarnation do not apply to the new one.
+// Resume ends a drain after the target has restarted. The limits start over, since
+// those of the previous incarnation do not apply to the new one.
 func (g *Gate) Resume(slots int) {
 	g.draining = false
+	g.rate = rateLimit{}
 	g.limiter = limit.NewProbe(g.cfg.Limit, slots)
 	g.maxQueue = g.cfg.queueLimit(slots)
 }
@@ -330,6 +337,10 @@
 	g.maxQueue = g.cfg.queueLimit(slots)
 }
 
+// SetRateLimit sets the rate of calls that the target accepts, per second; +Inf means no
+// limit. Calls above it are refused at once, because another target may accept them.
+func (g *Gate) SetRateLimit(now time.Duration, perSecond float64) { g.rate.set(now, perSecond) }
+
 // Level returns the admission level that applies to every tenant, i.e. the lowest. A
 // caller that knows the request's tenant uses TenantLevel.
 func (g *Gate) Level() request.Level {
--- a/internal/core/admission/level.go
+++ b/internal/core/admission/level.go
@@ -96,6 +96,8 @@
 	standingQueue bool    // the queue delay stayed above its target
 	service       float64 // mean service time in seconds, lengthened by a slowdown
 	reservedShare float64 // Config.ReservedShare
+	rateLimit     float64 // that the target accepts per second; 0: none
+	rateExceeded  bool    // calls were refused because of it
 }
 
 // endWindow closes a window and sets the levels. It reports whether a level has
@@ -110,6 +112,7 @@
 			t.demand.endWindow(m.length, t.level, t.exempt, keep)
 		}
 	}
+	l.active = l.active || m.rateExceeded
 	if !l.active && !m.standingQueue {
 		return l.recordLevels(false)
 	}
@@ -126,7 +129,7 @@
 // capacity.
 func (l *levels) adjustCapacityFactor(m windowStats, idleBelow float64) {
 	switch {
-	case m.standingQueue && l.active:
+	case (m.standingQueue || m.rateExceeded && m.utilization >= busyUtilization) && l.active:
 		l.capacityFactor = max(minCapacityFactor, l.decreaseBase()*factorDecay)
 	case m.standingQueue:
 		l.active = true
@@ -155,7 +158,11 @@
 	if m.service <= 0 {
 		return true // no request has completed yet, so capacity is unknown
 	}
-	capacity := m.limit * l.capacityFactor / m.service
+	capacity := m.limit / m.service
+	if m.rateLimit > 0 {
+		capacity = min(capacity, m.rateLimit)
+	}
+	capacity *= l.capacityFactor
 	l.weights, l.demands, l.allocations = l.weights[:0], l.demands[:0], l.allocations[:0]
 	for i, t := range l.tenants {
 		l.weights = append(l.weights, ledger.Weight(i))
--- a/internal/core/admission/refuse.go
+++ b/internal/core/admission/refuse.go
@@ -23,7 +23,7 @@
 
 // loadFactor returns the ratio of demand to capacity, from 1 to maxLoadFactor.
 func (g *Gate) loadFactor() float64 {
-	p := g.demand() / float64(g.limiter.Limit())
+	p := g.demand() / float64(g.usableLimit())
 	return min(maxLoadFactor, max(1, p))
 }
 
--- a/internal/core/admission/stats.go
+++ b/internal/core/admission/stats.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"peardrift/internal/core/request"
@@ -41,7 +42,8 @@
 // Stats is a snapshot for metrics.
 type Stats struct {
 	Counts
-	Limit    int           // concurrency limit
+	Limit    int           // concurrency limit, at most what the rate limit keeps busy
+	Rate     float64       // rate limit of the target, per second; 0: none
 	Running  int           // running requests
 	Queued   int           // queued requests
 	Level    request.Level // the highest of the tenants' levels
@@ -52,11 +54,22 @@
 	Draining bool
 }
 
+// usableLimit returns the concurrency limit or, if lower, the number of requests in
+// flight at the target's rate limit.
+func (g *Gate) usableLimit() int {
+	lim := g.limiter.Limit()
+	if g.rate.perSecond == 0 {
+		return lim
+	}
+	return min(lim, max(1, int(math.Ceil(g.rate.perSecond*g.service.mean))))
+}
+
 // Stats returns a snapshot.
 func (g *Gate) Stats() Stats {
 	s := Stats{
 		Counts:   g.counts,
-		Limit:    g.limiter.Limit(),
+		Limit:    g.usableLimit(),
+		Rate:     g.rate.perSecond,
 		Running:  g.running,
 		Queued:   g.queue.len(),
 		Active:   g.levels.active,
--- a/internal/core/admission/window.go
+++ b/internal/core/admission/window.go
@@ -34,12 +34,14 @@
 	}
 	out = g.expire(now, out)
 	g.updateQueueDelay(now)
-	if !g.windowDue(now) {
+	switch {
+	case g.windowDue(now):
+		if g.endWindow(now) {
+			out = g.refuseBelow(out)
+		}
+	case g.rate.perSecond == 0:
 		return out
 	}
-	if g.endWindow(now) {
-		out = g.refuseBelow(out)
-	}
 	return g.dispatch(now, out)
 }
 
@@ -56,10 +58,13 @@
 	w := &g.window
 	length := now - w.start
 	lim := g.limiter.Limit()
+	rateUsed, rateExceeded := g.rate.endWindow(length)
 	rose := g.levels.endWindow(windowStats{
 		length:        length,
 		limit:         float64(lim),
-		utilization:   w.busy.Seconds() / (length.Seconds() * float64(lim)),
+		utilization:   max(w.busy.Seconds()/(length.Seconds()*float64(lim)), rateUsed),
+		rateLimit:     g.rate.perSecond,
+		rateExceeded:  rateExceeded,
 		standingQueue: now-w.delayLowAt >= g.cfg.StandingDelay,
 		service:       g.service.mean * g.service.slowdown(now),
 		reservedShare: g.cfg.ReservedShare,
@@ -141,8 +146,12 @@
 		return math.MaxInt64
 	}
 	next := g.window.start + g.cfg.MaxWindow
-	if g.queue.len() > 0 {
-		next = min(next, g.pool.entries[g.queue.expiry.idx[0]].latestStart+1)
+	if g.queue.len() == 0 {
+		return next
+	}
+	next = min(next, g.pool.entries[g.queue.expiry.idx[0]].latestStart+1)
+	if g.rate.perSecond > 0 && g.running < g.limiter.Limit() {
+		next = min(next, g.rate.next())
 	}
 	return next
 }
--- a/internal/dataplane/engine.go
+++ b/internal/dataplane/engine.go
@@ -156,6 +156,8 @@
 	targetState     atomic.Pointer[TargetState] // of the target; nil if targets don't announce themselves
 	onShed          func()
 	onOtherInstance func(instance string) // called when an unexpected instance answers
+	onNotice        func(instance string, n wire.Notice)
+	notice          atomic.Pointer[targetNotice] // last notice of the own target
 
 	mu      sync.Mutex
 	callees map[request.Service]*callee
@@ -173,6 +175,7 @@
 		obs:             obs,
 		onShed:          func() {},
 		onOtherInstance: func(string) {},
+		onNotice:        func(string, wire.Notice) {},
 		epoch:           time.Now(),
 		running:         newRegistry(),
 		callees:         make(map[request.Service]*callee),
--- a/internal/dataplane/gate.go
+++ b/internal/dataplane/gate.go
@@ -134,6 +134,12 @@
 	g.core.SetCapacity(slots)
 }
 
+func (g *gate) setRateLimit(perSecond float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.SetRateLimit(g.now(), perSecond)
+}
+
 func (g *gate) setShares(weights []float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/dataplane/targetstate.go
+++ b/internal/dataplane/targetstate.go
@@ -18,6 +18,7 @@
 	case !l.AcceptsCalls:
 		e.gate.drain()
 	case old == nil || !old.AcceptsCalls || old.Instance != l.Instance || old.StartedAt != l.StartedAt:
+		e.notice.Store(nil)
 		e.gate.resume(l.Slots)
 		e.suspects.targetUp()
 	default:
--- a/internal/node/integration.go
+++ b/internal/node/integration.go
@@ -68,6 +68,11 @@
 	})
 }
 
+// handleNotice logs what the own target's answers say of it.
+func (n *Node) handleNotice(instance string, notice wire.Notice) {
+	n.log.Info("target notice", zap.String("instance", instance), zap.Float64("per_second", notice.RateLimit))
+}
+
 func (c *control) handleReport(r port.Report) {
 	before := c.targetLifetime.State()
 	c.applyLifetime(before, c.targetLifetime.Report(r), "report")
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -92,6 +92,7 @@
 	g.Running.Update(float64(st.Running))
 	g.Queued.Update(float64(st.Queued))
 	g.Limit.Update(float64(st.Limit))
+	g.RateLimit.Update(st.Rate)
 	g.Level.Update(float64(st.Level))
 	g.Backlog.Update(st.Backlog.Seconds())
 	g.Demand.Update(st.Demand)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -21,6 +21,7 @@
 	}
 	n.engine.OnCrash(n.reportCrash)
 	n.engine.OnOtherInstance(n.handleOtherInstance)
+	n.engine.OnNotice(n.handleNotice)
 	if n.integration == nil {
 		n.health = newHealthChecker(n.settings.Target, n.local, func(up bool) {
 			n.control.post(func() { n.control.setTargetUp(up) })
--- a/internal/wire/dialect.go
+++ b/internal/wire/dialect.go
@@ -2,7 +2,11 @@
 
 import (
 	"bytes"
+	"math"
+	"strconv"
 	"strings"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
 )
 
 // Dialect names the headers that callers and targets use for what a node has to know,
@@ -27,6 +31,10 @@
 	ActualInstance string
 	// NotExecuted marks the answers of a target that has not run the request.
 	NotExecuted string
+	// RateLimit names, in the answers of a target in need, the requests per second that
+	// it accepts from all callers together, for as long as its answers carry it. Targets
+	// may use any of the names.
+	RateLimit []string
 	// Signature marks the answers that a target has made itself. A success without it,
 	// or with another name echoed in Request, is not passed on.
 	Signature string
@@ -39,6 +47,40 @@
 	FractionalRetryAfter bool
 }
 
+// Notice is what a target's answer says of the target itself.
+type Notice struct {
+	RateLimit float64 // requests per second that it accepts; +Inf: it names no limit
+}
+
+// GetNotice reads what an answer of a target says of it. ok is false if the answer says
+// nothing because it is not marked as the target's own or names an invalid limit.
+func (d *Dialect) GetNotice(h *protocol.ResponseHeader) (n Notice, ok bool) {
+	if len(h.Peek(d.Signature)) == 0 && len(h.Peek(d.NotExecuted)) == 0 {
+		return Notice{}, false
+	}
+	n.RateLimit = math.Inf(1)
+	limit := peekAny(h, d.RateLimit)
+	if len(limit) == 0 {
+		return n, true
+	}
+	v, err := strconv.ParseFloat(string(limit), 64)
+	if err != nil || math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+		return n, false
+	}
+	n.RateLimit = v
+	return n, true
+}
+
+// peekAny returns the value of the first of the named headers that is present.
+func peekAny(h *protocol.ResponseHeader, names []string) []byte {
+	for _, name := range names {
+		if v := h.Peek(name); len(v) > 0 {
+			return v
+		}
+	}
+	return nil
+}
+
 // TimeoutHeader returns the name of the header that carries the timeout.
 func (d *Dialect) TimeoutHeader() string {
 	if d.Timeout == "" {
