Drain a target whose answers say that it leaves

The node beside the target, through which all its calls pass, takes such an answer as a leave: it stops calls at once, refuses what is queued, and records it with the lifetime, so that a late report doesn't reopen it and a new start does. A report that is applied in between is corrected by the next answer.

--- a/internal/core/lifetime/tracker.go
+++ b/internal/core/lifetime/tracker.go
@@ -99,3 +99,11 @@
 	}
 	return t.State()
 }
+
+// Left records that the answers of a lifetime say that it leaves.
+func (t *Tracker) Left(instance string) State {
+	if l := t.lifetimes[instance]; l != nil {
+		l.leaving = true
+	}
+	return t.State()
+}
--- a/internal/core/lifetime/tracker_test.go
+++ b/internal/core/lifetime/tracker_test.go
@@ -147,3 +147,14 @@
 		is.Equal(status.CodeOf(Check(r, "s.t", now)), status.CodeMalformed)
 	}
 }
+
+// Guards against calls to a target whose answers say that it leaves before it reports it.
+func TestLeavingAnswerIsFinal(t *testing.T) {
+	is := is.New(t)
+	tr := New()
+	tr.Report(start(1000, 5))
+	is.True(tr.Left("other").AcceptsCalls) // not a known lifetime
+	is.True(!tr.Left("a").AcceptsCalls)
+	is.True(!tr.Report(start(1000, 6)).AcceptsCalls)
+	is.True(tr.Report(start(2000, 1)).AcceptsCalls) // it has started again
+}
--- a/internal/node/integration.go
+++ b/internal/node/integration.go
@@ -68,9 +68,21 @@
 	})
 }
 
-// handleNotice logs what the own target's answers say of it.
+// handleNotice applies what the own target's answers say of it.
 func (n *Node) handleNotice(instance string, notice wire.Notice) {
-	n.log.Info("target notice", zap.String("instance", instance), zap.Float64("per_second", notice.RateLimit))
+	n.log.Info("target notice", zap.String("instance", instance), zap.Float64("per_second", notice.RateLimit), zap.Bool("leaving", notice.Leaving))
+	if !notice.Leaving {
+		return
+	}
+	_ = n.pool.Submit(func() {
+		n.control.ask(func() { n.control.handleLeaving(instance) })
+	})
+}
+
+// handleLeaving records that the own target leaves.
+func (c *control) handleLeaving(instance string) {
+	before := c.targetLifetime.State()
+	c.applyLifetime(before, c.targetLifetime.Left(instance), "answer")
 }
 
 func (c *control) handleReport(r port.Report) {
--- a/internal/wire/dialect.go
+++ b/internal/wire/dialect.go
@@ -35,6 +35,9 @@
 	// it accepts from all callers together, for as long as its answers carry it. Targets
 	// may use any of the names.
 	RateLimit []string
+	// Leaving marks the answers of a target that is about to leave, with the value
+	// LeavingValue. Targets may use any of the names.
+	Leaving []string
 	// Signature marks the answers that a target has made itself. A success without it,
 	// or with another name echoed in Request, is not passed on.
 	Signature string
@@ -47,9 +50,13 @@
 	FractionalRetryAfter bool
 }
 
+// leavingValue is the value of Leaving.
+const leavingValue = "1"
+
 // Notice is what a target's answer says of the target itself.
 type Notice struct {
 	RateLimit float64 // requests per second that it accepts; +Inf: it names no limit
+	Leaving   bool
 }
 
 // GetNotice reads what an answer of a target says of it. ok is false if the answer says
@@ -59,13 +66,14 @@
 		return Notice{}, false
 	}
 	n.RateLimit = math.Inf(1)
+	n.Leaving = string(peekAny(h, d.Leaving)) == leavingValue
 	limit := peekAny(h, d.RateLimit)
 	if len(limit) == 0 {
 		return n, true
 	}
 	v, err := strconv.ParseFloat(string(limit), 64)
 	if err != nil || math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
-		return n, false
+		return n, n.Leaving
 	}
 	n.RateLimit = v
 	return n, true
