--- a/bench/replay/client.go
+++ b/bench/replay/client.go
@@ -63,7 +63,7 @@
 	t := &rootRequest{user: u, class: u.class}
 	binary.BigEndian.PutUint64(t.id[:8], sim.rng.Uint64())
 	binary.BigEndian.PutUint64(t.id[8:], seq)
-	allowance := retry.NewRequestAllowance(sim.retryCfg.Attempts, false)
+	allowance := retry.NewRequestAllowance(sim.cfg.Retry.Attempts, false)
 	c := &call{caller: n, spec: &u.class.Root, root: t, allowance: &allowance, entryID: seq}
 	u.current = c
 	c.onDone = func(r result) {
--- a/bench/replay/core.go
+++ b/bench/replay/core.go
@@ -12,15 +12,10 @@
 	"peardrift/internal/status"
 )
 
-// Settings of nodes on the users' platform; package node has the same values.
+// Retry budget of the users' platform, which its nodes are told.
 const (
-	platformHeadroom         = 0.06
-	platformFloor            = 1
-	platformZoneGap          = 0.5
-	platformReservedFraction = 0.125
-	platformReservedShare    = 0.2
-	platformRetryBudget      = 97
-	platformRetryWindow      = 10 * time.Second
+	platformRetryBudget = 97
+	platformRetryWindow = 10 * time.Second
 )
 
 // coreGate calls the admission core in the way a real node does.
@@ -33,12 +28,8 @@
 }
 
 func newCoreGate(n *node) *coreGate {
-	cfg := admission.DefaultConfig()
+	cfg := n.sim.cfg.Gate
 	cfg.Slots = n.target.slots
-	if n.sim.policy.Platform {
-		cfg.Limit.InitialFraction, cfg.Limit.Headroom = 1, platformHeadroom
-		cfg.ReservedShare = platformReservedShare
-	}
 	if !n.sim.policy.Queue {
 		cfg.MaxWait = time.Nanosecond
 	}
@@ -153,7 +144,7 @@
 		id[0] ^= byte(at.index + 1) // a different hash order at each hop
 	}
 	imp := importanceOf(t.class)
-	if sim.policy.Platform && request.Assured(t.id, platformReservedFraction) {
+	if request.Assured(t.id, sim.cfg.AssuredFraction) {
 		imp = request.MaxImportance
 	}
 	return request.PriorityOf(imp, id)
@@ -169,10 +160,7 @@
 }
 
 func newRouter(n *node, svc *service) *router {
-	r := &router{node: n, service: svc, cfg: route.DefaultConfig(), knownGeneration: -1}
-	if n.sim.policy.Platform {
-		r.cfg.MinHotLoad, r.cfg.ZoneGap = platformFloor, platformZoneGap
-	}
+	r := &router{node: n, service: svc, cfg: n.sim.cfg.Route, knownGeneration: -1}
 	r.table = route.NewTable(&r.cfg, route.Locality{Caller: uint64(n.id), Zone: zoneName(n.zone)}, n.sim.rng)
 	return r
 }
--- a/bench/replay/outbound.go
+++ b/bench/replay/outbound.go
@@ -35,8 +35,8 @@
 		return o
 	}
 	o := &outbound{node: n, service: n.sim.service(name), inFlight: map[*node]int{}, costs: map[string]*retry.CallCount{}}
-	o.budget = retry.NewServiceBudget(&n.sim.retryCfg, n.sim.now)
-	o.decider = retry.NewDecider(&n.sim.retryCfg, n.sim.rng)
+	o.budget = retry.NewServiceBudget(&n.sim.cfg.Retry, n.sim.now)
+	o.decider = retry.NewDecider(&n.sim.cfg.Retry, n.sim.rng)
 	if n.sim.policy.CorePick {
 		o.router = newRouter(n, o.service)
 	}
@@ -130,7 +130,7 @@
 	}
 	c.allowance.Settle(&c.retryState, &a.grant, retry.Answer{Outcome: r.outcome, Unspent: r.unspentAllowance, AttemptsMade: r.callsMade})
 	if r.outcome == request.Completed {
-		o.cost(c).Observe(&o.node.sim.retryCfg, r.callsMade)
+		o.cost(c).Observe(&o.node.sim.cfg.Retry, r.callsMade)
 	}
 	o.budget.Observe(o.node.sim.now, r.outcome, r.code)
 }
@@ -169,7 +169,7 @@
 	}
 	budget := &o.budget
 	if !sim.policy.ServiceBudget {
-		free := retry.NewServiceBudget(&sim.retryCfg, sim.now)
+		free := retry.NewServiceBudget(&sim.cfg.Retry, sim.now)
 		budget = &free
 	}
 	d := o.decider.Decide(sim.now, &res, budget)
--- a/bench/replay/outcomes_test.go
+++ b/bench/replay/outcomes_test.go
@@ -10,6 +10,7 @@
 
 	"peardrift/bench/replay/workload"
 	"peardrift/internal/core/retry"
+	"peardrift/internal/dataplane"
 )
 
 // Test runs use a fifth of the reference deployments' slots, and short phases.
@@ -106,7 +107,7 @@
 				t.Logf("%s: asked %.0f/s, served %.3f, at the first try %.3f", name, c.Demand, c.Served, c.ServedFirst)
 			}
 			is.True(r.Classes["status"].ServedFirst >= 0.9)
-			is.True(r.Classes["lookup"].ServedFirst >= 0.8*platformReservedFraction)
+			is.True(r.Classes["lookup"].ServedFirst >= 0.8*dataplane.IntegratedConfig().AssuredFraction)
 		})
 	}
 }
--- a/bench/replay/simulation.go
+++ b/bench/replay/simulation.go
@@ -9,7 +9,7 @@
 	"peardrift/bench/replay/workload"
 	"peardrift/internal/core/earlyrefusal"
 	"peardrift/internal/core/request"
-	"peardrift/internal/core/retry"
+	"peardrift/internal/dataplane"
 	"peardrift/internal/status"
 )
 
@@ -41,17 +41,15 @@
 	nodeCount          int
 	aggressiveFraction float64
 	clientTimeout      time.Duration // for one attempt
-	retryCfg           retry.Config
-	earlyCfg           earlyrefusal.Config
+	cfg                dataplane.Config
 	recorder           *recorder
 }
 
 func newSimulation(d *workload.Deployment, p Policy, h workload.Header, seed uint64) *simulation {
-	sim := &simulation{deployment: d, policy: p, aggressiveFraction: h.AggressiveFraction, rng: rand.New(rand.NewPCG(seed, 0x3c0e)),
-		retryCfg: retry.DefaultConfig(), earlyCfg: earlyrefusal.DefaultConfig()}
+	sim := &simulation{deployment: d, policy: p, aggressiveFraction: h.AggressiveFraction, rng: rand.New(rand.NewPCG(seed, 0x3c0e)), cfg: dataplane.DefaultConfig()}
 	if p.Platform {
-		sim.retryCfg.CallRatio, sim.retryCfg.FreeRefusals = 0, true
-		sim.retryCfg.FleetBudget, sim.retryCfg.FleetWindow = platformRetryBudget, platformRetryWindow
+		sim.cfg = dataplane.IntegratedConfig()
+		sim.cfg.Retry.FleetBudget, sim.cfg.Retry.FleetWindow = platformRetryBudget, platformRetryWindow
 	}
 	sim.clientTimeout = time.Duration(float64(d.Timeout) / max(1, h.TimeoutDivisor))
 	sim.zones = make([][]*node, d.Zones)
@@ -91,8 +89,8 @@
 	n.inFlight = map[uint64]*attempt{}
 	n.entryCalls = map[uint64]*call{}
 	n.outbounds = map[string]*outbound{}
-	n.levels = earlyrefusal.NewTable(&n.sim.earlyCfg, n.sim.rng)
-	n.chain = earlyrefusal.NewChain(&n.sim.earlyCfg, n.levels)
+	n.levels = earlyrefusal.NewTable(&n.sim.cfg.Early, n.sim.rng)
+	n.chain = earlyrefusal.NewChain(&n.sim.cfg.Early, n.levels)
 	n.gate = newGate(n)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -150,12 +150,8 @@
 	cc.BufferBytes = n.settings.Traffic.BufferBytes
 	cfg := dataplane.DefaultConfig()
 	if out := n.integration; out != nil {
+		cfg = dataplane.IntegratedConfig()
 		cfg.Dialect = out.Dialect
-		cfg.Gate.Limit.InitialFraction = 1 // targets declare their slots
-		cfg.Gate.Limit.Headroom = limitHeadroom
-		cfg.Route.MinHotLoad, cfg.Route.ZoneGap = zoneFullUtilization, zoneGap
-		cfg.AssuredFraction, cfg.Gate.ReservedShare = reservedFraction, reservedShare
-		cfg.Retry.CallRatio, cfg.Retry.FreeRefusals = 0, true
 		cfg.Retry.FleetBudget, cfg.Retry.FleetWindow = out.RetryBudget, out.RetryWindow
 	}
 	lc := cc
@@ -181,26 +177,6 @@
 	n.engine.SetCrossZoneTransport(n.crossZone)
 }
 
-const (
-	// zoneFullUtilization is the utilization of the own zone's targets above which other
-	// zones are considered: all slots are taken. It applies where bytes between zones
-	// are expensive and targets declare their slots.
-	zoneFullUtilization = 1
-	// zoneGap is how much lower another zone's target's utilization must be then. At
-	// 0.25 one site served 0.889 instead of 0.882 of its calls and paid 5% more for
-	// bytes; two other sites did not change.
-	zoneGap = 0.5
-	// reservedFraction of each class's requests is refused last: without it the least
-	// important class got 4% of its requests through while the average was 38%.
-	reservedFraction = 0.125
-	// reservedShare of a target's slots is kept for classes of little demand that the
-	// fraction above and more important classes would displace: refusing them frees
-	// hardly anything.
-	reservedShare = 0.2
-	// limitHeadroom keeps targets below 95% of their slots, above which some slow down.
-	limitHeadroom = 0.06
-)
-
 // configsyncConfig returns the configuration of the configsync core. Where the platform
 // can be watched for new sets, polling is off.
 func (n *Node) configsyncConfig() configsync.Config {
