Bound the importance from which exemptions are looked for

With no capacity at all the level is above the highest importance, and the search for exemptions began one beyond the profile. A comment of wire.Dialect named a constant that isn't exported.

--- a/internal/core/admission/exempt.go
+++ b/internal/core/admission/exempt.go
@@ -58,7 +58,7 @@
 // of it is admitted.
 func (d *demand) exempt(level request.Level, reserved float64) exemptions {
 	var x exemptions
-	for imp := int(level.Importance()); imp >= 0 && len(x) < maxExempt; imp-- {
+	for imp := min(int(level.Importance()), importances-1); imp >= 0 && len(x) < maxExempt; imp-- {
 		asked := d.ofImportance(imp)
 		if asked == 0 {
 			continue
--- a/internal/core/admission/exempt_test.go
+++ b/internal/core/admission/exempt_test.go
@@ -62,6 +62,15 @@
 	is.Equal(last, 0.0)
 }
 
+// Guards against an index beyond the highest importance when nothing at all fits.
+func TestExemptionsWithoutCapacity(t *testing.T) {
+	is := is.New(t)
+	var d demand
+	d.setDemand(100, 10)
+	level, _ := d.levelFor(0, 1)
+	is.Equal(level, request.MaxPriority)
+}
+
 func TestExemptionsFitTheReserve(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var d demand
--- a/internal/wire/dialect.go
+++ b/internal/wire/dialect.go
@@ -35,8 +35,8 @@
 	// it accepts from all callers together, for as long as its answers carry it. Targets
 	// may use any of the names.
 	RateLimit []string
-	// Leaving marks the answers of a target that is about to leave, with the value
-	// LeavingValue. Targets may use any of the names.
+	// Leaving marks the answers of a target that is about to leave, with the value 1.
+	// Targets may use any of the names.
 	Leaving []string
 	// Signature marks the answers that a target has made itself. A success without it,
 	// or with another name echoed in Request, is not passed on.
