--- a/internal/core/earlyrefusal/doc.go
+++ b/internal/core/earlyrefusal/doc.go
@@ -4,7 +4,8 @@
 // Each response of a callee's node carries two admission levels: the target's
 // own and that of the chain below it for the request's class. Priorities are
 // the same at all hops, so a request below a level will be refused there;
-// refusing it at the caller costs nothing and has the same result.
+// refusing it at the caller costs nothing and has the same result. A response also
+// carries the importances that the target exempts from its own level.
 //
 // A Table holds the levels that one node learned, by callee service and class.
 // The level of a service is a capacity-weighted quantile over its targets, so
