Keep one way to ask for a learned level

Found while reading the change: Table.Level, which disregards exemptions, was left beside LevelFor and used by tests only, so that they tested what no call goes through. Level now takes the priority. Tests of earlyrefusal, dataplane and replay pass; their cases have no exemption or name one, so that no expected value changes.

--- a/bench/replay/outbound.go
+++ b/bench/replay/outbound.go
@@ -161,7 +161,7 @@
 	p := sim.priority(c.root, o.service)
 	res := retry.Result{
 		Outcome: r.outcome, Code: r.code, Deadline: c.deadline, Attempts: c.retryState.Attempts(),
-		Priority: p, Level: o.node.levels.LevelFor(sim.now, o.key(c), p), AllowanceLeft: c.allowance.Left(), CallsBelow: o.cost(c).Below(),
+		Priority: p, Level: o.node.levels.Level(sim.now, o.key(c), p), AllowanceLeft: c.allowance.Left(), CallsBelow: o.cost(c).Below(),
 		MayHaveRun: c.retryState.MayHaveRun(), AtMostOnce: c.root.class.AtMostOnce, Idempotent: !c.root.class.AtMostOnce,
 	}
 	if !sim.policy.Allowance {
--- a/internal/core/earlyrefusal/chain.go
+++ b/internal/core/earlyrefusal/chain.go
@@ -93,7 +93,7 @@
 		if c.decay(u.calls, now-u.at) < need {
 			continue
 		}
-		level = max(level, c.table.latestFor(now, u.key, p))
+		level = max(level, c.table.latest(now, u.key, p))
 	}
 	return level
 }
--- a/internal/core/earlyrefusal/earlyrefusal_test.go
+++ b/internal/core/earlyrefusal/earlyrefusal_test.go
@@ -47,7 +47,7 @@
 			is := is.New(t)
 			tab := newTable()
 			learnLevels(tab, 0, tt.levels...)
-			is.Equal(tab.Level(0, archiveKey), tt.want)
+			is.Equal(tab.Level(0, archiveKey, 0), tt.want)
 		})
 	}
 }
@@ -82,10 +82,10 @@
 	tab := newTable()
 	const half = feedLevel + 1<<15 // middle of an importance
 	learnLevels(tab, 0, half, half)
-	is.Equal(tab.Level(250*ms, archiveKey), half)
-	is.Equal(tab.Level(625*ms, archiveKey), feedLevel+1<<14) // a quarter of the importance is left
-	is.Equal(tab.Level(990*ms, archiveKey).Importance(), feedLevel.Importance())
-	is.Equal(tab.Level(time.Second, archiveKey), request.Level(0))
+	is.Equal(tab.Level(250*ms, archiveKey, 0), half)
+	is.Equal(tab.Level(625*ms, archiveKey, 0), feedLevel+1<<14) // a quarter of the importance is left
+	is.Equal(tab.Level(990*ms, archiveKey, 0).Importance(), feedLevel.Importance())
+	is.Equal(tab.Level(time.Second, archiveKey, 0), request.Level(0))
 }
 
 // Guards against callers that stop refusing because each of a service's many targets
@@ -102,13 +102,13 @@
 	for i := range 4 * targets {
 		answer(i, high)
 		if i >= targets {
-			is.Equal(tab.Level(now+gap-ms, archiveKey), high) // while responses arrive
+			is.Equal(tab.Level(now+gap-ms, archiveKey, 0), high) // while responses arrive
 		}
 	}
 	for i := range targets / 2 {
 		answer(i, 0)
 	}
-	is.Equal(tab.Level(now, archiveKey), request.Level(0)) // as soon as some of them admit everything
+	is.Equal(tab.Level(now, archiveKey, 0), request.Level(0)) // as soon as some of them admit everything
 }
 
 // Guards against callers that detect an overload only when nearly all of a service's
@@ -125,7 +125,7 @@
 		now := time.Duration(i) * gap
 		tab.Learn(now, archiveKey, Report{Target: request.TargetID(i%targets + 1), Own: level, Slots: 100})
 		if i >= targets+4 {
-			is.Equal(tab.Level(now, archiveKey), feedLevel)
+			is.Equal(tab.Level(now, archiveKey, 0), feedLevel)
 		}
 	}
 }
@@ -148,7 +148,7 @@
 		{520 * ms, feedLevel + 9, feedLevel + 9}, {600 * ms, feedLevel - 1, feedLevel - 1},
 	} {
 		learnLevels(tab, r.at, r.level, r.level)
-		is.Equal(tab.Level(r.at, archiveKey), r.low)
+		is.Equal(tab.Level(r.at, archiveKey, 0), r.low)
 		is.Equal(chain.Level(r.at, WorkKey{Class: "front"}, 0), r.level) // reported upstream unchanged
 	}
 }
@@ -161,9 +161,9 @@
 	tab := newTable()
 	learnLevels(tab, 0, 0, 0, 0, 0)
 	learnLevels(tab, 2*time.Second, feedLevel)
-	is.Equal(tab.Level(2*time.Second, archiveKey), request.Level(0))
+	is.Equal(tab.Level(2*time.Second, archiveKey, 0), request.Level(0))
 	learnLevels(tab, 6*time.Second, feedLevel) // the others are no longer known
-	is.Equal(tab.Level(6*time.Second, archiveKey), feedLevel)
+	is.Equal(tab.Level(6*time.Second, archiveKey, 0), feedLevel)
 }
 
 func TestChainLevel(t *testing.T) {
@@ -193,8 +193,8 @@
 		tab.Learn(0, archiveKey, Report{Target: request.TargetID(i + 1), Own: feedLevel, Chain: feedLevel * 2})
 	}
 	other := Key{Service: archiveKey.Service, Class: "search"}
-	is.Equal(tab.Level(0, other), feedLevel)
-	is.Equal(tab.Level(0, archiveKey), feedLevel*2)
+	is.Equal(tab.Level(0, other, 0), feedLevel)
+	is.Equal(tab.Level(0, archiveKey, 0), feedLevel*2)
 	is.True(tab.Check(0, other, 0).Refuse)
 }
 
@@ -268,7 +268,7 @@
 	tab := newTable()
 	chain := NewChain(tab.cfg, tab)
 	learnLevels(tab, 0, make([]request.Level, 16)...)
-	tab.Level(0, archiveKey)
+	tab.Level(0, archiveKey, 0)
 	chain.RecordRequest(0, WorkKey{Class: "headlines"})
 	chain.RecordCall(0, WorkKey{Class: "headlines"}, archiveKey)
 	return tab, chain
@@ -331,9 +331,9 @@
 			chain := NewChain(tab.cfg, tab)
 			chain.RecordRequest(0, WorkKey{Class: "front"})
 			chain.RecordCall(0, WorkKey{Class: "front"}, archiveKey)
-			is.Equal(tab.LevelFor(0, archiveKey, exempt), tt.want)
+			is.Equal(tab.Level(0, archiveKey, exempt), tt.want)
 			is.Equal(chain.Level(0, WorkKey{Class: "front"}, exempt), tt.want)
-			is.Equal(tab.LevelFor(0, archiveKey, feedLevel), high) // another importance
+			is.Equal(tab.Level(0, archiveKey, feedLevel), high) // another importance
 			is.Equal(chain.Level(0, WorkKey{Class: "front"}, feedLevel), high)
 		})
 	}
--- a/internal/core/earlyrefusal/table.go
+++ b/internal/core/earlyrefusal/table.go
@@ -198,7 +198,7 @@
 
 // Check decides whether the service would refuse a request with priority p.
 func (t *Table) Check(now time.Duration, k Key, p request.Priority) Verdict {
-	level := t.LevelFor(now, k, p)
+	level := t.Level(now, k, p)
 	if p >= level {
 		return Verdict{Level: level}
 	}
@@ -212,23 +212,17 @@
 	return Verdict{Refuse: true, Level: level, RetryAfter: wait}
 }
 
-// Level returns the level learned for a service and class, 0 if it admits everything
-// or is unknown. It disregards exemptions.
-func (t *Table) Level(now time.Duration, k Key) request.Level {
-	own, chain := t.levelsOf(now, k.ownKey()), t.levelsOf(now, k)
-	return max(own.level, chain.level)
-}
-
-// LevelFor is Level for requests of one priority: lower where the service's targets
-// exempt its importance.
-func (t *Table) LevelFor(now time.Duration, k Key, p request.Priority) request.Level {
+// Level returns the level learned for a service and class, as it applies to requests of
+// one priority: lower where the service's targets exempt its importance, 0 if it admits
+// everything or is unknown.
+func (t *Table) Level(now time.Duration, k Key, p request.Priority) request.Level {
 	own, _ := t.levelsOf(now, k.ownKey()).levelsFor(p)
 	return max(own, t.levelsOf(now, k).level)
 }
 
-// latestFor returns the last reported level for requests of one priority, to be reported
+// latest returns the last reported level for requests of one priority, to be reported
 // upstream. Reporting the recent minimum instead would add its delay at each hop.
-func (t *Table) latestFor(now time.Duration, k Key, p request.Priority) request.Level {
+func (t *Table) latest(now time.Duration, k Key, p request.Priority) request.Level {
 	_, own := t.levelsOf(now, k.ownKey()).levelsFor(p)
 	return max(own, t.levelsOf(now, k).latest)
 }
--- a/internal/dataplane/levels.go
+++ b/internal/dataplane/levels.go
@@ -39,7 +39,7 @@
 func (l *levels) level(c *outboundCall) request.Level {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.table.LevelFor(l.now(), c.key(), c.priority)
+	return l.table.Level(l.now(), c.key(), c.priority)
 }
 
 // learn records the levels that an answer reported.
