Send rejected calls to the own target again

Cause: a call that the own target rejects and has not run ended at its node, and callers' nodes spent the bounded retries first come, first served.

Change: runOnTarget sends the call again when the target answers 503 with the dialect's not-executed header and the budget of package resend covers it. Not when the body is streamed, all usable slots are taken, the target accepts no calls, or the time left is too short. Each further send has a connection of its own, so that a duplicate of a rejection can't be taken for the next answer. A rejection that is followed by another send counts against the gate's limit like one that ends the call. An entry does not start requests of a class of which nearly all end because targets below reject calls.

Measured: go test ./internal/... of the changed packages and ./platform pass; internal/dataplane and internal/core/resend also with -race.

--- a/internal/adapter/oteltrace/span.go
+++ b/internal/adapter/oteltrace/span.go
@@ -27,6 +27,8 @@
 	attrLevel     = attribute.Key("peardrift.level")
 	attrAllowance = attribute.Key("peardrift.allowance")
 	attrQueued    = attribute.Key("peardrift.queued_ms")
+	attrSends     = attribute.Key("peardrift.sends")
+	attrResend    = attribute.Key("peardrift.resend")
 )
 
 // Decisions, the values of attrDecision.
@@ -125,6 +127,12 @@
 	if h.Retry != "" {
 		as = append(as, attrRetry.String(h.Retry))
 	}
+	if h.Sends > 0 {
+		as = append(as, attrSends.Int(h.Sends))
+	}
+	if h.Resend != "" {
+		as = append(as, attrResend.String(h.Resend))
+	}
 	if h.Queued > 0 {
 		as = append(as, attrQueued.Float64(h.Queued.Seconds()*1000))
 	}
--- a/internal/adapter/oteltrace/tracer_test.go
+++ b/internal/adapter/oteltrace/tracer_test.go
@@ -121,6 +121,7 @@
 	is.NoErr(err)
 	h := newHop(dataplane.HopServe, 1, request.Refused)
 	h.Code, h.Retry, h.Target, h.Zone, h.Queued = status.CodeOverloaded, "final", 1, "bangkok-a", 1
+	h.Sends, h.Resend = 2, dataplane.ResendBudget
 	var keys, documented []string
 	for _, a := range attributes(h) {
 		keys = append(keys, string(a.Key))
--- a/internal/adapter/tallymetrics/calls.go
+++ b/internal/adapter/tallymetrics/calls.go
@@ -32,6 +32,8 @@
 	completed   counter
 	time, queue tally.Histogram // queue is nil except for serve hops
 
+	resends, resendsRefused tally.Counter // nil except for serve hops
+
 	// results is copied on write, under Metrics.mu.
 	results atomic.Pointer[map[result]counter]
 }
@@ -52,6 +54,10 @@
 	c.time.RecordDuration(min(h.End.Sub(h.Start), maxDuration))
 	if h.Kind == dataplane.HopServe {
 		c.queue.RecordDuration(min(h.Queued, maxDuration))
+		c.resends.Inc(int64(max(h.Sends-1, 0)))
+		if h.Resend == dataplane.ResendBudget {
+			c.resendsRefused.Inc(1)
+		}
 		m.tenant(h.Tenant).observe(h)
 	}
 }
@@ -108,6 +114,7 @@
 	}
 	if kind == dataplane.HopServe {
 		c.queue = scope.Histogram(nameQueue, durationBuckets)
+		c.resends, c.resendsRefused = scope.Counter(nameResends), scope.Counter(nameResendsRefused)
 	}
 	c.results.Store(&map[result]counter{})
 	return c
--- a/internal/adapter/tallymetrics/names.go
+++ b/internal/adapter/tallymetrics/names.go
@@ -16,6 +16,9 @@
 	nameCalls = "calls_total"
 	nameTime  = "call_seconds"
 	nameQueue = "queue_seconds"
+
+	nameResends        = "resends_total"
+	nameResendsRefused = "resends_refused_total"
 )
 
 // Names of the metrics of tenants.
@@ -59,6 +62,7 @@
 type vecs struct {
 	calls       *prom.CounterVec
 	time, queue *prom.HistogramVec
+	resends     []*prom.CounterVec
 	tenants     []*prom.CounterVec
 }
 
@@ -69,6 +73,12 @@
 		"Hops that ended, by outcome and code."))
 	v.time = histogram(r, nameTime, "Time from a hop's start to its end.")
 	v.queue = histogram(r, nameQueue, "Time that a hop waited for a slot of the target.")
+	for _, c := range []struct{ name, help string }{
+		{nameResends, "Further sends of calls that the target rejected."},
+		{nameResendsRefused, "Rejected calls that the budget did not let go to the target again."},
+	} {
+		v.resends = append(v.resends, must(r.RegisterCounter(namePrefix+"_"+c.name, []string{labelHop, labelService, labelClass}, c.help)))
+	}
 	for _, c := range []struct{ name, help string }{
 		{nameTenantRuns, "Requests of a tenant that ran on the target."},
 		{nameTenantRefusals, "Requests of a tenant that were refused at the target."},
@@ -101,6 +111,9 @@
 	v.calls.DeletePartialMatch(labels)
 	v.time.DeletePartialMatch(labels)
 	v.queue.DeletePartialMatch(labels)
+	for _, c := range v.resends {
+		c.DeletePartialMatch(labels)
+	}
 }
 
 // deleteTenant deletes the series of one tenant.
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -220,6 +220,11 @@
 	return g.dispatch(now, out)
 }
 
+// Rejected records that the target has rejected a running request, which keeps its slot
+// and is sent again. A rejection counts against the limit like that of a request that
+// ends with it: a target that rejects because it is full must not seem to have room.
+func (g *Gate) Rejected() { g.window.overloaded++ }
+
 // release frees the slot of a running entry.
 func (g *Gate) release(now time.Duration, i int, r Result) {
 	e := &g.pool.entries[i]
--- a/internal/core/limit/config.go
+++ b/internal/core/limit/config.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// usable returns the number of declared slots that may be used, at least one.
-func (c *Config) usable(slots int) int {
+// Usable returns the number of declared slots that may be used, at least one.
+func (c *Config) Usable(slots int) int {
 	return max(1, int((1-c.Headroom)*float64(slots)))
 }
--- a/internal/core/limit/probe.go
+++ b/internal/core/limit/probe.go
@@ -123,7 +123,7 @@
 // NewProbe returns a Probe for a target that declares slots.
 func NewProbe(cfg Config, slots int) *Probe {
 	p := &Probe{cfg: cfg, nextBackoff: cfg.Backoff}
-	p.max = cfg.usable(slots)
+	p.max = cfg.Usable(slots)
 	p.set(p.initial())
 	return p
 }
@@ -138,7 +138,7 @@
 // SetMax implements Algorithm. Additional slots are used by ramping up, as at the
 // start.
 func (p *Probe) SetMax(slots int) {
-	slots = p.cfg.usable(slots)
+	slots = p.cfg.Usable(slots)
 	if slots > p.max && p.limit == p.max {
 		p.phase = ramping
 	}
--- a/internal/core/resend/config.go
+++ b/internal/core/resend/config.go
@@ -4,8 +4,8 @@
 
 // Config holds the settings of the package.
 type Config struct {
-	// Ratio bounds the resends of one target, per first send in Window. Default 0: nothing
-	// is resent and no class is refused. Higher completes more requests while targets
+	// Ratio bounds the resends of one target, per first send in Window, from 0 to 1.
+	// Default 0: nothing is resent and no class is refused. Higher completes more requests while targets
 	// reject calls, and adds load to them.
 	Ratio float64
 	// Reserve is the fraction of Ratio, 0 to 1, that is not spent. Default 0.1. It covers
@@ -36,6 +36,11 @@
 	Starts StartsConfig
 }
 
+// Enabled reports whether the settings name a bound.
+func (c *Config) Enabled() bool {
+	return c.Ratio > 0 && c.Ratio <= 1 && c.Window >= windowBins*time.Millisecond
+}
+
 // StartsConfig holds the settings of Starts.
 type StartsConfig struct {
 	// Span is how long an ended request counts. Default 1 s. Longer needs fewer requests
--- a/internal/dataplane/answer.go
+++ b/internal/dataplane/answer.go
@@ -65,7 +65,7 @@
 	h.Outcome = r.outcome
 	h.Code = r.code
 	h.Retry = r.retry.String()
-	if r.code == status.CodeOverLimit || r.code == status.CodeLimitUnchecked {
+	if r.code == status.CodeOverLimit || r.code == status.CodeLimitUnchecked || r.detail == detailNotStarted {
 		h.Detail = r.detail
 	}
 	h.Level = r.answer.Level
--- a/internal/dataplane/call.go
+++ b/internal/dataplane/call.go
@@ -65,6 +65,7 @@
 	retry      retry.Reason
 	retryAfter time.Duration // advised delay before a retry
 	targetShed bool          // the own target reported overload
+	rejected   bool          // the own target said that it has not run the call, and may get it again
 }
 
 // failureResult converts a failure found by this node to a result.
--- a/internal/dataplane/engine.go
+++ b/internal/dataplane/engine.go
@@ -15,6 +15,7 @@
 	"peardrift/internal/core/configset"
 	"peardrift/internal/core/earlyrefusal"
 	"peardrift/internal/core/request"
+	"peardrift/internal/core/resend"
 	"peardrift/internal/core/retry"
 	"peardrift/internal/core/route"
 	"peardrift/internal/core/suspect"
@@ -109,6 +110,9 @@
 	Gate    admission.Config
 	Suspect suspect.Config
 	Early   earlyrefusal.Config
+	// Resend says how often calls that the own target rejects are sent to it again
+	// (default: never).
+	Resend resend.Config
 }
 
 // DefaultConfig returns the defaults.
@@ -125,6 +129,7 @@
 		Gate:          admission.DefaultConfig(),
 		Early:         earlyrefusal.DefaultConfig(),
 		Suspect:       suspect.DefaultConfig(),
+		Resend:        resend.DefaultConfig(),
 	}
 }
 
@@ -135,6 +140,7 @@
 	peers     Transport // to other nodes
 	crossZone Transport // to nodes of other zones
 	local     Transport // to the own target
+	again     Transport // to the own target, for further sends of a call
 	claims    Claims
 	obs       Observer
 	epoch     time.Time
@@ -147,6 +153,7 @@
 	running         *registry
 	nodeCalls       *nodeCalls
 	callerRetries   *callerRetries
+	resends         *resends
 	calls           atomic.Int64
 	retiring        atomic.Bool // the node is going to stop
 	refusing        atomic.Bool // new requests of callers are refused
@@ -171,6 +178,7 @@
 		peers:           peers,
 		crossZone:       peers,
 		local:           local,
+		again:           local,
 		claims:          cl,
 		obs:             obs,
 		onShed:          func() {},
@@ -185,6 +193,7 @@
 	e.suspects = newSuspects(cfg.Suspect, self.ID, e.now, func() bool { return local.Reachable(self.Target) })
 	e.levels = newLevels(&e.cfg.Early, e.now)
 	e.callerRetries = newCallerRetries(cfg.Retry, e.now)
+	e.resends = newResends(cfg.Resend, e.now)
 	e.gate = newGate(cfg.Gate, newRand(), e.now)
 	return e
 }
@@ -193,6 +202,11 @@
 // differs. Call it before traffic begins.
 func (e *Engine) SetCrossZoneTransport(t Transport) { e.crossZone = t }
 
+// SetResendTransport sets the transport for further sends of a call to the own target. It
+// must not reuse connections: a duplicate of the answer to the send before would be taken
+// for that to the next one, and the call could run twice. Call it before traffic begins.
+func (e *Engine) SetResendTransport(t Transport) { e.again = t }
+
 // transportTo returns the transport for calls to nodes of a zone.
 func (e *Engine) transportTo(zone string) Transport {
 	if zone == e.self.Place.Zone {
--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -115,6 +115,7 @@
 	}
 	resp := protocol.AcquireResponse()
 	r := e.execute(ctx, out, fault, resp)
+	e.resends.ended(out, r)
 	if out.parent != nil {
 		out.parent.callEnded(r)
 	}
@@ -235,7 +236,10 @@
 		return nil, fault
 	}
 	stripKey(v, out)
-	return out, e.levels.check(out)
+	if fault := e.levels.check(out); fault != nil {
+		return out, fault
+	}
+	return out, e.resends.checkStart(out)
 }
 
 // applyAssured gives a fraction of all requests the highest importance, for their
--- a/internal/dataplane/gate.go
+++ b/internal/dataplane/gate.go
@@ -94,6 +94,13 @@
 	g.deliver()
 }
 
+// rejected records that the target has rejected a call that is sent again.
+func (g *gate) rejected() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.Rejected()
+}
+
 func (g *gate) tick() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/dataplane/hop.go
+++ b/internal/dataplane/hop.go
@@ -50,13 +50,15 @@
 	Attempt    int
 	Outcome    request.Outcome
 	Code       status.Code // reason, if the node itself answered
-	Detail     string      // of a rate limit refusal: what decided it
+	Detail     string      // of some refusals: what decided it
 	Retry      string      // why there was no further attempt
 	Level      request.Level
 	KnownLevel request.Level // of the callee and its downstream services, as checked at the entry
 	Allowance  int
 	Queued     time.Duration
-	Version    int64 // of the configuration set in force
+	Sends      int    // of a serve hop: how often the call was sent to the target
+	Resend     string // why a call that the target rejected was not sent again; empty if none was
+	Version    int64  // of the configuration set in force
 }
 
 func (e *Engine) observe(h *Hop) {
--- a/internal/dataplane/target.go
+++ b/internal/dataplane/target.go
@@ -13,29 +13,52 @@
 	"peardrift/internal/wire"
 )
 
-// runOnTarget sends the request to the own target.
+// runOnTarget sends the request to the own target, and again if the target rejects it and
+// another send may complete it.
 func (e *Engine) runOnTarget(ctx context.Context, s *inboundCall) (*result, *protocol.Response) {
 	req := protocol.AcquireRequest()
 	defer protocol.ReleaseRequest(req)
 	e.cfg.Dialect.CopyRequest(&req.Header, &s.c.Request.Header)
 	traceContext{s.trace.id, s.running.span, s.trace.sampled}.set(&req.Header)
+	s.body.attach(req)
+	resp := protocol.AcquireResponse()
+	transport := e.local
+	for {
+		begun := e.now()
+		r := e.sendToTarget(ctx, s, transport, req, resp)
+		if !e.sendAgain(ctx, s, r) {
+			return r, resp
+		}
+		// Neither a rejected send nor the wait after it is time in the target: otherwise
+		// the gate would treat them as requests that wait inside the target.
+		s.running.addBlocked(e.now() - begun)
+		resp.Reset()
+		transport = e.again
+	}
+}
+
+// sendToTarget sends the request to the own target once.
+func (e *Engine) sendToTarget(ctx context.Context, s *inboundCall, t Transport, req *protocol.Request, resp *protocol.Response) *result {
 	left := max(s.running.deadline-e.now(), time.Millisecond)
 	wire.SetInt(&req.Header, e.cfg.Dialect.TimeoutHeader(), left.Milliseconds())
 	if fault := e.setTargetHeaders(s, req); fault != nil {
-		return failureResult(e.now(), fault), nil
+		return failureResult(e.now(), fault)
 	}
-	s.body.attach(req)
-	resp := protocol.AcquireResponse()
-	res, err := e.local.Do(ctx, e.self.Target, req, resp)
+	res, err := t.Do(ctx, e.self.Target, req, resp)
 	if err == nil {
 		e.readNotice(req.Header.Peek(e.cfg.Dialect.Instance), resp)
 	}
-	return e.classify(s, res.Sent, err, &result{
+	r := e.classify(s, res.Sent, err, &result{
 		outcome: request.Completed,
 		stream:  res.Stream,
 		length:  res.Length,
 		headAt:  e.now(),
-	}, resp), resp
+	}, resp)
+	if res.Sent {
+		s.hop.Sends++
+		e.resends.sent(s.running.priority, s.hop.Sends == 1, r.rejected)
+	}
+	return r
 }
 
 // setTargetHeaders sets the headers that tell the target the request's origin and the
@@ -95,6 +118,7 @@
 		r.discard()
 		x := failureResult(r.headAt, f)
 		x.targetShed = f.Code == status.CodeTargetShed
+		x.rejected = x.targetShed && resp.StatusCode() == http.StatusServiceUnavailable
 		return x
 	}
 	if resp.StatusCode() < firstServerError {
--- a/internal/node/integration.go
+++ b/internal/node/integration.go
@@ -34,6 +34,9 @@
 	// service in RetryWindow, in addition to a fraction of its requests.
 	RetryBudget float64
 	RetryWindow time.Duration
+	// ResendRatio bounds, per call of a service and in RetryWindow, how often targets get
+	// calls again that they have rejected; 0: never.
+	ResendRatio float64
 	// Limits are the bounds that the fleet must keep when it enforces organisations'
 	// rate limits.
 	Limits ratelimit.Terms
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,6 +49,7 @@
 	peers           *hertzhttp.Client // to nodes in the own zone
 	crossZone       *hertzhttp.Client // to nodes in other zones
 	local           *hertzhttp.Client
+	resends         *hertzhttp.Client // to the own target, for further sends of a call
 	rows            *sharedrows.Rows
 	claimPeers      *rpc.ClaimPeers
 	claims          *claims.Runner
@@ -153,6 +154,7 @@
 		cfg = dataplane.IntegratedConfig()
 		cfg.Dialect = out.Dialect
 		cfg.Retry.FleetBudget, cfg.Retry.FleetWindow = out.RetryBudget, out.RetryWindow
+		cfg.Resend.Ratio, cfg.Resend.Window = out.ResendRatio, out.RetryWindow
 	}
 	lc := cc
 	if n.integration != nil {
@@ -161,6 +163,8 @@
 		lc.MatchResponse = dataplane.CheckAnswer(cfg.Dialect)
 	}
 	n.local = hertzhttp.NewClient(lc)
+	lc.MaxIdle = 0 // each further send of a call has its own connection
+	n.resends = hertzhttp.NewClient(lc)
 	cc.Prober = dataplane.Prober{}
 	n.peers = hertzhttp.NewClient(cc)
 	// Bytes within a zone are free, and packing takes processor time: 16 us for a call
@@ -175,6 +179,7 @@
 	obs := &observer{metrics: n.metrics, tracer: n.tracer, log: n.log}
 	n.engine = dataplane.New(cfg, n.self, n.peers, n.local, n.claims, obs)
 	n.engine.SetCrossZoneTransport(n.crossZone)
+	n.engine.SetResendTransport(n.resends)
 }
 
 // configsyncConfig returns the configuration of the configsync core. Where the platform
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -75,6 +75,9 @@
 	if h.Queued > 0 {
 		fields = append(fields, zap.Duration("queued", h.Queued))
 	}
+	if h.Sends > 1 || h.Resend != "" {
+		fields = append(fields, zap.Int("sends", h.Sends), zap.String("resend", h.Resend))
+	}
 	if h.Detail != "" {
 		fields = append(fields, zaplog.Detail(h.Detail))
 	}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -243,6 +243,7 @@
 	n.peers.Close()
 	n.crossZone.Close()
 	n.local.Close()
+	n.resends.Close()
 	n.engine.Close()
 	n.table.Close()
 	if n.objects != nil {
