--- a/internal/core/resend/budget.go
+++ b/internal/core/resend/budget.go
@@ -54,10 +54,11 @@
 	}
 }
 
-// First records the first send of a call that has reached the target.
-func (b *Budget) First(now time.Duration, p request.Priority) {
+// First records the first send of a call that has reached the target. retries is how much
+// of the ratio callers' nodes may themselves spend on retries for each such call.
+func (b *Budget) First(now time.Duration, p request.Priority, retries float64) {
 	b.advance(now)
-	b.counts.first.add(b.counts.bin)
+	b.counts.first.add(b.counts.bin, uint64(fullSend*max(0, 1-retries/b.ratio)))
 	b.arrivals[int(p)/partSize].inBin++
 }
 
@@ -81,7 +82,7 @@
 	if p < b.threshold || !b.counts.allows(b.ratio) {
 		return false
 	}
-	b.counts.resends.add(b.counts.bin)
+	b.counts.resends.add(b.counts.bin, 1)
 	return true
 }
 
@@ -118,7 +119,7 @@
 		return 0
 	}
 	// What the budget covers, in first sends per bin.
-	left := b.ratio * float64(b.counts.paidFirst(b.counts.bin)) / windowBins / perCall
+	left := b.ratio * b.counts.paidFirst(b.counts.bin) / windowBins / perCall
 	for i := importances - 1; i >= 0; i-- {
 		if b.byImp[i] > left {
 			return b.thresholdWithin(i, left)
--- a/internal/core/resend/budget_test.go
+++ b/internal/core/resend/budget_test.go
@@ -61,7 +61,7 @@
 				p := prio(request.Importance(rapid.IntRange(0, 100).Draw(rt, "importance")), rapid.Float64Range(0, 1).Draw(rt, "hash"))
 				for range rapid.IntRange(1, 40).Draw(rt, "sends") {
 					now += gap
-					b.First(now, p)
+					b.First(now, p, 0)
 					b.Ended(rejects > 0)
 					first = append(first, now)
 					for n := range rejects {
@@ -106,7 +106,7 @@
 			for _, b := range budgets {
 				n := demand + rapid.IntRange(-demand/20, demand/20).Draw(rt, "deviation")
 				for range n {
-					b.First(now, prio(50, 1))
+					b.First(now, prio(50, 1), 0)
 				}
 				first[bin] += n
 				for range attempts {
@@ -136,7 +136,7 @@
 func serve(b *Budget, now, length time.Duration, rejected bool, ps ...request.Priority) time.Duration {
 	for i := range int(length / time.Millisecond) {
 		now += time.Millisecond
-		b.First(now, ps[i%len(ps)])
+		b.First(now, ps[i%len(ps)], 0)
 		b.Ended(rejected && i%2 == 0)
 	}
 	return now
@@ -181,6 +181,31 @@
 	is.True(!b.Take(now, prio(20, 0.1), 0))
 }
 
+// Guards against spending what callers' nodes may spend on retries as well: where they may
+// spend half of the budget, the target has the other half, and none where they may spend
+// all.
+func TestCallersRetriesAreLeftToThem(t *testing.T) {
+	is := is.New(t)
+	cfg := config()
+	cfg.Ratio, cfg.Reserve = 0.2, 0
+	for _, tt := range []struct{ retries, most float64 }{{0, 0.2}, {0.1, 0.1}, {0.3, 0}} {
+		b := NewBudget(cfg, 0)
+		var now time.Duration
+		const sends = 20000
+		for range sends {
+			now += time.Millisecond
+			b.First(now, prio(50, 1), tt.retries)
+		}
+		taken := 0.0
+		for b.Take(now, prio(50, 1), 0) {
+			taken++
+		}
+		limit := tt.most * cfg.Window.Seconds() * 1000
+		is.True(taken <= limit)
+		is.True(taken >= 0.95*limit)
+	}
+}
+
 // Guards against resending one call without end to a target that rejects everything.
 func TestResendsOfOneCallAreBounded(t *testing.T) {
 	is := is.New(t)
@@ -196,7 +221,7 @@
 	now := serve(b, 0, 20*time.Second, true, prio(90, 0.9), prio(20, 0.9))
 	n := testing.AllocsPerRun(10000, func() {
 		now += 100 * time.Microsecond
-		b.First(now, prio(90, 0.9))
+		b.First(now, prio(90, 0.9), 0)
 		b.Ended(true)
 		b.Take(now, prio(90, 0.9), 0)
 	})
@@ -211,7 +236,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		now += 100 * time.Microsecond
-		x.First(now, prio(90, 0.9))
+		x.First(now, prio(90, 0.9), 0)
 		x.Ended(true)
 		x.Take(now, prio(90, 0.9), 0)
 	}
--- a/internal/core/resend/counts.go
+++ b/internal/core/resend/counts.go
@@ -11,6 +11,9 @@
 	keptBins = 128
 )
 
+// fullSend is the weight of a first send that pays for resends with the whole ratio.
+const fullSend = 1 << 10
+
 // series counts events by bin. Its entries are totals up to and including a bin, so that
 // the count of any range of bins is one subtraction.
 type series struct {
@@ -18,8 +21,8 @@
 	totals [keptBins]uint64
 }
 
-func (s *series) add(bin int64) {
-	s.total++
+func (s *series) add(bin int64, n uint64) {
+	s.total += n
 	s.totals[bin&(keptBins-1)] = s.total
 }
 
@@ -43,7 +46,7 @@
 type counts struct {
 	width   time.Duration // of a bin
 	bin     int64         // current bin
-	first   series
+	first   series        // in parts of fullSend
 	resends series
 }
 
@@ -60,15 +63,15 @@
 	return true
 }
 
-// paidFirst returns the first sends that surely lie in the window that ends in bin, in
+// paidFirst returns the weight of the first sends that surely lie in the window that ends in bin, in
 // the one before it or in the one half a window before it, whichever has the most.
 // Windows may begin and end anywhere in a bin, so their outermost bins don't count. The
 // current bin counts for windows that end in it, as these end now or later.
-func (c *counts) paidFirst(end int64) uint64 {
+func (c *counts) paidFirst(end int64) float64 {
 	own := c.first.between(end-windowBins+1, min(end, c.bin))
 	half := c.first.between(end-halfBins-windowBins+1, min(end-halfBins-1, c.bin))
 	before := c.first.between(end-2*windowBins+1, min(end-windowBins-1, c.bin))
-	return max(own, half, before)
+	return float64(max(own, half, before)) / fullSend
 }
 
 // allows reports whether one more resend now keeps the bound in all windows that contain
@@ -76,7 +79,7 @@
 func (c *counts) allows(ratio float64) bool {
 	for end := c.bin; end <= c.bin+windowBins; end++ {
 		resends := c.resends.between(end-windowBins, c.bin) + 1
-		if float64(resends) > ratio*float64(c.paidFirst(end)) {
+		if float64(resends) > ratio*c.paidFirst(end) {
 			return false
 		}
 	}
--- a/internal/core/resend/methods_test.go
+++ b/internal/core/resend/methods_test.go
@@ -126,7 +126,7 @@
 			}
 			p := m.priority(c.priority)
 			if c.resends == 0 {
-				b.First(c.at, p)
+				b.First(c.at, p, 0)
 			}
 			b.Ended(rejected)
 			again = rejected && b.Take(c.at, p, c.resends)
--- a/internal/core/retry/config.go
+++ b/internal/core/retry/config.go
@@ -74,6 +74,15 @@
 	return c.FreeRefusals && o == request.Refused && code != status.CodeTargetShed
 }
 
+// RatioAt returns how much one success of a call at a depth of its chain adds to the
+// service's retry budget.
+func (c *Config) RatioAt(depth int) float64 {
+	if depth == 0 {
+		return c.Ratio
+	}
+	return c.CallRatio
+}
+
 // DefaultConfig returns the default settings, which need no tuning for the deployments
 // that the project is made for.
 func DefaultConfig() Config {
--- a/internal/dataplane/resends.go
+++ b/internal/dataplane/resends.go
@@ -32,15 +32,16 @@
 	return r
 }
 
-// sent records a send that has reached the own target, and its result.
-func (r *resends) sent(p request.Priority, first, rejected bool) {
+// sent records a send that has reached the own target, and its result. retries is how much
+// callers' nodes may spend on retries for each such call.
+func (r *resends) sent(s *inboundCall, retries float64, rejected bool) {
 	if !r.enabled {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if first {
-		r.budget.First(r.now(), p)
+	if s.hop.Sends == 1 {
+		r.budget.First(r.now(), s.running.priority, retries)
 	}
 	r.budget.Ended(rejected)
 }
--- a/internal/dataplane/resends_test.go
+++ b/internal/dataplane/resends_test.go
@@ -86,7 +86,7 @@
 	const step = 5 * time.Millisecond
 	at := e.now()
 	for ; at < e.now()+2*r.cfg.Window; at += step {
-		r.budget.First(at, request.MaxPriority-1)
+		r.budget.First(at, request.MaxPriority-1, 0)
 	}
 	r.now = func() time.Duration { return at }
 }
--- a/internal/dataplane/target.go
+++ b/internal/dataplane/target.go
@@ -56,7 +56,7 @@
 	}, resp)
 	if res.Sent {
 		s.hop.Sends++
-		e.resends.sent(s.running.priority, s.hop.Sends == 1, r.rejected)
+		e.resends.sent(s, e.cfg.Retry.RatioAt(s.meta.Depth), r.rejected)
 	}
 	return r
 }
