Send nothing again to a target that names a rate

Cause: further sends bypassed the rate that a target's answers name, and the threshold of the last rejection stayed in force after rejections had ended.

Change: a target that names a rate gets no call again. The threshold is computed for each bin.

--- a/internal/core/resend/budget.go
+++ b/internal/core/resend/budget.go
@@ -86,10 +86,6 @@
 	return true
 }
 
-// Threshold returns the lowest priority that was resent at the last decision; 0 if the
-// budget covers all.
-func (b *Budget) Threshold() request.Priority { return b.threshold }
-
 func (b *Budget) advance(now time.Duration) {
 	before := b.counts.bin
 	if !b.counts.advance(now) {
@@ -109,6 +105,7 @@
 		a.rate, a.inBin = rate, 0
 		b.byImp[i/parts] += rate
 	}
+	b.threshold = b.computeThreshold()
 }
 
 // computeThreshold returns the priority above which the budget of a window covers the
--- a/internal/dataplane/resends.go
+++ b/internal/dataplane/resends.go
@@ -88,6 +88,7 @@
 const (
 	resendLeaving  = "leaving"  // the target accepts no calls
 	resendStreamed = "streamed" // the body is a stream, which can be sent only once
+	resendRate     = "rate"     // the target names a rate of calls that it accepts
 	resendSlots    = "slots"    // all usable slots of the target are taken
 	resendDeadline = "deadline" // the call would not end in time
 	ResendBudget   = "budget"   // the budget does not cover the call's priority
@@ -125,6 +126,8 @@
 		return resendLeaving
 	case s.body.stream != nil:
 		return resendStreamed
+	case st.Rate > 0:
+		return resendRate
 	case st.Running >= e.usableSlots(v):
 		return resendSlots
 	case s.running.deadline-e.now() <= wait+st.Service:
--- a/internal/dataplane/resends_test.go
+++ b/internal/dataplane/resends_test.go
@@ -174,6 +174,9 @@
 		{name: "streamed body", prepare: func(_ *Engine, s *inboundCall, _ func()) {
 			s.body = body{stream: strings.NewReader("body"), length: 4}
 		}, reason: resendStreamed},
+		{name: "the target names a rate", prepare: func(e *Engine, _ *inboundCall, _ func()) {
+			e.gate.setRateLimit(100)
+		}, reason: resendRate},
 		{name: "slots are full", prepare: func(e *Engine, _ *inboundCall, _ func()) {
 			for range 9 {
 				newInbound(context.Background(), e, time.Second)
