--- a/internal/wire/dialect.go
+++ b/internal/wire/dialect.go
@@ -35,6 +35,10 @@
 	// it accepts from all callers together, for as long as its answers carry it. Targets
 	// may use any of the names.
 	RateLimit []string
+	// Load states, in the answers of a target, the requests that it runs, those that wait
+	// in it, its slots and, optionally, how long work takes on its machine now as a
+	// percentage of the usual: decimal integers separated by commas.
+	Load string
 	// Leaving marks the answers of a target that is about to leave, with the value 1.
 	// Targets may use any of the names.
 	Leaving []string
@@ -62,7 +66,7 @@
 // GetNotice reads what an answer of a target says of it. ok is false if the answer says
 // nothing because it is not marked as the target's own or names an invalid limit.
 func (d *Dialect) GetNotice(h *protocol.ResponseHeader) (n Notice, ok bool) {
-	if len(h.Peek(d.Signature)) == 0 && len(h.Peek(d.NotExecuted)) == 0 {
+	if !d.fromTarget(h) {
 		return Notice{}, false
 	}
 	n.RateLimit = math.Inf(1)
@@ -79,6 +83,74 @@
 	return n, true
 }
 
+// fromTarget reports whether an answer is marked as the target's own.
+func (d *Dialect) fromTarget(h *protocol.ResponseHeader) bool {
+	return len(h.Peek(d.Signature)) > 0 || len(h.Peek(d.NotExecuted)) > 0
+}
+
+// Load is what a target states of its load.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+	Figure  int // time that work takes now, in percent of the usual; 0: not stated
+}
+
+const (
+	// maxLoadCount is the maximum number of requests or slots in a Load.
+	maxLoadCount = 1 << 20
+	// A figure outside of minFigure to maxFigure is ignored with the rest of its header:
+	// no machine differs by more from the usual and is still worth sending calls to.
+	minFigure = 1
+	maxFigure = 10_000
+	// Number of fields without and with the figure.
+	minLoadFields = 3
+	maxLoadFields = 4
+)
+
+// GetLoad reads the load that an answer of a target states. ok is false if it states none,
+// if any of it is malformed or out of range, or if the answer is not marked as the target's
+// own where targets mark theirs.
+func (d *Dialect) GetLoad(h *protocol.ResponseHeader) (l Load, ok bool) {
+	if d.Load == "" || d.Signature != "" && !d.fromTarget(h) {
+		return Load{}, false
+	}
+	b := h.Peek(d.Load)
+	if len(b) == 0 {
+		return Load{}, false
+	}
+	var v [maxLoadFields]int
+	n := 0
+	for more := true; more; n++ {
+		var field []byte
+		field, b, more = bytes.Cut(b, []byte{','})
+		if n == maxLoadFields {
+			return Load{}, false
+		}
+		if v[n], ok = parseCount(bytes.Trim(field, " \t")); !ok {
+			return Load{}, false
+		}
+	}
+	l = Load{Running: v[0], Waiting: v[1], Slots: v[2], Figure: v[3]}
+	if n < minLoadFields || l.Slots == 0 || n == maxLoadFields && (l.Figure < minFigure || l.Figure > maxFigure) {
+		return Load{}, false
+	}
+	return l, true
+}
+
+// parseCount parses a decimal number from 0 to maxLoadCount.
+func parseCount(b []byte) (n int, ok bool) {
+	for _, c := range b {
+		if c < '0' || c > '9' {
+			return 0, false
+		}
+		if n = 10*n + int(c-'0'); n > maxLoadCount {
+			return 0, false
+		}
+	}
+	return n, len(b) > 0
+}
+
 // peekAny returns the value of the first of the named headers that is present.
 func peekAny(h *protocol.ResponseHeader, names []string) []byte {
 	for _, name := range names {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -245,6 +245,7 @@
 	InFlight       int           // calls running on the target or queued for it
 	Limit          int           // calls that may run on the target
 	Pushback       time.Duration // 0: none
+	ClassTime      time.Duration // how long a call of the class takes in the target now; 0: unknown
 }
 
 // Positions of the fields of HeaderReply.
@@ -260,9 +261,13 @@
 	replyLimit
 	replyPushback
 	replyExempt
+	replyClassTime
 	replyFields
 )
 
+// classTimeUnit is the unit of the field replyClassTime.
+const classTimeUnit = 100 * time.Microsecond
+
 // Exemptions are a list within their field.
 const (
 	exemptSeparator = ','
@@ -291,6 +296,12 @@
 		}
 		b = strconv.AppendInt(append(b, sep), int64(from), 10)
 	}
+	if t := int64(a.ClassTime.Round(classTimeUnit) / classTimeUnit); t > 0 {
+		if len(a.Exempt) == 0 {
+			b = append(b, separator)
+		}
+		b = strconv.AppendInt(append(b, separator), t, 10)
+	}
 	h.SetBytesV(HeaderReply, b)
 }
 
@@ -314,6 +325,7 @@
 		InFlight:       int(parseNumber(f[replyInFlight], 1<<20)),
 		Limit:          int(parseNumber(f[replyLimit], 1<<20)),
 		Pushback:       time.Duration(parseNumber(f[replyPushback], uint64(time.Hour/time.Millisecond))) * time.Millisecond,
+		ClassTime:      time.Duration(parseNumber(f[replyClassTime], uint64(time.Hour/classTimeUnit))) * classTimeUnit,
 	}
 }
 
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -39,6 +39,32 @@
 	is.Equal(GetAnswer(&h), in)
 }
 
+// Guards against an answer that a node of an earlier or later version can't read: the
+// fields before ClassTime must be the same with and without it, with and without
+// exemptions, and without it nothing is added.
+func TestClassTimeIsCompatible(t *testing.T) {
+	is := is.New(t)
+	for _, exempt := range [][]request.Level{nil, {5 << 16, 0}} {
+		a := Answer{Outcome: request.Completed, InFlight: 20, Limit: 25, Exempt: exempt}
+		var without, with protocol.ResponseHeader
+		SetAnswer(&without, &a)
+		earlier := string(without.Peek(HeaderReply))
+		is.Equal(GetAnswer(&without), a)
+		a.ClassTime = 71300 * time.Microsecond
+		SetAnswer(&with, &a)
+		is.Equal(GetAnswer(&with), a)
+		later := string(with.Peek(HeaderReply))
+		if exempt == nil {
+			earlier += ";"
+		}
+		is.Equal(later, earlier+";713")
+		with.Set(HeaderReply, later+";x;y") // of a later version
+		is.Equal(GetAnswer(&with), a)
+		with.Set(HeaderReply, earlier+";-3")
+		is.Equal(GetAnswer(&with).ClassTime, time.Duration(0))
+	}
+}
+
 // Guards against copying internal headers from external input, in any spelling: a
 // caller could raise its own importance, allowance or depth.
 func TestCopyRequestDropsInternalHeaders(t *testing.T) {
