Let the gate's expected times follow the target's speed

Gate.SetTimeFactor sets how long requests take now relative to their mean. Service times are kept at the usual speed, so expected times and the capacity behind levels change with a stated slowdown and not after it, and times that a slowdown stretched are not taken for requests that queue inside the target.

go test ./internal/core/admission passes. Without a factor nothing changes.

--- a/internal/core/admission/entry.go
+++ b/internal/core/admission/entry.go
@@ -19,6 +19,7 @@
 	latestStart time.Duration  // latest start that can still meet the deadline and MaxWait
 	started     time.Duration  // instant of admission
 	expected    time.Duration  // expected service time, estimated on arrival
+	timeFactor  float64        // of the target at admission
 	heapIndex   [numOrders]int // index in each heap while queued
 }
 
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -43,6 +43,7 @@
 		limiter:       limit.NewProbe(cfg.Limit, cfg.Slots),
 		pool:          pool{byID: make(map[Ticket]int)},
 		levels:        newLevels(),
+		service:       serviceTimes{timeFactor: 1},
 		queueDetector: limit.NewQueueDetector(importances),
 		maxQueue:      cfg.queueLimit(cfg.Slots),
 	}
@@ -183,6 +184,7 @@
 	e := &g.pool.entries[i]
 	e.running = true
 	e.started = now
+	e.timeFactor = g.service.timeFactor
 	g.rate.start(now)
 	g.running++
 	g.service.start(e)
@@ -240,7 +242,7 @@
 	imp, took := e.importance(), now-e.started
 	g.queueDetector.CountCompletion(imp)
 	if e.started >= g.limitCutAt {
-		g.queueDetector.RecordTime(imp, took, took-downstream)
+		g.queueDetector.RecordTime(imp, g.atUsualSpeed(e, took), g.atUsualSpeed(e, took-downstream))
 	}
 }
 
@@ -249,10 +251,20 @@
 // that wait and would inflate the estimate after the cut has ended it.
 func (g *Gate) updateEstimate(now time.Duration, e *entry, r Result) {
 	if e.started >= g.limitCutAt {
-		g.service.observe(e.importance(), now-e.started, r == OK)
+		g.service.observe(e.importance(), now-e.started, g.factorDuring(e), r == OK)
 	}
 }
 
+// factorDuring returns the mean time factor of a request that ends now.
+func (g *Gate) factorDuring(e *entry) float64 { return (e.timeFactor + g.service.timeFactor) / 2 }
+
+// atUsualSpeed returns how long a request that ends now would have taken at the usual
+// speed. Otherwise a slowdown that the target states could be taken for requests
+// that queue inside the target, and the limit would be cut.
+func (g *Gate) atUsualSpeed(e *entry, took time.Duration) time.Duration {
+	return time.Duration(float64(took) / g.factorDuring(e))
+}
+
 // Cancel records that the caller no longer waits for a request. A queued request is
 // refused at once; a running one frees its slot.
 func (g *Gate) Cancel(now time.Duration, t Ticket, out []Action) []Action {
@@ -341,6 +353,19 @@
 // limit. Calls above it are refused at once, because another target may accept them.
 func (g *Gate) SetRateLimit(now time.Duration, perSecond float64) { g.rate.set(now, perSecond) }
 
+// SetTimeFactor sets how long requests take in the target now, relative to their mean; 1 if
+// the target doesn't state it. Expected times, and with them the capacity that levels are
+// set by, follow it.
+func (g *Gate) SetTimeFactor(f float64) {
+	g.service.timeFactor = min(max(f, minTimeFactor), maxTimeFactor)
+}
+
+// Bounds of the time factor, so that no false statement removes the estimates.
+const (
+	minTimeFactor = 0.1
+	maxTimeFactor = 10
+)
+
 // Level returns the admission level that applies to every tenant, i.e. the lowest. A
 // caller that knows the request's tenant uses TenantLevel.
 func (g *Gate) Level() request.Level {
--- a/internal/core/admission/refuse.go
+++ b/internal/core/admission/refuse.go
@@ -42,4 +42,4 @@
 }
 
 // demand returns the demand of all tenants in slots.
-func (g *Gate) demand() float64 { return g.levels.total() * g.service.mean }
+func (g *Gate) demand() float64 { return g.levels.total() * g.service.current() }
--- a/internal/core/admission/service.go
+++ b/internal/core/admission/service.go
@@ -30,9 +30,14 @@
 // changed mix leaves the mean unchanged. Otherwise, once a level refuses the short
 // requests, the remaining long ones would raise the mean, lower the capacity counted
 // in mean requests, and so raise the level into the long ones too.
+//
+// Times are kept as if the target had its usual speed, and estimates are multiplied by
+// its time factor now. A change of speed that the target states thereby changes all
+// estimates at once, and samples from before the change don't change them back.
 type serviceTimes struct {
-	mean        float64 // seconds; 0 before the first sample
-	fastMean    float64 // seconds
+	mean        float64 // seconds at the usual speed; 0 before the first sample
+	fastMean    float64 // seconds at the usual speed
+	timeFactor  float64 // time that a request takes now, relative to the usual
 	meanSamples int     // in mean
 	ratio       [importances]float64
 	samples     [importances]int
@@ -46,9 +51,12 @@
 }
 
 func (s *serviceTimes) estimate(imp int) time.Duration {
-	return time.Duration(s.mean * s.factor(imp) * float64(time.Second))
+	return time.Duration(s.current() * s.factor(imp) * float64(time.Second))
 }
 
+// current returns the mean at the target's present speed, in seconds.
+func (s *serviceTimes) current() float64 { return s.mean * s.timeFactor }
+
 // factor returns the ratio of an importance to the mean. The first samples are
 // averaged with a ratio of 1, so that a single outlier does not dominate.
 func (s *serviceTimes) factor(imp int) float64 {
@@ -72,10 +80,10 @@
 	s.expectedSum -= e.expected
 }
 
-// observe records a service time. A time cut short (whole is false) counts only if
-// it already exceeds the expected time.
-func (s *serviceTimes) observe(imp int, took time.Duration, whole bool) {
-	x := took.Seconds()
+// observe records a service time, with the time factor during the request. A time cut
+// short (whole is false) counts only if it already exceeds the expected time.
+func (s *serviceTimes) observe(imp int, took time.Duration, timeFactor float64, whole bool) {
+	x := took.Seconds() / timeFactor
 	if !whole && x <= s.mean*s.factor(imp) || x <= 0 {
 		return
 	}
--- a/internal/core/admission/stats.go
+++ b/internal/core/admission/stats.go
@@ -61,7 +61,7 @@
 	if g.rate.perSecond == 0 {
 		return lim
 	}
-	return min(lim, max(1, int(math.Ceil(g.rate.perSecond*g.service.mean))))
+	return min(lim, max(1, int(math.Ceil(g.rate.perSecond*g.service.current()))))
 }
 
 // Stats returns a snapshot.
@@ -74,7 +74,7 @@
 		Queued:   g.queue.len(),
 		Active:   g.levels.active,
 		Demand:   g.demand(),
-		Service:  time.Duration(g.service.mean * float64(time.Second)),
+		Service:  time.Duration(g.service.current() * float64(time.Second)),
 		Backlog:  g.queue.backlog / time.Duration(g.limiter.Limit()),
 		Draining: g.draining,
 	}
--- a/internal/core/admission/window.go
+++ b/internal/core/admission/window.go
@@ -66,10 +66,10 @@
 		rateLimit:     g.rate.perSecond,
 		rateExceeded:  rateExceeded,
 		standingQueue: now-w.delayLowAt >= g.cfg.StandingDelay,
-		service:       g.service.mean * g.service.slowdown(now),
+		service:       g.service.current() * g.service.slowdown(now),
 		reservedShare: g.cfg.ReservedShare,
 	}, &g.ledger, g.cfg.IdleUtilization)
-	needed := g.queueDetector.EndWindow()
+	needed := time.Duration(float64(g.queueDetector.EndWindow()) * g.service.timeFactor)
 	g.limiter.Observe(limit.Window{
 		Length:     length,
 		Busy:       w.busy,
@@ -101,7 +101,7 @@
 // the queue is ordered by importance, the wait of dispatched requests says little;
 // the time to run the whole queue counts as its delay.
 func (g *Gate) updateQueueDelay(now time.Duration) {
-	part := time.Duration(g.cfg.TargetDelayFraction * g.service.mean * float64(time.Second))
+	part := time.Duration(g.cfg.TargetDelayFraction * g.service.current() * float64(time.Second))
 	target := max(g.cfg.TargetDelay, part)
 	if g.queue.backlog <= time.Duration(g.limiter.Limit())*target {
 		g.window.delayLowAt = now
