Choose targets by the time they take now and pool a short service over zones

Targets of one service differ in speed, and a zone whose target was full kept its calls until another zone's load was lower by half of the slots: zones failed unlike parts of their calls while others had free slots.

PickFor knows the call's class and objective. Where ZoneGap is set and the own target reports that it is nearly full, a call leaves with a probability in proportion to the difference of the work ahead. Reports older than the last one are ignored.

--- a/internal/core/route/config.go
+++ b/internal/core/route/config.go
@@ -35,6 +35,13 @@
 	// calls are queued. Default 0. Higher saves traffic between zones and lets calls
 	// wait longer, by this many service times.
 	ZoneGap float64
+	// PoolWidth applies where ZoneGap is above 0. If the targets of the caller's zone report
+	// that nearly all of their slots are taken, calls leave the zone with a probability that
+	// rises to 1 where another zone's target has this much less work ahead of a call, in
+	// loads as for ZoneGap. Default 0.25; 0: calls leave by ZoneGap only. Higher leaves more
+	// difference between zones; with lower values callers that know the same reports fill
+	// the targets in turn.
+	PoolWidth float64
 	// Refresh is how long derived values (mean load, cost, whether a target is hot) are
 	// reused. Default 10ms. Longer is cheaper but slower to react.
 	Refresh time.Duration
@@ -91,6 +98,7 @@
 		PeakFactor:    4,
 		ZoneCost:      3 * time.Millisecond,
 		ZoneFactor:    4,
+		PoolWidth:     0.25,
 		Refresh:       10 * time.Millisecond,
 		LatencyWeight: 0.05,
 		DecayTime:     5 * time.Second,
--- a/internal/core/route/measure.go
+++ b/internal/core/route/measure.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -44,8 +45,8 @@
 		e.level, e.levelAt = r.Level, now
 	}
 	t.record(now, e, r)
-	if r.Limit > 0 {
-		t.recordReport(now, e, r)
+	if at := cmp.Or(r.ReportedAt, now); !e.reported || at >= e.reportedAt {
+		t.recordStated(at, e, r)
 	}
 	if !e.inSubset {
 		t.release(int32(idx))
@@ -116,12 +117,23 @@
 	e.latency += weight * (s - e.latency)
 }
 
+// recordStated records what the target's node states of the target at the given time.
+func (t *Table) recordStated(at time.Duration, e *entry, r *Result) {
+	if r.Limit > 0 {
+		t.recordReport(at, e, r)
+	}
+	if r.ClassTime > 0 {
+		t.recordClassTime(at, e, r)
+	}
+}
+
 // recordReport records the load that the target reports and compares it with the
 // measurements. A target that reports low load while it refuses or is slow, or high
 // load while it is fast, loses trust.
-func (t *Table) recordReport(now time.Duration, e *entry, r *Result) {
+func (t *Table) recordReport(at time.Duration, e *entry, r *Result) {
 	e.reportedLoad = float64(r.InFlight) / float64(r.Limit)
-	e.reported, e.reportedAt, e.inFlightAtReport = true, now, e.inFlight
+	e.reportedLimit = r.Limit
+	e.reported, e.reportedAt, e.inFlightAtReport = true, at, e.inFlight
 	slow := t.meanLatency > 0 && e.latency > slowFactor*t.meanLatency
 	fast := e.latency < fastFactor*t.meanLatency && e.shedRate < fewSheds
 	low, high := e.reportedLoad < t.meanLoad, e.reportedLoad > t.hotLoad()
--- a/internal/core/route/pick.go
+++ b/internal/core/route/pick.go
@@ -44,17 +44,27 @@
 // those in tried, which may be nil. ok is false if no target may be used; the call then
 // ran nowhere and is refused with status.CodeNoTarget.
 func (t *Table) Pick(now time.Duration, p request.Priority, tried *Tried) (idx int, ok bool) {
+	return t.PickFor(now, &Call{Priority: p}, tried)
+}
+
+// PickFor is Pick for a call of a known class.
+func (t *Table) PickFor(now time.Duration, call *Call, tried *Tried) (idx int, ok bool) {
 	t.refresh(now)
+	w := t.want(call)
 	c := noCandidate
 	near, far := t.all[:len(t.local)], t.all[len(t.local):]
 	if len(near) > 0 {
-		c = t.pickOfTwo(now, near, p, tried)
+		c = t.pickOfTwo(now, near, &w, tried)
 	}
-	if len(far) > 0 && t.considersRemote(c) {
-		c = t.betterAcrossZones(c, t.pickOfTwo(now, far, p, tried))
+	switch {
+	case len(far) == 0:
+	case t.pools(now, c):
+		c = t.pool(now, c, far, &w, tried)
+	case t.considersRemote(c):
+		c = t.betterAcrossZones(c, t.pickOfTwo(now, far, &w, tried))
 	}
 	if c.rank > hot {
-		c = t.scan(now, c, p, tried)
+		c = t.scan(now, c, &w, tried)
 	}
 	if c.rank == unusable && t.allEjected() {
 		c = t.pickEjected(tried)
@@ -107,11 +117,11 @@
 
 // pickOfTwo compares two random targets of a list. Choosing the best of all would send
 // the calls of all callers to the same target.
-func (t *Table) pickOfTwo(now time.Duration, list []int32, p request.Priority, tried *Tried) candidate {
+func (t *Table) pickOfTwo(now time.Duration, list []int32, w *want, tried *Tried) candidate {
 	c := noCandidate
 	for range 2 {
-		i := t.sample(list)
-		c = better(c, t.evaluate(now, i, p, tried))
+		i := t.sampleTimely(now, list, w)
+		c = better(c, t.evaluate(now, i, w, tried))
 	}
 	return c
 }
@@ -131,26 +141,30 @@
 
 // scan evaluates all targets, for the rare case that the sampled ones are unsuitable.
 // The subset size bounds it.
-func (t *Table) scan(now time.Duration, c candidate, p request.Priority, tried *Tried) candidate {
+func (t *Table) scan(now time.Duration, c candidate, w *want, tried *Tried) candidate {
 	for _, i := range t.all {
-		c = better(c, t.evaluate(now, i, p, tried))
+		c = better(c, t.evaluate(now, i, w, tried))
 	}
 	return c
 }
 
-func (t *Table) evaluate(now time.Duration, i int32, p request.Priority, tried *Tried) candidate {
+func (t *Table) evaluate(now time.Duration, i int32, w *want, tried *Tried) candidate {
 	e := &t.entries[i]
 	if !e.usable(now) || tried.has(i) {
 		return noCandidate
 	}
 	r := cold
 	switch {
-	case e.level > p && now-e.levelAt < levelValidity:
+	case e.level > w.priority && now-e.levelAt < levelValidity:
 		r = refusing
 	case e.hot || e.Suspected:
 		r = hot
 	}
-	return candidate{idx: i, rank: r, cost: e.cost * float64(1+e.inFlight)}
+	c := candidate{idx: i, rank: r, cost: e.cost * float64(1+e.inFlight)}
+	if l := t.lateness(now, e, w); l > 1 {
+		c.cost *= l * l
+	}
+	return c
 }
 
 func (e *entry) usable(now time.Duration) bool {
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -24,10 +24,13 @@
 
 	reported         bool
 	reportedLoad     float64 // 0 to 1, above 1 if calls are queued
+	reportedLimit    int
 	reportedAt       time.Duration
 	inFlightAtReport int32   // calls in flight from here at the report
 	trust            float64 // weight of reports, 0 to 1
 
+	pace speed
+
 	level   request.Level
 	levelAt time.Duration
 
@@ -68,12 +71,15 @@
 	derivedValid bool
 	meanLoad     float64
 	meanLatency  float64
+
+	classTimes  map[request.Class]float64 // seconds at a pace of 1
+	toOtherZone uint64
 }
 
 // NewTable returns an empty table for a caller at the given place. rng samples the
 // targets to compare; it must not be shared with another goroutine.
 func NewTable(cfg *Config, at Locality, rng *rand.Rand) *Table {
-	return &Table{cfg: cfg, locality: at, rng: rng, index: map[request.TargetID]int32{}}
+	return &Table{cfg: cfg, locality: at, rng: rng, index: map[request.TargetID]int32{}, classTimes: map[request.Class]float64{}}
 }
 
 // Update applies a new snapshot of the service's targets; it doesn't retain ts. callers
--- a/internal/core/route/target.go
+++ b/internal/core/route/target.go
@@ -56,6 +56,22 @@
 	// InFlight and Limit are the load reported by the target, valid if Limit > 0.
 	InFlight int
 	Limit    int
+	// ReportedAt is when the answer that carried the report arrived; 0: now. A report older
+	// than the last one is ignored.
+	ReportedAt time.Duration
+	// Class is the class of the call, and ClassTime how long its calls take in the target
+	// now, valid if ClassTime > 0.
+	Class     request.Class
+	ClassTime time.Duration
+}
+
+// Call describes a call for PickFor.
+type Call struct {
+	Priority request.Priority
+	// Class is the class of the call; empty if unknown.
+	Class request.Class
+	// Objective is the time within which its answer is worth most; 0 if none.
+	Objective time.Duration
 }
 
 // MaxTried is the maximum number of targets in a Tried.
