Carry the target's speed to callers, gate, metrics and log

The node beside a target reads the load header of each answer, measures the time in the target without its own calls, tells callers the time of the class with each answer and sets the gate's time factor. Callers pass the class and its objective to the choice, and count the calls that leave their zone because it is short. Times of failed requests and of streamed bodies don't count, and a new instance of the target starts without measurements.

--- a/internal/dataplane/answer.go
+++ b/internal/dataplane/answer.go
@@ -60,7 +60,7 @@
 	h.Organisation = out.meta.Organisation
 	h.Importance = out.meta.Importance
 	h.Target = r.target
-	h.Zone = r.zone
+	h.Zone, h.LeftZone = r.zone, r.leftZone
 	h.Attempt = r.attempts
 	h.Outcome = r.outcome
 	h.Code = r.code
--- a/internal/dataplane/call.go
+++ b/internal/dataplane/call.go
@@ -32,8 +32,9 @@
 	req           *protocol.Request // complete except meta and trace; reused by all attempts
 	singleAttempt bool              // the body is a stream, which can be sent only once
 
-	// callState and grant are used by call only. They are fields because passing their
+	// want, callState and grant are used by call only. They are fields because passing their
 	// addresses through an interface would allocate them on each attempt.
+	want      route.Call
 	callState retry.Call
 	grant     retry.Grant
 	entry     entryAllowance // of a root request
@@ -61,6 +62,7 @@
 	headAt     time.Duration // when the answer's headers had arrived
 	target     request.TargetID
 	zone       string
+	leftZone   bool // because the own one is short of capacity
 	attempts   int
 	retry      retry.Reason
 	retryAfter time.Duration // advised delay before a retry
@@ -140,6 +142,7 @@
 	if now >= c.deadline {
 		return failureResult(now, status.Refuse(status.CodeDeadline, 0, "the deadline has passed")), false
 	}
+	c.want = route.Call{Priority: c.priority, Class: c.class.Name, Objective: c.class.Objective}
 	ch, ok := cl.pick(e.view.Load(), c, tried)
 	if !ok {
 		return failureResult(now, status.Refuse(status.CodeNoTarget, retryDelay(), "no target of %s accepts the call", c.info.Name)), false
@@ -186,10 +189,10 @@
 	resp.Reset()
 	res, err := e.transportTo(ch.zone).Do(ctx, ch.addr, c.req, resp)
 	r := e.readAnswer(res, err, resp, span)
-	r.target, r.zone = ch.id, ch.zone
+	r.target, r.zone, r.leftZone = ch.id, ch.zone, ch.leaves
 	e.observe(&Hop{
 		Kind: HopAttempt, ID: c.id, Span: span, Parent: c.span, Start: began, End: time.Now(),
-		Service: c.info.Name, Class: c.meta.Class, Tenant: c.meta.Tenant, Target: ch.id, Zone: ch.zone,
+		Service: c.info.Name, Class: c.meta.Class, Tenant: c.meta.Tenant, Target: ch.id, Zone: ch.zone, LeftZone: ch.leaves,
 		Attempt: sub.Attempts(), Outcome: r.outcome, Code: r.code, Level: r.answer.Level, Allowance: g.Allowance,
 	})
 	return r
--- a/internal/dataplane/callee.go
+++ b/internal/dataplane/callee.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"peardrift/internal/core/request"
@@ -22,6 +23,7 @@
 	budget      retry.ServiceBudget
 	decider     *retry.Decider
 	costs       map[request.Class]*retry.CallCount
+	toOtherZone *atomic.Uint64         // of the engine
 	forget      func(request.TargetID) // called for each target that was removed
 	meanLatency time.Duration          // moving average of the latency of completed calls; 0 if unknown
 }
@@ -44,6 +46,8 @@
 		decider: retry.NewDecider(&e.cfg.Retry, rng),
 		costs:   make(map[request.Class]*retry.CallCount),
 		forget:  e.levels.forget,
+
+		toOtherZone: &e.toOtherZone,
 	}
 	e.callees[name] = cl
 	return cl
@@ -78,7 +82,9 @@
 	id      request.TargetID
 	zone    string
 	addr    string
+	class   request.Class // of the call, at the callee
 	started time.Duration
+	leaves  bool // for another zone, because the own one is short of capacity
 }
 
 // pick chooses a target for the next attempt and counts the attempt as in flight.
@@ -87,14 +93,21 @@
 	defer cl.mu.Unlock()
 	cl.refresh(v, c.info.Name)
 	now := cl.now()
-	idx, ok := cl.table.Pick(now, c.priority, tried)
+	left := cl.table.ToOtherZone()
+	idx, ok := cl.table.PickFor(now, &c.want, tried)
 	if !ok {
 		return choice{}, false
 	}
+	leaves := cl.table.ToOtherZone() != left
+	if leaves {
+		cl.toOtherZone.Add(1)
+	}
 	tried.Add(idx)
 	cl.table.Started(now, idx)
 	t := cl.table.Target(idx)
-	return choice{idx: idx, id: t.ID, zone: t.Zone, addr: cl.addrs[t.ID], started: now}, true
+	return choice{
+		idx: idx, id: t.ID, zone: t.Zone, addr: cl.addrs[t.ID], class: c.want.Class, started: now, leaves: leaves,
+	}, true
 }
 
 // done records the end of an attempt at its target.
@@ -109,6 +122,10 @@
 		HasLevel: r.answered,
 		InFlight: r.answer.InFlight,
 		Limit:    r.answer.Limit,
+
+		ReportedAt: r.headAt,
+		Class:      ch.class,
+		ClassTime:  r.answer.ClassTime,
 	})
 }
 
--- a/internal/dataplane/engine.go
+++ b/internal/dataplane/engine.go
@@ -18,6 +18,7 @@
 	"peardrift/internal/core/retry"
 	"peardrift/internal/core/route"
 	"peardrift/internal/core/suspect"
+	"peardrift/internal/core/targetspeed"
 	"peardrift/internal/wire"
 )
 
@@ -157,6 +158,9 @@
 	onShed          func()
 	onOtherInstance func(instance string) // called when an unexpected instance answers
 	onNotice        func(instance string, n wire.Notice)
+	onFigureTrust   func(targetspeed.Change, targetspeed.Stats)
+	speed           *targetSpeed
+	toOtherZone     atomic.Uint64
 	notice          atomic.Pointer[targetNotice] // last notice of the own target
 
 	mu      sync.Mutex
@@ -176,6 +180,7 @@
 		onShed:          func() {},
 		onOtherInstance: func(string) {},
 		onNotice:        func(string, wire.Notice) {},
+		onFigureTrust:   func(targetspeed.Change, targetspeed.Stats) {},
 		epoch:           time.Now(),
 		running:         newRegistry(),
 		callees:         make(map[request.Service]*callee),
@@ -185,6 +190,7 @@
 	e.suspects = newSuspects(cfg.Suspect, self.ID, e.now, func() bool { return local.Reachable(self.Target) })
 	e.levels = newLevels(&e.cfg.Early, e.now)
 	e.callerRetries = newCallerRetries(cfg.Retry, e.now)
+	e.speed = newTargetSpeed(e.now)
 	e.gate = newGate(cfg.Gate, newRand(), e.now)
 	return e
 }
--- a/internal/dataplane/gate.go
+++ b/internal/dataplane/gate.go
@@ -140,6 +140,12 @@
 	g.core.SetRateLimit(g.now(), perSecond)
 }
 
+func (g *gate) setTimeFactor(f float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.SetTimeFactor(f)
+}
+
 func (g *gate) setShares(weights []float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/dataplane/hop.go
+++ b/internal/dataplane/hop.go
@@ -47,6 +47,7 @@
 
 	Target     request.TargetID
 	Zone       string
+	LeftZone   bool // the call was sent to Zone because the own zone is short of capacity
 	Attempt    int
 	Outcome    request.Outcome
 	Code       status.Code // reason, if the node itself answered
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -332,6 +332,9 @@
 	st := e.gate.stats()
 	a.InFlight, a.Limit = st.Running+st.Queued, st.Limit
 	a.Level, a.Exempt = e.gate.level(s.tenant)
+	if s.class != nil && e.cfg.Dialect.Load != "" {
+		a.ClassTime = e.speed.classTime(s.class.Name)
+	}
 	if s.running != nil && r.code == "" && r.outcome != request.Completed {
 		a.DownstreamCode = s.running.downstreamFailure()
 	}
--- /dev/null
+++ b/internal/dataplane/speed.go
@@ -0,0 +1,133 @@
+package dataplane
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"peardrift/internal/core/request"
+	"peardrift/internal/core/targetspeed"
+)
+
+// targetSpeed makes the measurement of the own target usable from traffic goroutines.
+type targetSpeed struct {
+	now func() time.Duration
+
+	mu     sync.Mutex
+	meter  *targetspeed.Meter
+	factor float64 // last one that the gate was told
+}
+
+// factorStep is the relative change of the time factor from which the gate is told.
+const factorStep = 0.02
+
+func newTargetSpeed(now func() time.Duration) *targetSpeed {
+	return &targetSpeed{now: now, meter: targetspeed.New(targetspeed.DefaultConfig()), factor: 1}
+}
+
+// figure returns the figure that the target stated last; 0 if none is valid.
+func (s *targetSpeed) figure() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.meter.Figure(s.now())
+}
+
+// classTime returns how long a call of the class takes in the target now; 0 if unknown.
+func (s *targetSpeed) classTime(class request.Class) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.meter.ClassTime(s.now(), class)
+}
+
+// ended records a call and returns how trust in the figure changed.
+func (s *targetSpeed) ended(c *targetspeed.Call) (targetspeed.Change, targetspeed.Stats) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change := s.meter.Ended(s.now(), c)
+	if change == targetspeed.NoChange {
+		return change, targetspeed.Stats{}
+	}
+	return change, s.meter.Stats(s.now())
+}
+
+// changedFactor returns the time factor, and whether the gate has to be told.
+func (s *targetSpeed) changedFactor() (f float64, changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f = s.meter.Factor(s.now())
+	if math.Abs(f-s.factor) < factorStep*s.factor {
+		return f, false
+	}
+	s.factor = f
+	return f, true
+}
+
+// reset forgets what was measured of an earlier instance of the target.
+func (s *targetSpeed) reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.meter = targetspeed.New(targetspeed.DefaultConfig())
+}
+
+func (s *targetSpeed) stats() targetspeed.Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.meter.Stats(s.now())
+}
+
+// OnFigureTrust sets the function that is called when trust in the own target's stated time
+// factor is lost or regained. Call it before traffic begins; f must not block.
+func (e *Engine) OnFigureTrust(f func(targetspeed.Change, targetspeed.Stats)) { e.onFigureTrust = f }
+
+// TargetSpeed returns a snapshot of the own target's speed. It also ends the gate's use of a
+// figure that has become too old, if no answers do.
+func (e *Engine) TargetSpeed() targetspeed.Stats {
+	e.applyTimeFactor()
+	return e.speed.stats()
+}
+
+// CallsToOtherZone returns how many calls were sent to another zone because the own one is
+// short of capacity.
+func (e *Engine) CallsToOtherZone() uint64 { return e.toOtherZone.Load() }
+
+func (e *Engine) applyTimeFactor() {
+	if f, changed := e.speed.changedFactor(); changed {
+		e.gate.setTimeFactor(f)
+	}
+}
+
+// targetRun is one run of a request on the own target.
+type targetRun struct {
+	began  time.Duration
+	before int // figure stated when it began
+}
+
+func (e *Engine) beginRun() targetRun {
+	if e.cfg.Dialect.Load == "" {
+		return targetRun{}
+	}
+	return targetRun{began: e.now(), before: e.speed.figure()}
+}
+
+// endRun reads the load that the target's answer states and records the time that the
+// request took in the target. A failed request says nothing about that, and neither does one
+// whose body was streamed, since that takes as long as its caller sends.
+func (e *Engine) endRun(s *inboundCall, run targetRun, resp *protocol.Response, r *result) {
+	if e.cfg.Dialect.Load == "" {
+		return
+	}
+	c := targetspeed.Call{Class: s.class.Name, Before: run.before}
+	if l, ok := e.cfg.Dialect.GetLoad(&resp.Header); ok {
+		c.Figure = l.Figure
+	}
+	if r.code == "" && r.outcome == request.Completed && s.body.stream == nil {
+		c.Took = r.headAt - run.began - s.running.blockedTime()
+	}
+	change, st := e.speed.ended(&c)
+	if change != targetspeed.NoChange {
+		e.onFigureTrust(change, st)
+	}
+	e.applyTimeFactor()
+}
--- a/internal/dataplane/target.go
+++ b/internal/dataplane/target.go
@@ -26,16 +26,21 @@
 	}
 	s.body.attach(req)
 	resp := protocol.AcquireResponse()
+	run := e.beginRun()
 	res, err := e.local.Do(ctx, e.self.Target, req, resp)
 	if err == nil {
 		e.readNotice(req.Header.Peek(e.cfg.Dialect.Instance), resp)
 	}
-	return e.classify(s, res.Sent, err, &result{
+	r := e.classify(s, res.Sent, err, &result{
 		outcome: request.Completed,
 		stream:  res.Stream,
 		length:  res.Length,
 		headAt:  e.now(),
-	}, resp), resp
+	}, resp)
+	if err == nil && resp.StatusCode() != http.StatusMisdirectedRequest {
+		e.endRun(s, run, resp, r)
+	}
+	return r, resp
 }
 
 // setTargetHeaders sets the headers that tell the target the request's origin and the
--- a/internal/dataplane/targetstate.go
+++ b/internal/dataplane/targetstate.go
@@ -19,6 +19,7 @@
 		e.gate.drain()
 	case old == nil || !old.AcceptsCalls || old.Instance != l.Instance || old.StartedAt != l.StartedAt:
 		e.notice.Store(nil)
+		e.speed.reset()
 		e.gate.resume(l.Slots)
 		e.suspects.targetUp()
 	default:
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -11,6 +11,7 @@
 	"peardrift/internal/core/member"
 	"peardrift/internal/core/request"
 	"peardrift/internal/core/suspect"
+	"peardrift/internal/core/targetspeed"
 	"peardrift/internal/dataplane"
 )
 
@@ -66,6 +67,9 @@
 	if h.Target != 0 {
 		fields = append(fields, zaplog.Target(h.Target), zap.String("zone", h.Zone))
 	}
+	if h.LeftZone {
+		fields = append(fields, zap.Bool("left_zone", true))
+	}
 	if h.Level > 0 {
 		fields = append(fields, zaplog.Level(h.Level))
 	}
@@ -96,6 +100,13 @@
 	g.Level.Update(float64(st.Level))
 	g.Backlog.Update(st.Backlog.Seconds())
 	g.Demand.Update(st.Demand)
+	speed := n.engine.TargetSpeed()
+	g.TimeFactorStated.Update(speed.Stated)
+	g.TimeFactorMeasured.Update(speed.Measured)
+	g.TimeFactorTrust.Update(speed.Trust)
+	left := n.engine.CallsToOtherZone()
+	n.metrics.Counters.CallsToOtherZone.Inc(int64(left - c.leftZone))
+	c.leftZone = left
 	g.Suspects.Update(float64(n.engine.Suspects()))
 	g.ConfigVersion.Update(float64(c.config.index().Version(n.self.Tenant)))
 	g.Ready.Update(boolGauge(c.published.ready))
@@ -108,6 +119,15 @@
 	}
 }
 
+// logFigureTrust logs a change of trust in the time factor that the own target states.
+func (n *Node) logFigureTrust(change targetspeed.Change, st targetspeed.Stats) {
+	message := "target's time factor believed"
+	if change == targetspeed.Lost {
+		message = "target's time factor not believed"
+	}
+	n.log.Info(message, zap.Float64("stated", st.Stated), zap.Float64("measured", st.Measured), zap.Float64("trust", st.Trust))
+}
+
 // logRejectedConnections logs connections rejected since the last tick. It runs on the
 // control goroutine.
 func (n *Node) logRejectedConnections() {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -22,6 +22,7 @@
 	n.engine.OnCrash(n.reportCrash)
 	n.engine.OnOtherInstance(n.handleOtherInstance)
 	n.engine.OnNotice(n.handleNotice)
+	n.engine.OnFigureTrust(n.logFigureTrust)
 	if n.integration == nil {
 		n.health = newHealthChecker(n.settings.Target, n.local, func(up bool) {
 			n.control.post(func() { n.control.setTargetUp(up) })
