--- a/internal/core/route/differ_test.go
+++ b/internal/core/route/differ_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -138,6 +139,31 @@
 	}
 }
 
+// Guards against callers that fail because they know little: one with a call a second has
+// no recent report of most targets.
+func TestCallersWithOneCallASecond(t *testing.T) {
+	is := is.New(t)
+	f := shortService(0.9, pooled)
+	f.rare, f.duration = 20, 60*time.Second
+	r := f.run()
+	t.Logf("%v; callers with one call a second: %d of %d failed", r, r.rareFailed, r.rareCalls)
+	is.True(float64(r.rareFailed) <= 0.03*float64(r.rareCalls))
+	is.True(r.failed() <= 0.01)
+}
+
+// Guards against zones that fail while others have free slots after all nodes have started
+// without reports.
+func TestColdStartAtFullDemand(t *testing.T) {
+	is := is.New(t)
+	f, before := shortService(0.9, pooled), shortService(0.9, notPooled)
+	f.cold, f.duration, before.cold, before.duration = true, 2*time.Second, true, 2*time.Second
+	r, b := f.run(), before.run()
+	t.Log(r, "; not pooled:", b)
+	_, worst := r.zoneSpread()
+	is.True(worst <= 0.03)
+	is.True(r.failed() <= b.failed())
+}
+
 // Guards against swings between zones when reports arrive late and out of order.
 func TestLateReportsDoNotSwing(t *testing.T) {
 	is := is.New(t)
@@ -204,6 +230,11 @@
 		f.reportLag = func(rng *rand.Rand) time.Duration { return time.Duration(rng.ExpFloat64() * float64(50*ms)) }
 		return f
 	}
+	wave := func(f *deployment) *deployment {
+		f.duration = 45 * time.Second
+		f.demand = func(now time.Duration) float64 { return 1 + 0.55*math.Sin(2*math.Pi*now.Seconds()/15) }
+		return f
+	}
 	cases := []struct {
 		name string
 		make func(width float64) *deployment
@@ -216,6 +247,7 @@
 		{"B-0.7", func(w float64) *deployment { return smallShortService(0.7, w) }},
 		{"B-0.9", func(w float64) *deployment { return smallShortService(0.9, w) }},
 		{"B-1.1", func(w float64) *deployment { return smallShortService(1.1, w) }},
+		{"B-wave", func(w float64) *deployment { return wave(smallShortService(0.75, w)) }},
 		{"ample", func(w float64) *deployment { f := ampleService(); f.cfg.PoolWidth = w; return f }},
 	}
 	for _, c := range cases {
--- a/internal/core/route/fleet_test.go
+++ b/internal/core/route/fleet_test.go
@@ -35,6 +35,8 @@
 	lost       func(now time.Duration, target int) bool               // nil: none
 	speedFault func(now time.Duration, target int) (slowdown float64) // nil: by slows
 	today      bool                                                   // calls state no class
+	cold       bool                                                   // count from the start; otherwise after a fifth of the time
+	rare       int                                                    // callers with one call a second
 
 	rng     *rand.Rand
 	q       eventQueue
@@ -44,10 +46,11 @@
 	result  fleetResult
 }
 
-// fleetResult is what callers got, after the first fifth of the time.
+// fleetResult is what callers got.
 type fleetResult struct {
 	calls, served, late, left int
 	zoneCalls, zoneFailed     []int
+	rareCalls, rareFailed     int
 	waiting                   int // samples, one each ms, with calls waiting at a target
 	beside                    int // those in which another target had a free tenth of its slots
 	longest                   time.Duration
@@ -167,7 +170,7 @@
 	}
 	importance := request.Importance(10 + 40*f.rng.IntN(3))
 	call := &fleetCall{
-		caller: f.rng.IntN(f.callers), sent: now, work: f.drawWork(),
+		caller: f.drawCaller(rate), sent: now, work: f.drawWork(),
 		priority: request.Priority(importance)<<16 | request.Priority(f.rng.IntN(1<<16)),
 	}
 	t := f.tables[call.caller]
@@ -190,6 +193,14 @@
 	f.at(now+f.way(call), func(now time.Duration) { f.enter(now, call) })
 }
 
+// drawCaller returns a random caller, given the rate of all.
+func (f *deployment) drawCaller(rate float64) int {
+	if f.rng.Float64() < float64(f.rare)/rate {
+		return f.rng.IntN(f.rare)
+	}
+	return f.rare + f.rng.IntN(f.callers-f.rare)
+}
+
 // tailFactor is how much longer the requests of deployment.tail take.
 const tailFactor = 7
 
@@ -312,10 +323,23 @@
 	f.count(now, c, r.Kind == Success)
 }
 
+func (f *deployment) countFrom() time.Duration {
+	if f.cold {
+		return 0
+	}
+	return f.duration / 5
+}
+
 func (f *deployment) count(now time.Duration, c *fleetCall, served bool) {
-	if c.sent < f.duration/5 {
+	if c.sent < f.countFrom() {
 		return
 	}
+	if c.caller < f.rare {
+		f.result.rareCalls++
+		if !served {
+			f.result.rareFailed++
+		}
+	}
 	r, zone := &f.result, c.caller%f.zones
 	r.calls++
 	r.zoneCalls[zone]++
@@ -345,7 +369,7 @@
 			room = max(room, st.Limit-st.Running-st.Queued-st.Limit/10)
 		}
 	}
-	if now < f.duration/5 {
+	if now < f.countFrom() {
 		return
 	}
 	for _, t := range f.targets {
