--- a/internal/dataplane/target.go
+++ b/internal/dataplane/target.go
@@ -44,6 +44,7 @@
 	if fault := e.setTargetHeaders(s, req); fault != nil {
 		return failureResult(e.now(), fault)
 	}
+	run := e.beginRun(s)
 	res, err := t.Do(ctx, e.self.Target, req, resp)
 	if err == nil {
 		e.readNotice(req.Header.Peek(e.cfg.Dialect.Instance), resp)
@@ -58,6 +59,9 @@
 		s.hop.Sends++
 		e.resends.sent(s, e.cfg.Retry.RatioAt(s.meta.Depth), r.rejected)
 	}
+	if err == nil && resp.StatusCode() != http.StatusMisdirectedRequest {
+		e.endRun(s, run, resp, r)
+	}
 	return r
 }
 
