Add the core that paces the start of requests

An entry refuses each request whose hash is below the level, so capacity that frees a moment later is not used for it. The package pace starts, of each key and importance, the fraction of the measured demand that the level admits; the requests that wait (docs/design/hard-load.md, part 1) start through it.

earlyrefusal.Table.Fraction gives that part, request.Draw an identity that the level admits.

--- a/internal/core/earlyrefusal/table.go
+++ b/internal/core/earlyrefusal/table.go
@@ -374,3 +374,13 @@
 	floor := request.Level(level.Importance()) << 16
 	return floor + request.Level(float64(level-floor)*left)
 }
+
+// Fraction returns the part of an importance, 0 to 1, that a service with its exemptions
+// and the chain below it admit.
+func (t *Table) Fraction(now time.Duration, k Key, imp request.Importance) float64 {
+	first := request.LowestPriority(imp)
+	width := request.LowestPriority(imp+1) - first
+	level := t.latest(now, k, first)
+	refused := min(max(level, first)-first, width)
+	return 1 - float64(refused)/float64(width)
+}
--- /dev/null
+++ b/internal/core/pace/pace_test.go
@@ -0,0 +1,86 @@
+package pace
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peardrift/internal/core/earlyrefusal"
+	"peardrift/internal/core/request"
+)
+
+const ms = time.Millisecond
+
+var key = earlyrefusal.Key{Service: "archive.khaosan", Class: "read"}
+
+// fixed is an admitted fraction that the test sets.
+type fixed float64
+
+func (f *fixed) Fraction(time.Duration, earlyrefusal.Key, request.Importance) float64 {
+	return float64(*f)
+}
+
+// offer sends requests at a regular rate, of which up to 20 wait, and returns how many of
+// them started.
+func offer(t *Table, from, to time.Duration, perSecond int) (started int) {
+	waiting := 0
+	arrival := from
+	for now := from; now < to; {
+		if now == arrival {
+			t.Arrived(now, key, 50)
+			waiting = min(waiting+1, 20)
+			arrival += time.Second / time.Duration(perSecond)
+		}
+		for waiting > 0 && t.Start(now, key, 50) {
+			waiting, started = waiting-1, started+1
+		}
+		if waiting == 0 {
+			now = arrival
+		} else {
+			now = min(arrival, t.Next(now, key, 50))
+		}
+	}
+	return started
+}
+
+// Guards against an entry that starts another part of its demand than the level admits.
+func TestAdmittedFractionOfDemandStarts(t *testing.T) {
+	for _, f := range []fixed{1, 0.75, 0.5, 0.1} {
+		is := is.New(t)
+		tab := New(DefaultConfig(), &f)
+		offer(tab, 0, 5*time.Second, 100)
+		started := offer(tab, 5*time.Second, 15*time.Second, 100)
+		is.True(float64(started) >= 0.97*1000*float64(f))
+		is.True(float64(started) <= 1.03*1000*float64(f))
+	}
+}
+
+// Guards against a waiting request that is checked again too late or in a busy loop.
+func TestNextIsWhenATokenIsThere(t *testing.T) {
+	is := is.New(t)
+	f := fixed(0.5)
+	tab := New(DefaultConfig(), &f)
+	offer(tab, 0, 5*time.Second, 100)
+	now := 5 * time.Second
+	for tab.Start(now, key, 50) {
+	}
+	next := tab.Next(now, key, 50)
+	is.True(next > now && next <= now+50*ms)
+	is.True(!tab.Start(next-ms, key, 50))
+	is.True(tab.Start(next, key, 50))
+}
+
+// Guards against decisions that add garbage to every request.
+func TestDecisionsDoNotAllocate(t *testing.T) {
+	f := fixed(0.5)
+	tab := New(DefaultConfig(), &f)
+	now := time.Duration(0)
+	n := testing.AllocsPerRun(1000, func() {
+		now += ms
+		tab.Arrived(now, key, 50)
+		tab.Start(now, key, 50)
+		tab.Next(now, key, 50)
+	})
+	is.New(t).Equal(n, 0.0)
+}
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -55,6 +55,29 @@
 	return Priority(imp)<<hashBits | Priority(h&hashMask)
 }
 
+// LowestPriority returns the lowest priority of an importance.
+func LowestPriority(imp Importance) Priority { return Priority(imp) << hashBits }
+
+// DrawTries is the number of identities that Draw tries. It finds an identity in 96 of 100
+// draws where a level admits a twentieth of the importance.
+const DrawTries = 64
+
+// Draw draws a request identity whose priority is at least level, by rejection sampling
+// from random, which returns uniformly distributed identities. The part of an importance
+// that a level admits is thereby drawn uniformly. After DrawTries tries it returns the
+// identity with the highest priority seen.
+func Draw(imp Importance, level Level, random func() ID) ID {
+	best := random()
+	top := PriorityOf(imp, best)
+	for n := 1; n < DrawTries && top < level; n++ {
+		id := random()
+		if p := PriorityOf(imp, id); p > top {
+			best, top = id, p
+		}
+	}
+	return best
+}
+
 // Assured reports whether a request belongs to the given fraction of requests that are
 // refused last, regardless of class. All nodes select the same requests, by ID and
 // independently of the order within an importance.
