--- /dev/null
+++ b/internal/core/waiting/main_test.go
@@ -0,0 +1,9 @@
+package waiting
+
+import (
+	"testing"
+
+	"peardrift/internal/rapidtest"
+)
+
+func TestMain(m *testing.M) { rapidtest.Main(m) }
