Queue root requests at the entry

Root requests of classes with an objective are decided by package waiting, paced by package pace with the levels that the node has learned, in place of the refusal by hash. It draws an identity that the level admits when it starts. A node with an integration and a memory limit turns the part on. Hops state how long a request waited; metrics, spans, logs and peardrift explain show it.

Run: go vet ./internal/...; go test ./internal/adapter/tallymetrics ./internal/adapter/oteltrace ./internal/cli ./internal/node ./internal/dataplane ./internal/core/waiting: pass.

--- a/internal/adapter/oteltrace/span.go
+++ b/internal/adapter/oteltrace/span.go
@@ -27,6 +27,8 @@
 	attrLevel     = attribute.Key("peardrift.level")
 	attrAllowance = attribute.Key("peardrift.allowance")
 	attrQueued    = attribute.Key("peardrift.queued_ms")
+	attrWaited    = attribute.Key("peardrift.waited_ms")
+	attrWait      = attribute.Key("peardrift.wait_result")
 )
 
 // Decisions, the values of attrDecision.
@@ -128,5 +130,8 @@
 	if h.Queued > 0 {
 		as = append(as, attrQueued.Float64(h.Queued.Seconds()*1000))
 	}
+	if h.Waited > 0 {
+		as = append(as, attrWaited.Float64(h.Waited.Seconds()*1000), attrWait.String(h.WaitResult.String()))
+	}
 	return as
 }
--- a/internal/adapter/oteltrace/tracer_test.go
+++ b/internal/adapter/oteltrace/tracer_test.go
@@ -120,7 +120,7 @@
 	page, err := os.ReadFile("../../../docs/operators/traces.md")
 	is.NoErr(err)
 	h := newHop(dataplane.HopServe, 1, request.Refused)
-	h.Code, h.Retry, h.Target, h.Zone, h.Queued = status.CodeOverloaded, "final", 1, "bangkok-a", 1
+	h.Code, h.Retry, h.Target, h.Zone, h.Queued, h.Waited = status.CodeOverloaded, "final", 1, "bangkok-a", 1, 1
 	var keys, documented []string
 	for _, a := range attributes(h) {
 		keys = append(keys, string(a.Key))
--- a/internal/adapter/tallymetrics/calls.go
+++ b/internal/adapter/tallymetrics/calls.go
@@ -34,6 +34,7 @@
 
 	// results is copied on write, under Metrics.mu.
 	results atomic.Pointer[map[result]counter]
+	waits   atomic.Pointer[waitSeries] // nil until a request has waited; set under Metrics.mu
 }
 
 // counter is a counter with the scope that contains only this counter.
@@ -50,6 +51,9 @@
 	c := m.calls(h.Kind, pair{string(h.Service), string(h.Class)})
 	m.count(c, result{h.Outcome, h.Code})
 	c.time.RecordDuration(min(h.End.Sub(h.Start), maxDuration))
+	if h.Waited > 0 {
+		m.waits(c).observe(h)
+	}
 	if h.Kind == dataplane.HopServe {
 		c.queue.RecordDuration(min(h.Queued, maxDuration))
 		m.tenant(h.Tenant).observe(h)
@@ -120,6 +124,9 @@
 	for _, n := range *c.results.Load() {
 		scopes = append(scopes, n.scope)
 	}
+	if w := c.waits.Load(); w != nil {
+		scopes = append(scopes, w.scopes[:]...)
+	}
 	for _, s := range scopes {
 		if s, ok := s.(io.Closer); ok {
 			_ = s.Close() // only the root scope's Close can fail
--- a/internal/adapter/tallymetrics/metrics_test.go
+++ b/internal/adapter/tallymetrics/metrics_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"peardrift/internal/core/request"
+	"peardrift/internal/core/waiting"
 	"peardrift/internal/dataplane"
 	"peardrift/internal/settings"
 	"peardrift/internal/status"
@@ -58,6 +59,11 @@
 		h := newHop(dataplane.HopServe, "feed.khaosan", "read", 24*time.Hour)
 		h.Outcome, h.Code, h.Queued = request.Refused, status.CodeOverloaded, 7*time.Millisecond
 		m.Hop(h)
+		for range 2 {
+			h = newHop(dataplane.HopEntry, "archive.khaosan", "read", time.Second)
+			h.Waited, h.WaitResult = 150*time.Millisecond, waiting.Start
+			m.Hop(h)
+		}
 		m.Gauges.Limit.Update(25)
 		m.Counters.ControlBytes.Inc(100)
 		m.Scope().SubScope("claims").Counter("calls").Inc(2)
@@ -69,6 +75,8 @@
 			`peardrift_call_seconds_bucket{class="read",hop="entry",service="feed.khaosan",le="0.0025"} 3`,
 			`peardrift_call_seconds_sum{class="read",hop="serve",service="feed.khaosan"} 60`,
 			`peardrift_queue_seconds_bucket{class="read",hop="serve",service="feed.khaosan",le="0.01"} 1`,
+			`peardrift_entry_waits_total{class="read",hop="entry",result="started",service="archive.khaosan"} 2`,
+			`peardrift_entry_wait_seconds_bucket{class="read",hop="entry",service="archive.khaosan",le="0.2"} 2`,
 			`peardrift_target_limit 25`,
 			`peardrift_control_bytes_total 100`,
 			`peardrift_claims_calls 2`,
@@ -162,6 +170,9 @@
 		page, err := os.ReadFile("../../../docs/operators/metrics.md")
 		is.NoErr(err)
 		m.Hop(newHop(dataplane.HopServe, "feed.khaosan", "read", 0))
+		waited := newHop(dataplane.HopEntry, "feed.khaosan", "read", time.Second)
+		waited.Waited, waited.WaitResult = time.Second, waiting.Start
+		m.Hop(waited)
 		var names, documented []string
 		for _, f := range regexp.MustCompile(`(?m)^# TYPE (peardrift_\w+) (\w+)$`).FindAllStringSubmatch(scrape(), -1) {
 			names = append(names, f[1]+" "+f[2])
--- a/internal/adapter/tallymetrics/names.go
+++ b/internal/adapter/tallymetrics/names.go
@@ -16,6 +16,8 @@
 	nameCalls = "calls_total"
 	nameTime  = "call_seconds"
 	nameQueue = "queue_seconds"
+	nameWaits = "entry_waits_total"
+	nameWait  = "entry_wait_seconds"
 )
 
 // Names of the metrics of tenants.
@@ -33,6 +35,7 @@
 	labelOutcome = "outcome"
 	labelCode    = "code"
 	labelTenant  = "tenant"
+	labelResult  = "result"
 )
 
 // other is the label value shared by all values without a series of their own.
@@ -57,9 +60,9 @@
 
 // vecs holds the metric families whose series can be removed.
 type vecs struct {
-	calls       *prom.CounterVec
-	time, queue *prom.HistogramVec
-	tenants     []*prom.CounterVec
+	calls, waits      *prom.CounterVec
+	time, queue, wait *prom.HistogramVec
+	tenants           []*prom.CounterVec
 }
 
 // register registers the families with the reporter, with help texts.
@@ -67,8 +70,12 @@
 	v.calls = must(r.RegisterCounter(namePrefix+"_"+nameCalls,
 		[]string{labelHop, labelService, labelClass, labelOutcome, labelCode},
 		"Hops that ended, by outcome and code."))
+	v.waits = must(r.RegisterCounter(namePrefix+"_"+nameWaits,
+		[]string{labelHop, labelService, labelClass, labelResult},
+		"Requests that waited for their start, by what ended the wait."))
 	v.time = histogram(r, nameTime, "Time from a hop's start to its end.")
 	v.queue = histogram(r, nameQueue, "Time that a hop waited for a slot of the target.")
+	v.wait = histogram(r, nameWait, "Time that a request waited for its start.")
 	for _, c := range []struct{ name, help string }{
 		{nameTenantRuns, "Requests of a tenant that ran on the target."},
 		{nameTenantRefusals, "Requests of a tenant that were refused at the target."},
@@ -101,6 +108,8 @@
 	v.calls.DeletePartialMatch(labels)
 	v.time.DeletePartialMatch(labels)
 	v.queue.DeletePartialMatch(labels)
+	v.waits.DeletePartialMatch(labels)
+	v.wait.DeletePartialMatch(labels)
 }
 
 // deleteTenant deletes the series of one tenant.
--- a/internal/adapter/tallymetrics/node.go
+++ b/internal/adapter/tallymetrics/node.go
@@ -8,6 +8,7 @@
 	InFlight      tally.Gauge // calls in flight in the node, on all listeners
 	Running       tally.Gauge // requests running on the target
 	Queued        tally.Gauge // requests queued for the target
+	Waiting       tally.Gauge // requests of callers that wait for their start
 	Limit         tally.Gauge // concurrency limit of the target
 	RateLimit     tally.Gauge // calls per second that the target accepts; 0 if it names no limit
 	Level         tally.Gauge // admission threshold; 0 admits all
@@ -27,6 +28,7 @@
 		InFlight:      s.Gauge("calls_in_flight"),
 		Running:       s.Gauge("target_running"),
 		Queued:        s.Gauge("target_queued"),
+		Waiting:       s.Gauge("entry_waiting"),
 		Limit:         s.Gauge("target_limit"),
 		RateLimit:     s.Gauge("target_rate_limit"),
 		Level:         s.Gauge("admission_level"),
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -38,6 +38,8 @@
 	Attempts int       `json:"attempts,omitempty"`
 	Took     string    `json:"took"`
 	Queued   string    `json:"queued,omitempty"`
+	Waited   string    `json:"waited,omitempty"`
+	Wait     string    `json:"wait_result,omitempty"`
 	Version  int64     `json:"version,omitempty"`
 	Level    float64   `json:"refused_below,omitempty"`
 	Source   string    `json:"source,omitempty"` // text before the JSON object, or the file name
@@ -134,6 +136,9 @@
 	for _, l := range lines {
 		reason := cmp.Or(l.Code, "the target's own answer")
 		fmt.Fprintf(w, "%s  %-7s %-24s %-9s %-22s took %s", l.Time.Format("15:04:05.000"), l.Hop, l.Service, l.Outcome, reason, l.Took)
+		if l.Waited != "" {
+			fmt.Fprintf(w, ", waited %s and was %s", l.Waited, l.Wait)
+		}
 		if l.Queued != "" {
 			fmt.Fprintf(w, ", queued %s", l.Queued)
 		}
--- a/internal/dataplane/call.go
+++ b/internal/dataplane/call.go
@@ -39,6 +39,10 @@
 	entry     entryAllowance // of a root request
 
 	organisation *configset.OrganisationInfo // of a root request; nil if none
+
+	index     *configset.Index // that a root request was prepared with
+	waits     bool             // the entry queue decides when the request starts
+	startedAt time.Duration    // if waits: when it decided
 }
 
 // allowance is the retry allowance that attempts are charged to. An entry's allowance
--- a/internal/dataplane/engine.go
+++ b/internal/dataplane/engine.go
@@ -14,10 +14,12 @@
 	"peardrift/internal/core/admission"
 	"peardrift/internal/core/configset"
 	"peardrift/internal/core/earlyrefusal"
+	"peardrift/internal/core/pace"
 	"peardrift/internal/core/request"
 	"peardrift/internal/core/retry"
 	"peardrift/internal/core/route"
 	"peardrift/internal/core/suspect"
+	"peardrift/internal/core/waiting"
 	"peardrift/internal/wire"
 )
 
@@ -109,6 +111,11 @@
 	Gate    admission.Config
 	Suspect suspect.Config
 	Early   earlyrefusal.Config
+	// Waiting bounds the root requests that wait for their start (default: none waits,
+	// and requests below a known level are refused at once).
+	Waiting waiting.Config
+	// Pace is for nodes on which requests may wait.
+	Pace pace.Config
 }
 
 // DefaultConfig returns the defaults.
@@ -125,6 +132,8 @@
 		Gate:          admission.DefaultConfig(),
 		Early:         earlyrefusal.DefaultConfig(),
 		Suspect:       suspect.DefaultConfig(),
+		Waiting:       waiting.DefaultConfig(),
+		Pace:          pace.DefaultConfig(),
 	}
 }
 
@@ -142,6 +151,7 @@
 	view            atomic.Pointer[View]
 	gate            *gate
 	levels          *levels
+	entryQueue      *entryQueue // nil: no request waits for its start
 	suspects        *suspects
 	tenants         tenantIndexes
 	running         *registry
@@ -184,6 +194,7 @@
 	e.nodeCalls = &nodeCalls{now: e.now, calls: make(map[SpanID]*nodeCall)}
 	e.suspects = newSuspects(cfg.Suspect, self.ID, e.now, func() bool { return local.Reachable(self.Target) })
 	e.levels = newLevels(&e.cfg.Early, e.now)
+	e.entryQueue = newPacedQueue(&e.cfg, e.levels)
 	e.callerRetries = newCallerRetries(cfg.Retry, e.now)
 	e.gate = newGate(cfg.Gate, newRand(), e.now)
 	return e
@@ -204,6 +215,9 @@
 // Publish puts a view into force for calls that begin from now on.
 func (e *Engine) Publish(v *View) {
 	old := e.view.Swap(v)
+	if e.entryQueue != nil {
+		e.entryQueue.setIndex(v.Index)
+	}
 	if v.TargetUp && !old.TargetUp {
 		e.suspects.targetUp()
 	}
@@ -219,8 +233,14 @@
 }
 
 // BeginStop records that the node is going to stop: calls in flight are left to end by
-// themselves.
-func (e *Engine) BeginStop() { e.retiring.Store(true) }
+// themselves. Requests that wait for their start are refused, so that their callers have
+// the time to use other nodes.
+func (e *Engine) BeginStop() {
+	e.retiring.Store(true)
+	if e.entryQueue != nil {
+		e.entryQueue.drain()
+	}
+}
 
 // SetConfigStale sets whether other nodes may have a newer configuration in force. While it
 // is set, an unknown API key gets a retryable refusal instead of a final one.
@@ -233,7 +253,12 @@
 func (e *Engine) RefuseCallers() { e.refusing.Store(true) }
 
 // Close stops the engine's timers; all calls must have ended.
-func (e *Engine) Close() { e.gate.close() }
+func (e *Engine) Close() {
+	e.gate.close()
+	if e.entryQueue != nil {
+		e.entryQueue.close()
+	}
+}
 
 // GateStats returns a snapshot of the admission gate.
 func (e *Engine) GateStats() admission.Stats { return e.gate.stats() }
--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -114,7 +114,14 @@
 		cancel = e.cancelWithParent(parent, cancel)
 	}
 	resp := protocol.AcquireResponse()
+	if out.waits && fault == nil {
+		fault = e.awaitStart(ctx, out, hop, len(c.Request.Header.RawHeaders()))
+		if fault != nil && fault.Code == status.CodeDraining {
+			c.SetConnectionClose()
+		}
+	}
 	r := e.execute(ctx, out, fault, resp)
+	e.recordFinished(out, r)
 	if out.parent != nil {
 		out.parent.callEnded(r)
 	}
@@ -218,6 +225,7 @@
 		sampled:  e.cfg.Sampled(id),
 		priority: request.PriorityOf(class.Importance, id),
 		deadline: e.now() + e.callTimeout(c, class.Deadline),
+		index:    v.Index,
 		entry:    entryAllowance{allowance: retry.NewRequestAllowance(class.Attempts, false)},
 		meta: wire.Meta{
 			Tenant:     info.Tenant,
@@ -235,6 +243,9 @@
 		return nil, fault
 	}
 	stripKey(v, out)
+	if out.waits = e.mayWait(out); out.waits {
+		return out, nil
+	}
 	return out, e.levels.check(out)
 }
 
--- a/internal/dataplane/hop.go
+++ b/internal/dataplane/hop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"peardrift/internal/core/request"
+	"peardrift/internal/core/waiting"
 	"peardrift/internal/status"
 )
 
@@ -56,7 +57,17 @@
 	KnownLevel request.Level // of the callee and its downstream services, as checked at the entry
 	Allowance  int
 	Queued     time.Duration
-	Version    int64 // of the configuration set in force
+	Waited     time.Duration   // for its start; 0 if the request did not wait
+	WaitResult waiting.Verdict // if Waited
+	Version    int64           // of the configuration set in force
+}
+
+// recordWait records how long a root request waited for its start. A request that is
+// decided at once has not waited.
+func (h *Hop) recordWait(d waiting.Decision, waited time.Duration) {
+	if waited > 0 {
+		h.Waited, h.WaitResult = waited, d.Verdict
+	}
 }
 
 func (e *Engine) observe(h *Hop) {
--- a/internal/dataplane/levels.go
+++ b/internal/dataplane/levels.go
@@ -1,6 +1,7 @@
 package dataplane
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -42,6 +43,21 @@
 	return l.table.Level(l.now(), c.key(), c.priority)
 }
 
+// Fraction implements pace.Admitted.
+func (l *levels) Fraction(now time.Duration, k earlyrefusal.Key, imp request.Importance) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table.Fraction(now, k, imp)
+}
+
+// admitted returns the lowest priority of the call's importance that its callee and the
+// services below it admit, by the fraction that its start is paced with.
+func (l *levels) admitted(c *outboundCall) request.Level {
+	first := request.LowestPriority(c.meta.Importance)
+	width := float64(request.LowestPriority(c.meta.Importance+1) - first)
+	return first + request.Level(math.Ceil((1-l.Fraction(l.now(), c.key(), c.meta.Importance))*width))
+}
+
 // learn records the levels that an answer reported.
 func (l *levels) learn(c *outboundCall, r *result) {
 	if !r.answered {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -172,6 +172,9 @@
 	cfg.BufferBytes, cfg.MaxCalls = n.settings.Traffic.BufferBytes, n.settings.Traffic.MaxCalls
 	cfg.MaxBody, cfg.UploadTimeout = n.settings.Traffic.MaxBodyBytes, n.settings.Traffic.UploadTimeout
 	cfg.Sampled = n.tracer.Sampled
+	if n.integration != nil {
+		cfg.Waiting.SetBounds(n.settings.Limits.MemoryBytes, cfg.MaxCalls)
+	}
 	obs := &observer{metrics: n.metrics, tracer: n.tracer, log: n.log}
 	n.engine = dataplane.New(cfg, n.self, n.peers, n.local, n.claims, obs)
 	n.engine.SetCrossZoneTransport(n.crossZone)
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -75,6 +75,9 @@
 	if h.Queued > 0 {
 		fields = append(fields, zap.Duration("queued", h.Queued))
 	}
+	if h.Waited > 0 {
+		fields = append(fields, zap.Duration("waited", h.Waited), zap.Stringer("wait_result", h.WaitResult))
+	}
 	if h.Detail != "" {
 		fields = append(fields, zaplog.Detail(h.Detail))
 	}
@@ -91,6 +94,7 @@
 	g.InFlight.Update(float64(n.engine.InFlight()))
 	g.Running.Update(float64(st.Running))
 	g.Queued.Update(float64(st.Queued))
+	g.Waiting.Update(float64(n.engine.WaitingStats().Waiting))
 	g.Limit.Update(float64(st.Limit))
 	g.RateLimit.Update(st.Rate)
 	g.Level.Update(float64(st.Level))
