--- a/internal/dataplane/entryqueue.go
+++ b/internal/dataplane/entryqueue.go
@@ -177,9 +177,10 @@
 // deliver sends decisions to the waiting requests and sets the timer.
 func (q *entryQueue) deliver() {
 	for _, a := range q.actions {
-		wait := q.waiting[a.Ticket]
-		delete(q.waiting, a.Ticket)
-		wait <- a.Decision
+		if wait, ok := q.waiting[a.Ticket]; ok {
+			delete(q.waiting, a.Ticket)
+			wait <- a.Decision
+		}
 	}
 	next := q.core.Next()
 	if q.closed || next >= q.firesAt {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -148,12 +148,7 @@
 	cc := hertzhttp.DefaultClientConfig()
 	cc.DialTimeout = n.settings.Traffic.ConnectTimeout
 	cc.BufferBytes = n.settings.Traffic.BufferBytes
-	cfg := dataplane.DefaultConfig()
-	if out := n.integration; out != nil {
-		cfg = dataplane.IntegratedConfig()
-		cfg.Dialect = out.Dialect
-		cfg.Retry.FleetBudget, cfg.Retry.FleetWindow = out.RetryBudget, out.RetryWindow
-	}
+	cfg := trafficConfig(n.settings, n.integration)
 	lc := cc
 	if n.integration != nil {
 		lc.IdleTimeout, lc.UsePeerIdleTimeout = targetIdleTimeout, true
@@ -169,17 +164,28 @@
 	n.crossZone = hertzhttp.NewClient(cc)
 	n.rows = n.newClaimRows()
 	n.claims = claims.New(n.rows, n.pool, claims.DefaultConfig(), n.log, n.metrics.Scope())
-	cfg.BufferBytes, cfg.MaxCalls = n.settings.Traffic.BufferBytes, n.settings.Traffic.MaxCalls
-	cfg.MaxBody, cfg.UploadTimeout = n.settings.Traffic.MaxBodyBytes, n.settings.Traffic.UploadTimeout
 	cfg.Sampled = n.tracer.Sampled
-	if n.integration != nil {
-		cfg.Waiting.SetBounds(n.settings.Limits.MemoryBytes, cfg.MaxCalls)
-	}
 	obs := &observer{metrics: n.metrics, tracer: n.tracer, log: n.log}
 	n.engine = dataplane.New(cfg, n.self, n.peers, n.local, n.claims, obs)
 	n.engine.SetCrossZoneTransport(n.crossZone)
 }
 
+// trafficConfig returns the engine's configuration. Requests wait at their entry where the
+// platform declares objectives and a memory limit bounds what they take.
+// integration is nil if the node uses the project's default interfaces.
+func trafficConfig(s settings.Settings, integration *Integration) dataplane.Config {
+	cfg := dataplane.DefaultConfig()
+	if integration != nil {
+		cfg = dataplane.IntegratedConfig()
+		cfg.Dialect = integration.Dialect
+		cfg.Retry.FleetBudget, cfg.Retry.FleetWindow = integration.RetryBudget, integration.RetryWindow
+		cfg.Waiting.SetBounds(s.Limits.MemoryBytes, s.Traffic.MaxCalls)
+	}
+	cfg.BufferBytes, cfg.MaxCalls = s.Traffic.BufferBytes, s.Traffic.MaxCalls
+	cfg.MaxBody, cfg.UploadTimeout = s.Traffic.MaxBodyBytes, s.Traffic.UploadTimeout
+	return cfg
+}
+
 // configsyncConfig returns the configuration of the configsync core. Where the platform
 // can be watched for new sets, polling is off.
 func (n *Node) configsyncConfig() configsync.Config {
