Pace by a rate that falls with the level and rises slowly

With the rate at fraction x demand, 35 in 100 started requests of chains were still refused by a gate: the level reacts in 100 ms, but the calls of started requests reach the gates for most of a second, so that level and rate swung between everything and nothing, at each entry differently.

- pace: the rate is cut to what is admitted at most every 500 ms and by half at most, rises by 5% of the demand a second while nothing is refused, and stays when demand falls.
Identities are drawn above 1 - rate/demand.
- earlyrefusal: with Config.Paced, Fraction and the level reported upstream are the mean of the targets' latest levels within the importance.
The 25% quantile is 0 as soon as one gate of three has spare capacity because the others refuse.
- admission: with Config.Paced, nested calls are judged by the levels and exemptions of the last 30 windows instead of the last 6 levels, and the capacity factor falls by 0.6% a window instead of 3% while a queue persists.

Without Paced nothing changes.

Run: go test ./internal/core/pace ./internal/core/earlyrefusal ./internal/core/admission: pass.

--- a/internal/core/admission/config.go
+++ b/internal/core/admission/config.go
@@ -59,6 +59,12 @@
 	// values serve more classes of little demand and take that capacity from the highest
 	// importances.
 	ReservedShare float64
+	// Paced is set where the entry nodes pace the start of requests by the level. Default
+	// false. Once true, nested calls are admitted as under any level and exemption of the
+	// last 30 windows instead of the last 6, so that a request that has started is
+	// finished, and the level rises more slowly while a queue persists, since its effect
+	// shows only when the requests that have started end.
+	Paced bool
 	// RetryAfter is the minimum retry delay sent with a refusal. Default 1 s. It
 	// grows with the ratio of demand to capacity and gets up to 100% jitter. With
 	// higher values refused callers come back later, even after the overload has
@@ -93,6 +99,16 @@
 	}
 }
 
+// pacedDelayFraction is TargetDelayFraction where requests are paced. A queue says that the
+// entries start too much; the later it counts, the further they exceed the capacity.
+const pacedDelayFraction = 0.1
+
+// WithPacing returns the configuration for callers that pace the start of requests.
+func (c Config) WithPacing() Config {
+	c.Paced, c.TargetDelayFraction = true, pacedDelayFraction
+	return c
+}
+
 // queueLimit returns the queue bound for the declared slots.
 func (c *Config) queueLimit(slots int) int {
 	if c.QueueLimit > 0 {
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -42,7 +42,7 @@
 		rng:           rng,
 		limiter:       limit.NewProbe(cfg.Limit, cfg.Slots),
 		pool:          pool{byID: make(map[Ticket]int)},
-		levels:        newLevels(),
+		levels:        newLevels(cfg.Paced),
 		queueDetector: limit.NewQueueDetector(importances),
 		maxQueue:      cfg.queueLimit(cfg.Slots),
 	}
--- a/internal/core/admission/level.go
+++ b/internal/core/admission/level.go
@@ -12,14 +12,19 @@
 // upstream under that level; refusing it here would waste that work.
 const graceWindows = 6
 
+// pacedGraceWindows is graceWindows with Config.Paced: at least as long as the calls of a
+// request take that starts at once after it was paced.
+const pacedGraceWindows = 30
+
 // Parameters of the capacity factor, the ratio of admitted demand to measured
 // capacity.
 const (
 	minCapacityFactor = 0.5
 	maxCapacityFactor = 16
-	factorDecay       = 0.97 // while a queue persists
-	factorStep        = 0.02 // while utilization is slightly below 1
-	maxFactorGrowth   = 1.5  // maximum growth ratio per window while utilization is low
+	factorDecay       = 0.97  // while a queue persists
+	pacedFactorDecay  = 0.994 // the same with Config.Paced
+	factorStep        = 0.02  // while utilization is slightly below 1
+	maxFactorGrowth   = 1.5   // maximum growth ratio per window while utilization is low
 	raisedFactor      = 1.1
 	busyUtilization   = 0.97
 )
@@ -34,16 +39,32 @@
 	demand demand
 	level  request.Level
 	exempt exemptions
-	recent [graceWindows]request.Level
+	recent [pacedGraceWindows]recentLevel // the first graceWindows of them without paced
+	paced  bool
+}
+
+// graceWindows returns the number of windows of the grace period.
+func (t *tenantLevel) graceWindows() int {
+	if t.paced {
+		return pacedGraceWindows
+	}
+	return graceWindows
+}
+
+// recentLevel is the level of one window. The exemptions are kept with Config.Paced only.
+type recentLevel struct {
+	level  request.Level
+	exempt exemptions
 }
 
-// graceLevel returns the level for nested calls: the lowest of the recent levels.
-func (t *tenantLevel) graceLevel() request.Level {
-	low := t.level
-	for _, l := range t.recent {
-		low = min(low, l)
+// admittedRecently reports whether a level of the grace period admits a request.
+func (t *tenantLevel) admittedRecently(p request.Priority) bool {
+	for i := range t.graceWindows() {
+		if r := &t.recent[i]; p >= r.level || r.exempt.admit(p) {
+			return true
+		}
 	}
-	return low
+	return false
 }
 
 // total returns the tenant's demand; t may be nil.
@@ -61,7 +82,7 @@
 
 // refuses reports whether the level refuses a request.
 func (t *tenantLevel) refuses(p request.Priority, deep bool) bool {
-	return !t.admits(p) && (!deep || p < t.graceLevel())
+	return !t.admits(p) && (!deep || !t.admittedRecently(p))
 }
 
 // levels sets the tenants' admission levels once per window.
@@ -72,9 +93,10 @@
 
 	weights, demands, allocations []float64 // by tenant, reused
 	window                        int
+	paced                         bool // Config.Paced
 }
 
-func newLevels() *levels { return &levels{capacityFactor: 1} }
+func newLevels(paced bool) *levels { return &levels{capacityFactor: 1, paced: paced} }
 
 // tenant returns the state of a tenant. It is allocated on first use, since a demand
 // profile takes about 13 KB.
@@ -83,7 +105,7 @@
 		l.tenants = append(l.tenants, nil)
 	}
 	if l.tenants[i] == nil {
-		l.tenants[i] = &tenantLevel{}
+		l.tenants[i] = &tenantLevel{paced: l.paced}
 	}
 	return l.tenants[i]
 }
@@ -130,7 +152,7 @@
 func (l *levels) adjustCapacityFactor(m windowStats, idleBelow float64) {
 	switch {
 	case (m.standingQueue || m.rateExceeded && m.utilization >= busyUtilization) && l.active:
-		l.capacityFactor = max(minCapacityFactor, l.decreaseBase()*factorDecay)
+		l.capacityFactor = max(minCapacityFactor, l.decreaseBase()*l.decay())
 	case m.standingQueue:
 		l.active = true
 	case m.utilization < idleBelow:
@@ -140,6 +162,14 @@
 	}
 }
 
+// decay returns the ratio by which the factor decreases per window while a queue persists.
+func (l *levels) decay() float64 {
+	if l.paced {
+		return pacedFactorDecay
+	}
+	return factorDecay
+}
+
 // decreaseBase returns the value from which the factor decreases. A factor raised
 // well above 1 is no longer needed once a queue persists again, so the decrease
 // starts at 1.
@@ -187,12 +217,18 @@
 		l.active, l.capacityFactor = false, 1
 	}
 	rose := false
-	last := l.window % graceWindows
+	last := l.window
 	l.window++
 	for _, t := range l.tenants {
-		if t != nil {
-			rose = rose || t.level > t.recent[last]
-			t.recent[l.window%graceWindows] = t.level
+		if t == nil {
+			continue
+		}
+		n := t.graceWindows()
+		rose = rose || t.level > t.recent[last%n].level
+		r := &t.recent[l.window%n]
+		r.level = t.level
+		if l.paced {
+			r.exempt = t.exempt
 		}
 	}
 	return rose
--- a/internal/core/earlyrefusal/config.go
+++ b/internal/core/earlyrefusal/config.go
@@ -29,6 +29,11 @@
 	// a quarter of the reported capacity would admit it. Higher values refuse
 	// earlier.
 	Quantile float64
+	// Paced is set where the entry nodes pace the start of requests by Fraction. Default
+	// false. Once true, the level reported upstream is the mean of the targets' levels
+	// within the importance. The quantile of a few targets is 0 as soon as one has spare
+	// capacity, and requests that start by it are refused by the others.
+	Paced bool
 	// MinTargets is the number of targets whose reports must be current for a level
 	// to count, if as many are known. Default 2: a single target can't close a
 	// service.
@@ -81,3 +86,13 @@
 		MaxKeys:        1024,
 	}
 }
+
+// pacedSpan is Span where requests are paced: requests that have started are not refused
+// by the nodes between for a level that has risen since.
+const pacedSpan = 1500 * time.Millisecond
+
+// WithPacing returns the configuration for entry nodes that pace the start of requests.
+func (c Config) WithPacing() Config {
+	c.Paced, c.Span = true, pacedSpan
+	return c
+}
--- a/internal/core/earlyrefusal/table.go
+++ b/internal/core/earlyrefusal/table.go
@@ -90,7 +90,8 @@
 	exempt      []exemption   // computed at computedAt
 	computedAt  time.Duration
 	fresh       bool
-	probeCredit float64 // fraction of a probe accumulated so far
+	means       []meanLevel // one for each importance asked for
+	probeCredit float64     // fraction of a probe accumulated so far
 }
 
 // exemption holds the levels of a key for an importance that some target exempts.
@@ -223,6 +224,10 @@
 // latest returns the last reported level for requests of one priority, to be reported
 // upstream. Reporting the recent minimum instead would add its delay at each hop.
 func (t *Table) latest(now time.Duration, k Key, p request.Priority) request.Level {
+	if t.cfg.Paced {
+		imp := p.Importance()
+		return max(t.mean(now, k.ownKey(), imp), t.mean(now, k, imp))
+	}
 	_, own := t.levelsOf(now, k.ownKey()).levelsFor(p)
 	return max(own, t.levelsOf(now, k).latest)
 }
@@ -374,13 +379,3 @@
 	floor := request.Level(level.Importance()) << 16
 	return floor + request.Level(float64(level-floor)*left)
 }
-
-// Fraction returns the part of an importance, 0 to 1, that a service with its exemptions
-// and the chain below it admit.
-func (t *Table) Fraction(now time.Duration, k Key, imp request.Importance) float64 {
-	first := request.LowestPriority(imp)
-	width := request.LowestPriority(imp+1) - first
-	level := t.latest(now, k, first)
-	refused := min(max(level, first)-first, width)
-	return 1 - float64(refused)/float64(width)
-}
--- a/internal/core/pace/doc.go
+++ b/internal/core/pace/doc.go
@@ -2,14 +2,18 @@
 // of capacity.
 //
 // The level that the service's gates report states which part of each importance they
-// admit. Of each class and importance, the entry starts that fraction of the demand that
-// it receives: a token bucket per key and importance is filled at the rate
-// fraction x demand, where demand is the entry's own measured rate of arrivals. While the
-// fraction is 1, nothing is paced.
+// admit. For each key (called service, class, tenant) and importance, the entry holds a token
+// bucket. While the gates refuse, its rate goes down to the admitted fraction of the demand
+// that the entry measures. While they refuse nothing, the rate rises slowly, since the calls
+// of a request reach the gates until the request ends. The rate stays where it is when demand
+// falls, and no tokens are needed while it is well above the demand. A service that never
+// refused anything is not paced.
 //
 // The node calls Arrived once for each request, Start when the request could start, and,
-// if Start reports false, Start again at Next or later. A request that has started under a
-// fraction below 1 has to pass the gates: the node draws its identity with request.Draw.
+// if Start reports false, Start again at Next or later. A request that has started has to
+// pass the gates: the node draws its identity above DrawLevel with request.Draw.
+//
+// Gates and level tables need Config.Paced where requests are paced (see their WithPacing).
 //
 // A Table has no clock, goroutines or randomness and is not safe for concurrent use.
 package pace
--- a/internal/core/pace/pace.go
+++ b/internal/core/pace/pace.go
@@ -1,19 +1,19 @@
 package pace
 
 import (
-	"math"
 	"time"
 
 	"peardrift/internal/core/earlyrefusal"
 	"peardrift/internal/core/request"
 )
 
-// Admitted tells which part of an importance a service admits. earlyrefusal.Table
-// implements it.
+// Admitted tells what a service admits. earlyrefusal.Table implements it.
 type Admitted interface {
 	// Fraction returns the part of an importance that the callee and the chain below it
 	// admit, 0 to 1.
 	Fraction(now time.Duration, k earlyrefusal.Key, imp request.Importance) float64
+	// AboveLevel reports whether the callee refuses requests, but none of an importance.
+	AboveLevel(now time.Duration, k earlyrefusal.Key, imp request.Importance) bool
 }
 
 // Table holds the token buckets of one entry node.
@@ -21,6 +21,7 @@
 	cfg      Config
 	admitted Admitted
 	buckets  map[bucketKey]*bucket
+	services map[serviceKey]*service
 }
 
 type bucketKey struct {
@@ -28,121 +29,106 @@
 	importance request.Importance
 }
 
+type serviceKey struct {
+	name   request.Service
+	tenant request.Tenant
+}
+
 // New returns a table without demand.
 func New(cfg Config, a Admitted) *Table {
-	return &Table{cfg: cfg, admitted: a, buckets: map[bucketKey]*bucket{}}
+	return &Table{cfg: cfg, admitted: a, buckets: map[bucketKey]*bucket{}, services: map[serviceKey]*service{}}
 }
 
 // Arrived counts a request as demand. It is called once for each request.
 func (t *Table) Arrived(now time.Duration, k earlyrefusal.Key, imp request.Importance) {
-	id := bucketKey{k, imp}
-	b := t.buckets[id]
-	if b == nil {
-		if len(t.buckets) >= t.cfg.MaxKeys && !t.dropIdle(now) {
-			return
-		}
-		b = &bucket{at: now}
-		t.buckets[id] = b
+	if b := t.advance(now, k, imp); b != nil {
+		b.demand += 1 / t.cfg.DemandWindow.Seconds()
+		return
 	}
-	b.advance(now, &t.cfg, t.admitted.Fraction(now, k, imp))
-	b.demand += 1 / t.cfg.DemandWindow.Seconds()
+	t.add(now, k, imp)
 }
 
 // Start reports whether a request of the importance may start now and, if so, counts it.
 func (t *Table) Start(now time.Duration, k earlyrefusal.Key, imp request.Importance) bool {
-	b := t.buckets[bucketKey{k, imp}]
-	if b == nil {
-		return true
-	}
-	b.advance(now, &t.cfg, t.admitted.Fraction(now, k, imp))
-	return b.take()
+	b := t.advance(now, k, imp)
+	return b == nil || b.take(&t.cfg)
 }
 
 // Next returns the earliest time at which Start may succeed, at most Config.Recheck ahead.
 func (t *Table) Next(now time.Duration, k earlyrefusal.Key, imp request.Importance) time.Duration {
-	b := t.buckets[bucketKey{k, imp}]
+	b := t.advance(now, k, imp)
 	if b == nil {
 		return now
 	}
-	b.advance(now, &t.cfg, t.admitted.Fraction(now, k, imp))
-	return now + b.wait(t.cfg.Recheck, t.cfg.DemandWindow)
+	return now + min(b.wait(&t.cfg), t.cfg.Recheck)
 }
 
-// idleWindows is the number of demand windows without an arrival after which a bucket
-// may be dropped.
-const idleWindows = 10
-
-// dropIdle drops the buckets without demand and reports whether there were any.
-func (t *Table) dropIdle(now time.Duration) bool {
-	dropped := false
-	for id, b := range t.buckets {
-		if now-b.at > idleWindows*t.cfg.DemandWindow {
-			delete(t.buckets, id)
-			dropped = true
-		}
+// DrawLevel returns the level above which the identity of a request that starts now is
+// drawn with request.Draw. The part of the importance above it is the part of the demand
+// that starts, so that the gates, which infer the demand that they don't see from what they
+// see of an importance, find the demand that the entries receive.
+func (t *Table) DrawLevel(k earlyrefusal.Key, imp request.Importance) request.Level {
+	first, end := request.LowestPriority(imp), request.LowestPriority(imp+1)
+	b := t.buckets[bucketKey{k, imp}]
+	if b == nil || !b.limited {
+		return first
 	}
-	return dropped
+	return first + request.Level(max(1-b.part(), 0)*float64(end-first))
 }
 
-// bucket is the token bucket of one key and importance. Rates are in requests per second.
-type bucket struct {
-	at      time.Duration // of the last advance
-	demand  float64       // of all arrivals, decaying over Config.DemandWindow
-	ceiling float64       // of the demand that counts, while paced
-	paced   bool
-	rate    float64
-	tokens  float64
+// advance moves a bucket to now; it returns nil if there is none.
+func (t *Table) advance(now time.Duration, k earlyrefusal.Key, imp request.Importance) *bucket {
+	b := t.buckets[bucketKey{k, imp}]
+	if b == nil {
+		return nil
+	}
+	b.advance(now, &t.cfg, t.admitted.Fraction(now, k, imp))
+	if b.limited {
+		b.adjust(&t.cfg, func() bool { return t.admitted.AboveLevel(now, k, imp) })
+	}
+	return b
 }
 
-// advance moves the bucket to now and adds the tokens of the time since its last advance.
-func (b *bucket) advance(now time.Duration, cfg *Config, fraction float64) {
-	dt := max(now-b.at, 0).Seconds()
-	b.at = max(b.at, now)
-	window := cfg.DemandWindow.Seconds()
-	arrived := -b.demand * window * math.Expm1(-dt/window) // integral of the demand over dt
-	b.demand *= math.Exp(-dt / window)
-	if fraction >= 1 {
-		b.paced, b.tokens = false, 0
+// add adds the bucket of a first request.
+func (t *Table) add(now time.Duration, k earlyrefusal.Key, imp request.Importance) {
+	if len(t.buckets) >= t.cfg.MaxKeys && !t.dropIdle(now) {
 		return
 	}
-	if !b.paced {
-		b.paced, b.ceiling = true, b.demand
+	id := serviceKey{k.Service, k.Tenant}
+	s := t.services[id]
+	if s == nil {
+		s = &service{}
+		t.services[id] = s
+	}
+	t.buckets[bucketKey{k, imp}] = &bucket{
+		importance: imp, service: s, addedAt: now, at: now, demand: 1 / t.cfg.DemandWindow.Seconds(),
 	}
-	grown := max(b.ceiling, 1/window) * math.Pow(cfg.Growth, dt/cfg.GrowthStep.Seconds())
-	b.ceiling = min(grown, b.demand+b.deviation(window))
-	fraction = max(fraction, cfg.ProbeFraction)
-	b.rate = fraction * min(b.demand, b.ceiling)
-	b.tokens += fraction * min(arrived, b.ceiling*dt)
-	b.tokens = min(b.tokens, max(1, b.rate*cfg.Depth.Seconds()))
-}
-
-// deviation returns by how much the demand may exceed the measured one by chance: one
-// arrival and two standard deviations of the measurement of Poisson arrivals. If the
-// ceiling followed each random minimum, little demand would be counted too low.
-func (b *bucket) deviation(window float64) float64 {
-	return 1/window + 2*math.Sqrt(b.demand/(2*window))
 }
 
-// take takes a token if the bucket is paced, and reports whether there was one.
-func (b *bucket) take() bool {
-	if !b.paced {
-		return true
+// dropIdle drops the buckets unused for Config.Expiry and reports whether there were any.
+func (t *Table) dropIdle(now time.Duration) bool {
+	dropped := false
+	for id, b := range t.buckets {
+		if now-b.at > t.cfg.Expiry {
+			delete(t.buckets, id)
+			dropped = true
+		}
 	}
-	if b.tokens < 1 {
-		return false
+	if dropped {
+		t.dropServices()
 	}
-	b.tokens--
-	return true
+	return dropped
 }
 
-// wait returns the time until a token is there if no request arrives, at most limit.
-func (b *bucket) wait(limit, window time.Duration) time.Duration {
-	if !b.paced || b.tokens >= 1 {
-		return 0
+// dropServices drops the services without buckets.
+func (t *Table) dropServices() {
+	used := map[*service]bool{}
+	for _, b := range t.buckets {
+		used[b.service] = true
 	}
-	rest := 1 - (1-b.tokens)/(b.rate*window.Seconds())
-	if !(rest > 0) {
-		return limit
+	for id, s := range t.services {
+		if !used[s] {
+			delete(t.services, id)
+		}
 	}
-	return min(limit, time.Duration(math.Ceil(-math.Log(rest)*float64(window)))+1)
 }
