--- a/internal/adapter/oteltrace/span.go
+++ b/internal/adapter/oteltrace/span.go
@@ -29,6 +29,8 @@
 	attrQueued    = attribute.Key("peardrift.queued_ms")
 	attrSends     = attribute.Key("peardrift.sends")
 	attrResend    = attribute.Key("peardrift.resend")
+	attrWaited    = attribute.Key("peardrift.waited_ms")
+	attrWait      = attribute.Key("peardrift.wait_result")
 )
 
 // Decisions, the values of attrDecision.
@@ -136,5 +138,8 @@
 	if h.Queued > 0 {
 		as = append(as, attrQueued.Float64(h.Queued.Seconds()*1000))
 	}
+	if h.Waited > 0 {
+		as = append(as, attrWaited.Float64(h.Waited.Seconds()*1000), attrWait.String(h.WaitResult.String()))
+	}
 	return as
 }
--- a/internal/adapter/tallymetrics/names.go
+++ b/internal/adapter/tallymetrics/names.go
@@ -19,6 +19,8 @@
 
 	nameResends        = "resends_total"
 	nameResendsRefused = "resends_refused_total"
+	nameWaits          = "entry_waits_total"
+	nameWait           = "entry_wait_seconds"
 )
 
 // Names of the metrics of tenants.
@@ -36,6 +38,7 @@
 	labelOutcome = "outcome"
 	labelCode    = "code"
 	labelTenant  = "tenant"
+	labelResult  = "result"
 )
 
 // other is the label value shared by all values without a series of their own.
@@ -60,10 +63,10 @@
 
 // vecs holds the metric families whose series can be removed.
 type vecs struct {
-	calls       *prom.CounterVec
-	time, queue *prom.HistogramVec
-	resends     []*prom.CounterVec
-	tenants     []*prom.CounterVec
+	calls, waits      *prom.CounterVec
+	time, queue, wait *prom.HistogramVec
+	resends           []*prom.CounterVec
+	tenants           []*prom.CounterVec
 }
 
 // register registers the families with the reporter, with help texts.
@@ -71,8 +74,12 @@
 	v.calls = must(r.RegisterCounter(namePrefix+"_"+nameCalls,
 		[]string{labelHop, labelService, labelClass, labelOutcome, labelCode},
 		"Hops that ended, by outcome and code."))
+	v.waits = must(r.RegisterCounter(namePrefix+"_"+nameWaits,
+		[]string{labelHop, labelService, labelClass, labelResult},
+		"Requests that waited for their start, by what ended the wait."))
 	v.time = histogram(r, nameTime, "Time from a hop's start to its end.")
 	v.queue = histogram(r, nameQueue, "Time that a hop waited for a slot of the target.")
+	v.wait = histogram(r, nameWait, "Time that a request waited for its start.")
 	for _, c := range []struct{ name, help string }{
 		{nameResends, "Further sends of calls that the target rejected."},
 		{nameResendsRefused, "Rejected calls that the budget did not let go to the target again."},
@@ -114,6 +121,8 @@
 	for _, c := range v.resends {
 		c.DeletePartialMatch(labels)
 	}
+	v.waits.DeletePartialMatch(labels)
+	v.wait.DeletePartialMatch(labels)
 }
 
 // deleteTenant deletes the series of one tenant.
--- a/internal/dataplane/engine.go
+++ b/internal/dataplane/engine.go
@@ -14,12 +14,14 @@
 	"peardrift/internal/core/admission"
 	"peardrift/internal/core/configset"
 	"peardrift/internal/core/earlyrefusal"
+	"peardrift/internal/core/pace"
 	"peardrift/internal/core/request"
 	"peardrift/internal/core/resend"
 	"peardrift/internal/core/retry"
 	"peardrift/internal/core/route"
 	"peardrift/internal/core/suspect"
 	"peardrift/internal/core/targetspeed"
+	"peardrift/internal/core/waiting"
 	"peardrift/internal/wire"
 )
 
@@ -114,6 +116,11 @@
 	// Resend says how often calls that the own target rejects are sent to it again
 	// (default: never).
 	Resend resend.Config
+	// Waiting bounds the root requests that wait for their start (default: none waits,
+	// and requests below a known level are refused at once).
+	Waiting waiting.Config
+	// Pace is for nodes on which requests may wait.
+	Pace pace.Config
 }
 
 // DefaultConfig returns the defaults.
@@ -131,6 +138,8 @@
 		Early:         earlyrefusal.DefaultConfig(),
 		Suspect:       suspect.DefaultConfig(),
 		Resend:        resend.DefaultConfig(),
+		Waiting:       waiting.DefaultConfig(),
+		Pace:          pace.DefaultConfig(),
 	}
 }
 
@@ -149,6 +158,7 @@
 	view            atomic.Pointer[View]
 	gate            *gate
 	levels          *levels
+	entryQueue      *entryQueue // nil: no request waits for its start
 	suspects        *suspects
 	tenants         tenantIndexes
 	running         *registry
@@ -197,6 +207,7 @@
 	e.nodeCalls = &nodeCalls{now: e.now, calls: make(map[SpanID]*nodeCall)}
 	e.suspects = newSuspects(cfg.Suspect, self.ID, e.now, func() bool { return local.Reachable(self.Target) })
 	e.levels = newLevels(&e.cfg.Early, e.now)
+	e.entryQueue = newPacedQueue(&e.cfg, e.levels)
 	e.callerRetries = newCallerRetries(cfg.Retry, e.now)
 	e.resends = newResends(cfg.Resend, e.now)
 	e.speed = newTargetSpeed(e.now)
@@ -224,6 +235,9 @@
 // Publish puts a view into force for calls that begin from now on.
 func (e *Engine) Publish(v *View) {
 	old := e.view.Swap(v)
+	if e.entryQueue != nil {
+		e.entryQueue.setIndex(v.Index)
+	}
 	if v.TargetUp && !old.TargetUp {
 		e.suspects.targetUp()
 	}
@@ -239,8 +253,14 @@
 }
 
 // BeginStop records that the node is going to stop: calls in flight are left to end by
-// themselves.
-func (e *Engine) BeginStop() { e.retiring.Store(true) }
+// themselves. Requests that wait for their start are refused, so that their callers have
+// the time to use other nodes.
+func (e *Engine) BeginStop() {
+	e.retiring.Store(true)
+	if e.entryQueue != nil {
+		e.entryQueue.drain()
+	}
+}
 
 // SetConfigStale sets whether other nodes may have a newer configuration in force. While it
 // is set, an unknown API key gets a retryable refusal instead of a final one.
@@ -253,7 +273,12 @@
 func (e *Engine) RefuseCallers() { e.refusing.Store(true) }
 
 // Close stops the engine's timers; all calls must have ended.
-func (e *Engine) Close() { e.gate.close() }
+func (e *Engine) Close() {
+	e.gate.close()
+	if e.entryQueue != nil {
+		e.entryQueue.close()
+	}
+}
 
 // GateStats returns a snapshot of the admission gate.
 func (e *Engine) GateStats() admission.Stats { return e.gate.stats() }
--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -114,8 +114,15 @@
 		cancel = e.cancelWithParent(parent, cancel)
 	}
 	resp := protocol.AcquireResponse()
+	if out.waits && fault == nil {
+		fault = e.awaitStart(ctx, out, hop, len(c.Request.Header.RawHeaders()))
+		if fault != nil && fault.Code == status.CodeDraining {
+			c.SetConnectionClose()
+		}
+	}
 	r := e.execute(ctx, out, fault, resp)
 	e.resends.ended(out, r)
+	e.recordFinished(out, r)
 	if out.parent != nil {
 		out.parent.callEnded(r)
 	}
@@ -219,6 +226,7 @@
 		sampled:  e.cfg.Sampled(id),
 		priority: request.PriorityOf(class.Importance, id),
 		deadline: e.now() + e.callTimeout(c, class.Deadline),
+		index:    v.Index,
 		entry:    entryAllowance{allowance: retry.NewRequestAllowance(class.Attempts, false)},
 		meta: wire.Meta{
 			Tenant:     info.Tenant,
@@ -236,10 +244,13 @@
 		return nil, fault
 	}
 	stripKey(v, out)
-	if fault := e.levels.check(out); fault != nil {
+	if fault := e.resends.checkStart(out); fault != nil {
 		return out, fault
 	}
-	return out, e.resends.checkStart(out)
+	if out.waits = e.mayWait(out); out.waits {
+		return out, nil
+	}
+	return out, e.levels.check(out)
 }
 
 // applyAssured gives a fraction of all requests the highest importance, for their
