--- a/internal/core/route/doc.go
+++ b/internal/core/route/doc.go
@@ -4,7 +4,13 @@
 // service's targets, the caller's measurements of each, and the load each one reported.
 // Pick compares two random targets of the caller's zone and takes the cheaper one. It
 // considers other zones only if that one is loaded above MinHotLoad, and chooses them if
-// they are cheaper by more than ZoneFactor or less loaded by ZoneGap.
+// they are cheaper by more than ZoneFactor or less loaded by ZoneGap. If ZoneGap is set and
+// the targets of the own zone report that they are nearly full, calls leave the zone with a
+// probability in proportion to the difference of the work ahead of them.
+//
+// PickFor also knows the class of the call and its objective. It leaves out targets at which
+// the call would probably miss the objective, by the times of the class that the targets'
+// nodes state, as long as it finds others.
 //
 // A choice depends on, in order of precedence:
 //
--- a/internal/core/route/pool.go
+++ b/internal/core/route/pool.go
@@ -12,9 +12,9 @@
 	// loaded above shortLoad. A call that leaves for less gains nothing, and the loads of
 	// equally full targets differ by as much by chance.
 	fullBand = 0.1
-	// unknownDifference is the assumed difference of loads, as a fraction of PoolWidth, to
+	// unknownFraction is the assumed difference of loads, as a fraction of PoolWidth, to
 	// a target without a recent report: so many of the calls learn its load.
-	unknownDifference = 0.125
+	unknownFraction = 0.125
 	// poolSamples is how many targets of other zones one call considers.
 	poolSamples = 2
 )
@@ -56,7 +56,7 @@
 		if c.rank >= refusing {
 			continue
 		}
-		difference := unknownDifference * t.cfg.PoolWidth
+		difference := t.unknownDifference(now, own)
 		if e := &t.entries[i]; e.reportRecent(now, t.cfg.ReportAge) {
 			difference = ahead - t.workAhead(now, e) - t.zoneCost(w)
 			if e.currentLoad() > shortLoad {
@@ -71,6 +71,16 @@
 	return near
 }
 
+// unknownDifference returns the difference of loads that is assumed to a target without a
+// recent report. While the own gate refuses by priority it still admits this call, and one
+// of which nothing is known may not.
+func (t *Table) unknownDifference(now time.Duration, own *entry) float64 {
+	if own.level > 0 && now-own.levelAt < levelValidity {
+		return 0
+	}
+	return unknownFraction * t.cfg.PoolWidth
+}
+
 // workAhead returns the work ahead of a call at a target. Up to 1 it is the fraction of slots
 // in use, which costs the call nothing; beyond that the wait for a slot is added, in the
 // time that calls usually take.
