Count exemptions when a target's level is compared with a call

A call that a gate admits by an exemption, below its level, was taken for refused there and went to a target of which no level is known.

--- a/bench/replay/core.go
+++ b/bench/replay/core.go
@@ -213,7 +213,7 @@
 func (r *router) onResult(a *attempt, res result) {
 	x := route.Result{Kind: resultKind(res), Latency: r.node.sim.now - a.sentAt}
 	if res.hasResponse {
-		x.Level, x.HasLevel = res.feedback.level, true
+		x.Level, x.HasLevel, x.Exempt = res.feedback.level, true, res.feedback.exempt
 		x.InFlight, x.Limit = res.feedback.inFlight, res.feedback.limit
 	}
 	r.table.Done(r.node.sim.now, a.targetIndex, &x)
--- a/internal/core/route/measure.go
+++ b/internal/core/route/measure.go
@@ -42,7 +42,7 @@
 	e := &t.entries[idx]
 	e.inFlight--
 	if r.HasLevel {
-		e.level, e.levelAt = r.Level, now
+		e.level, e.exempt, e.levelAt = r.Level, r.Exempt, now
 	}
 	t.record(now, e, r)
 	if at := cmp.Or(r.ReportedAt, now); !e.reported || at >= e.reportedAt {
--- a/internal/core/route/pick.go
+++ b/internal/core/route/pick.go
@@ -155,7 +155,7 @@
 	}
 	r := cold
 	switch {
-	case e.level > w.priority && now-e.levelAt < levelValidity:
+	case now-e.levelAt < levelValidity && e.refuses(w.priority):
 		r = refusing
 	case e.hot || e.Suspected:
 		r = hot
@@ -167,6 +167,21 @@
 	return c
 }
 
+// refuses reports whether the target's last known level refuses a priority. An exempted one
+// is admitted below the level; taken for refused, it would go to a target of which no level
+// is known.
+func (e *entry) refuses(p request.Priority) bool {
+	if e.level <= p {
+		return false
+	}
+	for _, from := range e.exempt {
+		if from.Importance() == p.Importance() {
+			return from > p
+		}
+	}
+	return true
+}
+
 func (e *entry) usable(now time.Duration) bool {
 	if e.Leaving || e.inFlight >= e.cap {
 		return false
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -32,6 +32,7 @@
 	pace speed
 
 	level   request.Level
+	exempt  []request.Level
 	levelAt time.Duration
 
 	avoid      avoidance
--- a/internal/core/route/target.go
+++ b/internal/core/route/target.go
@@ -53,6 +53,9 @@
 	// Level is the admission level in the answer, valid if HasLevel.
 	Level    request.Level
 	HasLevel bool
+	// Exempt lists the priorities from which the target admits calls below Level, one for
+	// each importance. It is retained and must not change.
+	Exempt []request.Level
 	// InFlight and Limit are the load reported by the target, valid if Limit > 0.
 	InFlight int
 	Limit    int
--- a/internal/core/route/timely_test.go
+++ b/internal/core/route/timely_test.go
@@ -153,3 +153,23 @@
 		})
 	}
 }
+
+// Guards against calls that a target admits by an exemption and that go to another one,
+// of which no level is known, because they are below the target's level.
+func TestExemptCallsAreNotTakenForRefused(t *testing.T) {
+	is := is.New(t)
+	ts := targets(1, 1)
+	tb := newTable(ts)
+	level := request.Level(60 << 16)
+	idx, _ := tb.Pick(0, 0, nil)
+	tb.Started(0, idx)
+	tb.Done(0, idx, &Result{Kind: Success, Latency: ms, Level: level, HasLevel: true, Exempt: []request.Level{20<<16 | 100}})
+	at := func(p request.Priority) string {
+		i, _ := tb.Pick(ms, p, nil)
+		return tb.Target(i).Zone
+	}
+	is.Equal(at(20<<16|100), "z0")
+	is.Equal(at(20<<16|99), "z1")  // below the exemption
+	is.Equal(at(30<<16|200), "z1") // of an importance without one
+	is.Equal(at(60<<16), "z0")
+}
--- a/internal/dataplane/callee.go
+++ b/internal/dataplane/callee.go
@@ -120,6 +120,7 @@
 		Latency:  r.headAt - ch.started,
 		Level:    r.answer.Level,
 		HasLevel: r.answered,
+		Exempt:   r.answer.Exempt,
 		InFlight: r.answer.InFlight,
 		Limit:    r.answer.Limit,
 
