--- a/internal/core/admission/gate_test.go
+++ b/internal/core/admission/gate_test.go
@@ -327,3 +327,36 @@
 	}
 	is.True(refused > 0)
 }
+
+// Guards against refusing the calls of a paced request for a level or an exemption that
+// changed after it had started: its chain takes longer than the grace period of callers
+// that don't pace.
+func TestPacedRequestsAreJudgedByTheLevelTheyStartedUnder(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		started request.Level
+		exempt  exemptions
+	}{
+		{"under a lower level", 0, nil},
+		{"exempt", prio(50, 0), exemptions{prio(40, 0)}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			l := newLevels(true)
+			tn := l.tenant(0)
+			set := func(level request.Level, x exemptions, windows int) {
+				for range windows {
+					tn.level, tn.exempt = level, x
+					l.recordLevels(true)
+				}
+			}
+			set(prio(50, 0), nil, pacedGraceWindows)
+			set(tt.started, tt.exempt, 1)
+			set(prio(50, 0), nil, pacedGraceWindows-1)
+			is.True(tn.refuses(prio(40, 0), false))
+			is.True(!tn.refuses(prio(40, 0), true))
+			set(prio(50, 0), nil, 1)
+			is.True(tn.refuses(prio(40, 0), true))
+		})
+	}
+}
--- a/internal/core/earlyrefusal/fraction.go
+++ b/internal/core/earlyrefusal/fraction.go
@@ -34,6 +34,14 @@
 	return highest > 0 && highest <= request.LowestPriority(imp)
 }
 
+// ReportedAt returns the time of the newest report for a key.
+func (t *Table) ReportedAt(k Key) time.Duration {
+	if l := t.keys[k]; l != nil {
+		return l.newestReport()
+	}
+	return never
+}
+
 // meanLevel is the mean level of a key's targets within one importance.
 type meanLevel struct {
 	importance request.Importance
--- a/internal/core/pace/bucket.go
+++ b/internal/core/pace/bucket.go
@@ -35,19 +35,22 @@
 
 // bucket is the token bucket of one key and importance. Rates are in requests per second.
 type bucket struct {
-	importance request.Importance
-	service    *service
-	addedAt    time.Duration
-	at         time.Duration // of the last advance
-	since      float64       // seconds between the last two advances
-	admitted   float64       // fraction at the last advance
-	demand     float64       // rate of arrivals, decaying over Config.DemandWindow
-	limited    bool          // the fields below apply
-	rate       float64       // of starts
-	tokens     float64
-	refusedAt  time.Duration // when less than all was last admitted
-	cutAt      time.Duration // when the rate was last cut
-	neededAt   time.Duration // when the limit was last needed
+	importance   request.Importance
+	service      *service
+	addedAt      time.Duration
+	at           time.Duration // of the last advance
+	since        float64       // seconds between the last two advances
+	admitted     float64       // fraction at the last advance
+	demand       float64       // rate of arrivals, decaying over Config.DemandWindow
+	limited      bool          // the fields below apply
+	rate         float64       // of starts
+	tokens       float64
+	refusedAt    time.Duration // when less than all was last admitted
+	wasCut       bool          // since limited
+	unanswered   bool          // a request started since the last report
+	unansweredAt time.Duration // when the first of them started
+	cutAt        time.Duration // when the rate was last cut
+	neededAt     time.Duration // when the limit was last needed
 }
 
 // advance moves the bucket to now, measures demand and adds tokens.
@@ -62,7 +65,7 @@
 	}
 	if !b.limited {
 		if admitted < 1 {
-			b.limited, b.rate, b.tokens = true, max(b.demand, 1/cfg.DemandWindow.Seconds()), 0
+			b.limited, b.wasCut, b.rate, b.tokens = true, false, max(b.demand, 1/cfg.DemandWindow.Seconds()), 0
 			b.cutAt, b.neededAt = b.at-cfg.CutInterval, b.at
 		}
 		return
@@ -73,20 +76,45 @@
 // part returns the rate of starts as a part of the demand.
 func (b *bucket) part() float64 { return b.rate / max(b.demand, math.SmallestNonzeroFloat64) }
 
+// news is what a callee reported beside the admitted fraction.
+type news struct {
+	reportedAt time.Duration
+	aboveLevel bool
+}
+
+const (
+	// unansweredFor is the time without a report after the start of a request from which on
+	// the callee counts as out of reach. Most requests are answered within it.
+	unansweredFor = 2 * time.Second
+	// unreachedHalfLife is the half-life of the rate while the callee is out of reach:
+	// others use the capacity in the meantime.
+	unreachedHalfLife = time.Second
+)
+
+// isUnreached reports whether the callee is out of reach.
+func (b *bucket) isUnreached(n news) bool {
+	if n.reportedAt >= b.unansweredAt {
+		b.unanswered = false
+	}
+	return b.unanswered && b.at-b.unansweredAt > unansweredFor
+}
+
 // adjust changes the rate. A level of the gates says how much has to be refused, but it
 // reacts within 100 ms and the calls of started requests reach the gates until the
 // requests end. So a cut goes at once to what the level admits, and the next one waits
 // until its effect may show. A level of 0 says only that the gates have spare capacity, not
-// how much: the rate then rises slowly.
-func (b *bucket) adjust(cfg *Config, aboveLevel func() bool) {
+// how much: the rate then rises slowly. While the callee is out of reach, it falls.
+func (b *bucket) adjust(cfg *Config, n news) {
 	if b.at-b.addedAt < newFor*cfg.DemandWindow {
 		b.rate = max(b.rate, b.admitted*cfg.Margin*b.demand)
 	}
 	part := b.part()
 	switch {
+	case b.isUnreached(n):
+		b.rate *= math.Exp2(-b.since / unreachedHalfLife.Seconds())
 	case b.admitted < min(part, 1):
 		b.cut(cfg, part)
-	case part < 1 && b.admitted >= 1 && aboveLevel():
+	case part < 1 && b.admitted >= 1 && n.aboveLevel:
 		b.rate += (b.demand - b.rate) * min(b.since/cfg.CutInterval.Seconds(), 1)
 	case part < cfg.Spare:
 		b.rate += b.rise(cfg) * b.demand * b.since
@@ -102,12 +130,20 @@
 }
 
 // cut lowers the rate to what is admitted, unless a cut may not have shown its effect yet.
+// The first cut goes lower: until it, all requests started, and their calls are still to
+// come.
 func (b *bucket) cut(cfg *Config, part float64) {
 	if b.at-b.cutAt < cfg.CutInterval {
 		return
 	}
 	b.cutAt = b.at
-	b.rate *= max(b.admitted/part*cfg.Margin, cfg.MaxCut)
+	ratio := b.admitted / part
+	if b.wasCut {
+		b.rate *= max(ratio*cfg.Margin, cfg.MaxCut)
+	} else {
+		b.rate *= max(ratio*cfg.FirstMargin, cfg.FirstMaxCut)
+	}
+	b.wasCut = true
 }
 
 // rise returns the part of the demand by which the rate rises in a second. It grows with the
@@ -124,13 +160,15 @@
 
 // take takes a token, if one is needed, and reports whether the request may start.
 func (b *bucket) take(cfg *Config) bool {
-	if b.isFree(cfg) {
-		return true
+	if !b.isFree(cfg) {
+		if b.tokens < 1 {
+			return false
+		}
+		b.tokens--
 	}
-	if b.tokens < 1 {
-		return false
+	if !b.unanswered {
+		b.unanswered, b.unansweredAt = true, b.at
 	}
-	b.tokens--
 	return true
 }
 
--- a/internal/core/pace/config.go
+++ b/internal/core/pace/config.go
@@ -9,7 +9,7 @@
 	// sooner.
 	DemandWindow time.Duration
 	// Rise is the part of the demand by which the rate of starts rises in a second while
-	// nothing is refused, times the seconds since the last refusal. Default 0.05. Higher values use capacity that becomes free
+	// nothing is refused, times the seconds since the last refusal. Default 0.08. Higher values use capacity that becomes free
 	// sooner, and exceed it by more where requests make calls for long.
 	Rise float64
 	// LowerRise is the fraction of Rise, 0 to 1, that applies to an importance while a
@@ -28,6 +28,10 @@
 	// 0.93. Lower values let queues at the gates end sooner and leave capacity unused for
 	// longer.
 	Margin float64
+	// FirstMaxCut and FirstMargin apply in place of MaxCut and Margin to the first cut of a
+	// rate that was not limited. Defaults 0.25 and 0.75. Lower values make room for the
+	// requests that started before the cut and leave more capacity unused after it.
+	FirstMaxCut, FirstMargin float64
 	// Spare is the ratio of rate to demand from which requests start without a token.
 	// Default 1.4. Lower values exceed the rate in random peaks; with higher values requests
 	// wait for tokens although the rate suffices.
@@ -57,11 +61,13 @@
 func DefaultConfig() Config {
 	return Config{
 		DemandWindow:  time.Second,
-		Rise:          0.05,
+		Rise:          0.08,
 		LowerRise:     0.1,
 		CutInterval:   500 * time.Millisecond,
 		MaxCut:        0.5,
 		Margin:        0.93,
+		FirstMaxCut:   0.25,
+		FirstMargin:   0.75,
 		Spare:         1.4,
 		Expiry:        30 * time.Second,
 		Depth:         100 * time.Millisecond,
--- a/internal/core/pace/pace.go
+++ b/internal/core/pace/pace.go
@@ -14,6 +14,8 @@
 	Fraction(now time.Duration, k earlyrefusal.Key, imp request.Importance) float64
 	// AboveLevel reports whether the callee refuses requests, but none of an importance.
 	AboveLevel(now time.Duration, k earlyrefusal.Key, imp request.Importance) bool
+	// ReportedAt returns when the callee last reported for the key.
+	ReportedAt(k earlyrefusal.Key) time.Duration
 }
 
 // Table holds the token buckets of one entry node.
@@ -84,11 +86,16 @@
 	}
 	b.advance(now, &t.cfg, t.admitted.Fraction(now, k, imp))
 	if b.limited {
-		b.adjust(&t.cfg, func() bool { return t.admitted.AboveLevel(now, k, imp) })
+		b.adjust(&t.cfg, t.newsOf(now, k, imp))
 	}
 	return b
 }
 
+// newsOf returns what a callee reported beside the admitted fraction.
+func (t *Table) newsOf(now time.Duration, k earlyrefusal.Key, imp request.Importance) news {
+	return news{reportedAt: t.admitted.ReportedAt(k), aboveLevel: t.admitted.AboveLevel(now, k, imp)}
+}
+
 // add adds the bucket of a first request.
 func (t *Table) add(now time.Duration, k earlyrefusal.Key, imp request.Importance) {
 	if len(t.buckets) >= t.cfg.MaxKeys && !t.dropIdle(now) {
--- a/internal/dataplane/levels.go
+++ b/internal/dataplane/levels.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"peardrift/internal/core/earlyrefusal"
+	"peardrift/internal/core/pace"
 	"peardrift/internal/core/request"
 	"peardrift/internal/status"
 )
@@ -83,6 +84,29 @@
 	return earlyrefusal.Key{Service: c.info.Name, Class: c.class.Name, Tenant: c.meta.Tenant}
 }
 
+var _ pace.Admitted = (*levels)(nil)
+
+// Fraction implements pace.Admitted.
+func (l *levels) Fraction(now time.Duration, k earlyrefusal.Key, imp request.Importance) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table.Fraction(now, k, imp)
+}
+
+// AboveLevel implements pace.Admitted.
+func (l *levels) AboveLevel(now time.Duration, k earlyrefusal.Key, imp request.Importance) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table.AboveLevel(now, k, imp)
+}
+
+// ReportedAt implements pace.Admitted.
+func (l *levels) ReportedAt(k earlyrefusal.Key) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table.ReportedAt(k)
+}
+
 // forget drops a target that is no longer a member.
 func (l *levels) forget(id request.TargetID) {
 	l.mu.Lock()
