--- a/internal/dataplane/levels.go
+++ b/internal/dataplane/levels.go
@@ -43,20 +43,6 @@
 	return l.table.Level(l.now(), c.key(), c.priority)
 }
 
-// Fraction implements pace.Admitted.
-func (l *levels) Fraction(now time.Duration, k earlyrefusal.Key, imp request.Importance) float64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.table.Fraction(now, k, imp)
-}
-
-// AboveLevel implements pace.Admitted.
-func (l *levels) AboveLevel(now time.Duration, k earlyrefusal.Key, imp request.Importance) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.table.AboveLevel(now, k, imp)
-}
-
 // learn records the levels that an answer reported.
 func (l *levels) learn(c *outboundCall, r *result) {
 	if !r.answered {
