Admit organisations of unequal size up to their limit

An empty answer to a node that reported a used loan prolonged the loan's capacity by 9 s, so nearly all of an organisation's capacity counted as held by nodes without tokens. A refused request made its node ask at the next tick as if it still waited, and the token was lost. Nodes with a rate took fractions of tokens, so that the pool never had a whole one.

Change: an empty grant keeps the remaining validity of what it replaces. A need is Waiting only while a request waits. Loans last 150 ms instead of 500 ms. Nodes of little demand reserve tokens only while half of the capacity is free. Nodes that find no token are told successive times to ask again. Grants that no request waits for are asked for at most once a second.

--- a/internal/core/ratelimit/account.go
+++ b/internal/core/ratelimit/account.go
@@ -15,6 +15,7 @@
 	capacity     float64
 	pool         float64 // tokens held by no node
 	updatedAt    time.Duration
+	nextTokenAt  time.Duration // when the inflow has a token that no node waits for
 	holdings     map[request.TargetID]*holding
 	heldRate     float64 // sum of the holdings' rates
 	heldCapacity float64 // sum of the holdings' capacities
@@ -49,18 +50,26 @@
 	return s
 }
 
-// retryAfter returns the time until the pool has a token.
-func (a *account) retryAfter() time.Duration {
+// retryAfter returns the time until the pool has a token for a node that asks now.
+// Nodes that find the pool empty get successive tokens of its inflow, so that they
+// don't all ask again for the same one.
+func (a *account) retryAfter(now time.Duration) time.Duration {
 	if a.pool >= 1 {
+		a.nextTokenAt = now
 		return 0
 	}
 	flow := a.limit.Rate - a.heldRate
 	if flow*maxRetryAfter.Seconds() <= 1-a.pool {
 		return maxRetryAfter
 	}
-	return max(minRetryAfter, time.Duration((1-a.pool)/flow*float64(time.Second)))
+	a.nextTokenAt = max(a.nextTokenAt, now+seconds((1-a.pool)/flow))
+	wait := a.nextTokenAt - now
+	a.nextTokenAt = min(a.nextTokenAt+seconds(1/flow), now+maxRetryAfter)
+	return min(max(minRetryAfter, wait), maxRetryAfter)
 }
 
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // Bounds of the time after which a node that found the pool empty asks again.
 const (
 	minRetryAfter = 20 * time.Millisecond
@@ -164,10 +173,7 @@
 	// new part.
 	h.rate = max(float64(g.Part.Rate), float64(n.Held.Rate), h.target.rate)
 	h.capacity = max(float64(g.Part.Capacity), float64(n.Held.Capacity), h.target.capacity)
-	h.expiresAt = now + withDrift(max(g.Validity, min(n.Remaining, l.cfg.Validity)))
-	if h.target.capacity > 0 {
-		h.expiresAt = now + withDrift(l.cfg.Validity)
-	}
+	h.expiresAt = now + withDrift(h.heldFor(l.cfg.Validity, n, &g))
 	h.isLoan = h.isLoan && h.target.capacity == 0 && n.Held.Capacity == 0
 	a.heldRate += h.rate
 	a.heldCapacity += h.capacity
@@ -175,6 +181,20 @@
 	return g, true
 }
 
+// heldFor returns how long the node may hold what it held or what it is granted. An
+// empty grant adds nothing to the remaining validity of what it replaces.
+func (h *holding) heldFor(validity time.Duration, n *Need, g *Grant) time.Duration {
+	held := min(n.Remaining, validity)
+	switch {
+	case h.target.capacity > 0:
+		return validity
+	case g.Part.Capacity > 0:
+		return max(held, g.Validity)
+	default:
+		return held
+	}
+}
+
 const (
 	// minCapacity is the capacity below which a bucket is useless: it would hold no
 	// burst, and the node asks for single tokens instead.
@@ -182,15 +202,20 @@
 	// minRate is the demand, in requests per second, below which most of a part would
 	// go unused.
 	minRate = 0.7
-	// loanValidity is how long loaned tokens may be used.
-	loanValidity = 500 * time.Millisecond
+	// loanValidity is how long loaned tokens may be used. It is longer than a caller's
+	// request waits for a grant. While it lasts, the tokens count against the capacity.
+	loanValidity = 150 * time.Millisecond
 	// maxLoanTokens bounds the tokens of a loan.
 	maxLoanTokens = 3
-	// reservableFraction is the fraction of a capacity that nodes may hold.
+	// reservableFraction is the fraction of a capacity that nodes may hold as parts.
 	reservableFraction = 0.75
 	// minReserveDemand is the demand, in requests per second, below which a token would
 	// mostly expire unused.
 	minReserveDemand = 0.17
+	// tokenFraction is the fraction of a capacity above which nodes of little demand
+	// reserve no tokens. The pool needs the rest for requests that come close together at
+	// many nodes.
+	tokenFraction = 0.5
 	// maxReturned is the maximum number of returned tokens that is plausible.
 	maxReturned = 1e6
 	// twoTokenDemand is the demand, in requests per second, from which a node reserves
@@ -205,8 +230,9 @@
 // no rate, but one or two tokens that are refilled when it asks.
 func (a *account) allocate(now time.Duration, h *holding) allocation {
 	room := max(0, a.capacity*reservableFraction-a.heldCapacity)
+	tokenRoom := a.capacity*tokenFraction - a.heldCapacity
 	if h.demand < minRate {
-		return h.reserve(room)
+		return h.reserve(tokenRoom)
 	}
 	a.divide(now)
 	free := max(0, a.limit.Rate*(1-unallocatedFraction)-a.heldRate)
@@ -216,7 +242,7 @@
 	}
 	capacity := min(a.capacity*reservableFraction*rate/a.limit.Rate, room)
 	if capacity < minCapacity {
-		return h.reserve(room)
+		return h.reserve(tokenRoom)
 	}
 	return allocation{rate, capacity}
 }
@@ -244,18 +270,29 @@
 		return Part{}
 	}
 	p := Part{Rate: float32(rate), Capacity: float32(capacity)}
-	if settled {
-		full := capacity
-		if rate > 0 && a.pool < (a.capacity-a.heldCapacity)/2 {
-			full = max(capacity/2, 1) // unneeded tokens would be missing elsewhere
-		}
-		give := max(0, min(a.pool, full-float64(n.Held.Tokens)))
-		if rate == 0 {
-			give = math.Floor(give)
+	if !settled {
+		return p
+	}
+	full := capacity
+	if a.pool < (a.capacity-a.heldCapacity)/2 {
+		// Unneeded tokens would be missing elsewhere.
+		switch {
+		case rate > 0:
+			full = max(capacity/2, 1)
+		case n.Waiting:
+			full = 1
+		default:
+			full = 0
 		}
-		a.pool -= give
-		p.Tokens = float32(give)
 	}
+	give := max(0, min(a.pool, full-float64(n.Held.Tokens)))
+	if rate == 0 {
+		give = math.Floor(give)
+	} else if n.Waiting && give+float64(n.Held.Tokens) < 1 {
+		give = 0 // less than a token would only keep the pool from having one
+	}
+	a.pool -= give
+	p.Tokens = float32(give)
 	return p
 }
 
--- a/internal/core/ratelimit/ledger.go
+++ b/internal/core/ratelimit/ledger.go
@@ -146,8 +146,8 @@
 		if !ok {
 			continue
 		}
-		if settled {
-			g.RetryAfter = acc.retryAfter()
+		if settled && n.Waiting {
+			g.RetryAfter = acc.retryAfter(now)
 		}
 		out = append(out, g)
 	}
--- a/internal/core/ratelimit/local.go
+++ b/internal/core/ratelimit/local.go
@@ -33,6 +33,7 @@
 	measuredAt time.Duration // when the demand was last measured
 	demand     float64       // requests per second
 	short      bool          // a request found no token since the last grant request
+	waiting    bool          // one of these waits for a grant
 }
 
 // NewLocal returns an empty set of buckets.
@@ -79,6 +80,7 @@
 	if now < b.retryAt {
 		return OverLimit
 	}
+	b.waiting = true
 	return Unknown
 }
 
@@ -191,6 +193,10 @@
 	demandChange = 0.25
 )
 
+// minAskInterval is the minimum time between two requests for a grant that no caller's
+// request waits for.
+const minAskInterval = time.Second
+
 // measure updates the demand to now.
 func (b *bucket) measure(now time.Duration) {
 	span := now - b.measuredAt
@@ -235,8 +241,12 @@
 // due reports whether to ask for an organisation's tokens now.
 func (l *Local) due(now time.Duration, b *bucket, before float64) bool {
 	switch {
+	case b.waiting:
+		return true
+	case now-b.askedAt < minAskInterval && b.askedAt != 0:
+		return false
 	case b.tokensOnly:
-		return b.short || b.used || now < b.expiresAt && now-b.askedAt >= l.cfg.Validity/2
+		return now < b.expiresAt && (b.used || now-b.askedAt >= l.cfg.Validity/2)
 	case now >= b.expiresAt, b.short, b.demand < minDemand, now-b.askedAt >= l.cfg.RenewAfter:
 		return true
 	case b.tokens < float64(b.part.Capacity)/2:
@@ -247,14 +257,14 @@
 }
 
 func (b *bucket) need(now time.Duration, o request.Organisation) Need {
-	short := b.short
-	b.short, b.used = false, false
-	if b.demand < minDemand || b.tokensOnly && b.demand < minReserveDemand && !short && now < b.expiresAt {
+	waiting := b.waiting
+	b.short, b.waiting, b.used = false, false, false
+	if b.demand < minDemand || b.tokensOnly && b.demand < minReserveDemand && !waiting && now < b.expiresAt {
 		n := Need{Organisation: o, Returned: float32(b.tokens)}
 		b.discard()
 		return n
 	}
-	n := Need{Organisation: o, Demand: float32(b.demand), Waiting: short}
+	n := Need{Organisation: o, Demand: float32(b.demand), Waiting: waiting}
 	if now < b.expiresAt {
 		n.Held = Part{Rate: b.part.Rate, Capacity: b.part.Capacity, Tokens: float32(b.tokens + b.returnable())}
 		n.Remaining = b.expiresAt - now
--- a/internal/core/ratelimit/ratelimit_test.go
+++ b/internal/core/ratelimit/ratelimit_test.go
@@ -22,9 +22,9 @@
 				w.nodes[i*tc.nodes/tc.with].rate = rate * tc.part / float64(tc.with)
 			}
 			w.RunUntil(15 * time.Second)
-			w.arrived, w.admitted, w.taken = 0, 0, nil
+			w.orgs[0].reset()
 			w.RunUntil(75 * time.Second)
-			got := float64(w.admitted) / float64(w.arrived)
+			got := float64(w.orgs[0].admitted) / float64(w.orgs[0].arrived)
 			t.Logf("%d of %d nodes, rate %v: %.3f admitted", tc.with, tc.nodes, rate, got)
 			if got < 0.95 {
 				t.Errorf("%d of %d nodes, rate %v: %.3f admitted", tc.with, tc.nodes, rate, got)
@@ -41,10 +41,10 @@
 		w := newSimulation(t, 1, 3, Limit{Rate: rate + 0.1, Burst: rate})
 		w.nodes[0].rate, w.nodes[1].rate = 0.2, 0.3
 		w.RunUntil(5 * time.Second)
-		w.arrived, w.admitted = 0, 0
+		w.orgs[0].reset()
 		w.RunUntil(60 * time.Second)
-		if w.admitted*10 < w.arrived*9 {
-			t.Errorf("rate %v: %d of %d admitted", w.limit.Rate, w.admitted, w.arrived)
+		if w.orgs[0].admitted*10 < w.orgs[0].arrived*9 {
+			t.Errorf("rate %v: %d of %d admitted", w.orgs[0].limit.Rate, w.orgs[0].admitted, w.orgs[0].arrived)
 		}
 	}
 }
@@ -57,10 +57,10 @@
 		w.nodes[i].rate = 20
 	}
 	w.RunUntil(15 * time.Second)
-	w.taken = nil
+	w.orgs[0].reset()
 	w.RunUntil(75 * time.Second)
 	w.checkBound("excess demand")
-	got := float64(len(w.taken)) / (60 * 50)
+	got := float64(len(w.orgs[0].taken)) / (60 * 50)
 	t.Logf("%.3f of the limit ran", got)
 	is.True(got > 0.85)
 }
@@ -87,8 +87,8 @@
 			}
 			w.RunUntil(70 * time.Second)
 			w.checkBound(fmt.Sprintf("%d nodes, seed %d", n, seed))
-			if len(w.taken) < 100 {
-				t.Errorf("%d nodes, seed %d: only %d requests ran", n, seed, len(w.taken))
+			if len(w.orgs[0].taken) < 100 {
+				t.Errorf("%d nodes, seed %d: only %d requests ran", n, seed, len(w.orgs[0].taken))
 			}
 		}
 	}
--- a/internal/core/ratelimit/simulation_test.go
+++ b/internal/core/ratelimit/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -18,17 +19,36 @@
 	rng   *rand.Rand
 	cfg   Config
 	nodes []*simNode
-	limit Limit
-	org   request.Organisation
+	// orgs are the organisations; most tests have one.
+	orgs    []*simOrg
+	limitOf map[request.Organisation]Limit // set at the first use
+	// repeats: callers repeat a refused request once, at any node.
+	repeats bool
 
 	row     Row
 	version int64
 	down    bool // the table is unreachable
 
-	taken    []time.Duration // of requests that ran
+	lossy bool // messages are lost and delayed
+	asks  int  // requests to lease holders
+	bytes int  // of these and their replies, by the node's estimate
+}
+
+// simOrg is an organisation and what its callers got.
+type simOrg struct {
+	id    request.Organisation
+	limit Limit
+
 	arrived  int
 	admitted int
-	lossy    bool // messages are lost and delayed
+	taken    []time.Duration // of requests that ran
+	arrivals []time.Duration // of all requests, repeats included
+	refused  map[Verdict]int
+}
+
+// reset forgets what was counted so far.
+func (o *simOrg) reset() {
+	o.arrived, o.admitted, o.taken, o.arrivals, o.refused = 0, 0, nil, nil, make(map[Verdict]int)
 }
 
 type simNode struct {
@@ -46,16 +66,19 @@
 
 	seq       uint64
 	busy      bool // a request to the lease holder is in flight
+	urgent    map[request.Organisation]bool
+	waiting   []func() // called after the next reply
 	reportAll bool
 	target    request.TargetID // the lease holder if known; 0: choose by Order
 	avoid     map[request.TargetID]time.Duration
-	rate      float64 // requests per second
+	rate      float64 // requests per second of the first organisation
 }
 
 func newSimulation(t testing.TB, seed uint64, n int, limit Limit) *simulation {
 	cfg := DefaultConfig()
 	cfg.Terms.Slack = 20
-	w := &simulation{t: t, rng: rand.New(rand.NewPCG(seed, 1)), cfg: cfg, limit: limit, org: "acme"}
+	w := &simulation{t: t, rng: rand.New(rand.NewPCG(seed, 1)), cfg: cfg, orgs: []*simOrg{{id: "acme", limit: limit}}}
+	w.orgs[0].reset()
 	for i := range n {
 		nd := &simNode{w: w, id: request.TargetIDOf(fmt.Sprint("node", i)), speed: 1 + 0.002*(w.rng.Float64()-0.5)}
 		w.nodes = append(w.nodes, nd)
@@ -73,7 +96,16 @@
 	return nil
 }
 
-func (w *simulation) limits(request.Organisation) (Limit, bool) { return w.limit, true }
+func (w *simulation) limits(id request.Organisation) (Limit, bool) {
+	if w.limitOf == nil {
+		w.limitOf = make(map[request.Organisation]Limit)
+		for _, o := range w.orgs {
+			w.limitOf[o.id] = o.limit
+		}
+	}
+	limit, ok := w.limitOf[id]
+	return limit, ok
+}
 
 // clock returns the node's local time.
 func (n *simNode) clock() time.Duration {
@@ -87,6 +119,7 @@
 	n.lease = NewLease(n.w.cfg, n.id, n.incarnation, first)
 	n.local = NewLocal(n.w.cfg)
 	n.avoid = make(map[request.TargetID]time.Duration)
+	n.urgent, n.waiting = make(map[request.Organisation]bool), nil
 	incarnation := n.incarnation
 	n.tick(incarnation)
 	n.arrive(incarnation)
@@ -124,7 +157,7 @@
 
 func (n *simNode) tick(incarnation uint64) {
 	if n.w.rng.IntN(5) == 0 || n.reportAll {
-		n.ask(incarnation, nil)
+		n.ask(incarnation)
 	}
 	n.callTable(incarnation)
 	n.later(incarnation, simTick, func() { n.tick(incarnation) })
@@ -191,8 +224,8 @@
 	return best
 }
 
-// ask asks the lease holder and calls then after it has processed the answer.
-func (n *simNode) ask(incarnation uint64, then func()) {
+// ask asks the lease holder for what is due and for the urgent organisations.
+func (n *simNode) ask(incarnation uint64) {
 	if n.busy {
 		return
 	}
@@ -201,12 +234,7 @@
 		return
 	}
 	now := n.clock()
-	a := &GrantRequest{Node: n.id, Incarnation: incarnation, Starting: n.reportAll}
-	if then == nil || n.reportAll {
-		a.Needs = n.local.Needs(now, func(request.Organisation) bool { return true }, n.reportAll, w.limits)
-	} else if need, ok := n.local.NeedOf(now, w.org, w.limit); ok {
-		a.Needs = []Need{need}
-	}
+	a := &GrantRequest{Node: n.id, Incarnation: incarnation, Starting: n.reportAll, Needs: n.needs(now)}
 	if len(a.Needs) == 0 && !n.reportAll {
 		return
 	}
@@ -220,6 +248,7 @@
 		}
 		answered, n.busy = true, false
 		n.avoid[m.id], n.target = n.clock()+2*time.Second, 0
+		n.replied(incarnation)
 	}
 	n.later(incarnation, 700*time.Millisecond, fail)
 	if n.partitioned || m.partitioned || w.loses() {
@@ -228,6 +257,8 @@
 	w.After(w.delay(), func() {
 		m.whenAwake(m.incarnation, func() {
 			r := m.lease.Ask(m.clock(), a, w.limits)
+			w.asks++
+			w.bytes += simAskBytes + simNeedBytes/2*(len(a.Needs)+len(r.Grants))
 			if h := w.node(r.Holder); !r.Divides && h != nil && !h.up {
 				m.lease.HolderGone(m.clock(), h.id) // nothing listens at its address
 			}
@@ -240,16 +271,45 @@
 					return
 				}
 				answered, n.busy = true, false
-				n.handleReply(incarnation, now, m, r)
-				if then != nil {
-					then()
-				}
+				n.handleReply(now, m, r)
+				n.replied(incarnation)
 			})
 		})
 	})
 }
 
-func (n *simNode) handleReply(incarnation uint64, asked time.Duration, m *simNode, r GrantReply) {
+// Bytes of a request with its reply, and of one organisation in both.
+const simAskBytes, simNeedBytes = 60, 60
+
+// needs returns what to ask for, as the node does.
+func (n *simNode) needs(now time.Duration) []Need {
+	needs := n.local.Needs(now, func(request.Organisation) bool { return true }, n.reportAll, n.w.limits)
+	for i := range needs {
+		delete(n.urgent, needs[i].Organisation)
+	}
+	for _, o := range slices.Sorted(maps.Keys(n.urgent)) {
+		limit, _ := n.w.limits(o)
+		if need, ok := n.local.NeedOf(now, o, limit); ok {
+			needs = append(needs, need)
+		}
+	}
+	clear(n.urgent)
+	return needs
+}
+
+// replied continues the requests that waited for a reply.
+func (n *simNode) replied(incarnation uint64) {
+	waiting := n.waiting
+	n.waiting = nil
+	for _, f := range waiting {
+		f()
+	}
+	if len(n.urgent) > 0 {
+		n.ask(incarnation)
+	}
+}
+
+func (n *simNode) handleReply(asked time.Duration, m *simNode, r GrantReply) {
 	if !r.Divides {
 		n.target = r.Holder
 		if r.Holder == 0 || r.Holder == m.id {
@@ -263,7 +323,7 @@
 	n.local.Apply(n.clock(), asked, r.Grants, n.w.limits)
 }
 
-// arrive simulates requests of the organisation at the node.
+// arrive simulates requests of the first organisation at the node.
 func (n *simNode) arrive(incarnation uint64) {
 	if n.rate <= 0 {
 		n.later(incarnation, 100*time.Millisecond, func() { n.arrive(incarnation) })
@@ -271,42 +331,71 @@
 	}
 	gap := time.Duration(n.w.rng.ExpFloat64() / n.rate * float64(time.Second))
 	n.later(incarnation, gap, func() {
-		n.local.Count(n.clock(), n.w.org)
-		n.w.arrived++
-		n.request(incarnation, n.w.Now+100*time.Millisecond)
+		n.receive(n.w.orgs[0], false)
 		n.arrive(incarnation)
 	})
 }
 
-func (n *simNode) request(incarnation uint64, until time.Duration) {
-	now := n.clock()
-	switch n.local.Take(now, n.w.org, n.w.limit) {
-	case Admit:
-		if n.w.rng.IntN(10) == 0 { // refused elsewhere, so it ran nowhere
-			n.later(incarnation, time.Duration(n.w.rng.Int64N(int64(100*time.Millisecond))), func() {
-				n.local.Return(n.clock(), now, n.w.org, n.w.limit)
+// receive handles a request of an organisation from outside.
+func (n *simNode) receive(o *simOrg, repeated bool) {
+	n.local.Count(n.clock(), o.id)
+	o.arrived++
+	o.arrivals = append(o.arrivals, n.w.Now)
+	n.request(n.incarnation, o, n.w.Now+simTakeTimeout, repeated)
+}
+
+// simTakeTimeout is how long a request waits for a grant.
+const simTakeTimeout = 100 * time.Millisecond
+
+func (n *simNode) request(incarnation uint64, o *simOrg, until time.Duration, repeated bool) {
+	now, w := n.clock(), n.w
+	switch v := n.local.Take(now, o.id, o.limit); {
+	case v == Admit:
+		o.admitted++
+		if w.rng.IntN(10) == 0 { // refused elsewhere, so it ran nowhere
+			n.later(incarnation, time.Duration(w.rng.Int64N(int64(100*time.Millisecond))), func() {
+				n.local.Return(n.clock(), now, o.id, o.limit)
 			})
-			n.w.admitted++
 			return
 		}
-		n.w.taken = append(n.w.taken, n.w.Now)
-		n.w.admitted++
-	case Unknown:
-		switch {
-		case n.w.Now < until && n.busy:
-			n.later(incarnation, 5*time.Millisecond, func() { n.request(incarnation, until) })
-		case n.w.Now < until:
-			n.ask(incarnation, func() { n.request(incarnation, 0) })
+		o.taken = append(o.taken, w.Now)
+	case v == Unknown && w.Now < until:
+		n.wait(incarnation, o, until, repeated)
+	default:
+		o.refused[v]++
+		if w.repeats && !repeated {
+			w.After(minSimRetryAfter+time.Duration(w.rng.Int64N(int64(minSimRetryAfter))), func() { w.send(o, true) })
 		}
 	}
 }
 
+// minSimRetryAfter is the minimum time after which a caller repeats a refused request.
+const minSimRetryAfter = 700 * time.Millisecond
+
+// wait asks for the organisation's grant and tries again after the reply or the timeout.
+func (n *simNode) wait(incarnation uint64, o *simOrg, until time.Duration, repeated bool) {
+	done := false
+	again := func() {
+		if !done {
+			done = true
+			n.request(incarnation, o, until, repeated)
+		}
+	}
+	n.waiting = append(n.waiting, again)
+	n.later(incarnation, until-n.w.Now, again)
+	first := len(n.urgent) == 0
+	n.urgent[o.id] = true
+	if first {
+		n.ask(incarnation)
+	}
+}
+
 // maxInWindow returns the maximum number of requests that ran in one window.
-func (w *simulation) maxInWindow() (most int, at time.Duration) {
-	slices.Sort(w.taken)
+func (o *simOrg) maxInWindow(window time.Duration) (most int, at time.Duration) {
+	slices.Sort(o.taken)
 	from := 0
-	for i, t := range w.taken {
-		for w.taken[from] < t-w.cfg.Terms.Window {
+	for i, t := range o.taken {
+		for o.taken[from] < t-window {
 			from++
 		}
 		if i-from+1 > most {
@@ -316,34 +405,43 @@
 	return most, at
 }
 
-func (w *simulation) bound() float64 {
-	t := w.cfg.Terms
-	return (w.limit.Rate*t.Window.Seconds()+w.limit.Burst)*(1+t.Excess) + t.Slack
+func (t Terms) bound(l Limit) float64 {
+	return (l.Rate*t.Window.Seconds()+l.Burst)*(1+t.Excess) + t.Slack
 }
 
-// watchHoldings checks every 20 ms that nodes hold no more than the limit.
+// watchHoldings checks every 20 ms that nodes hold no more than the limit, and less
+// often with many organisations.
 func (w *simulation) watchHoldings(what string) {
+	for _, o := range w.orgs {
+		w.checkHoldings(what, o)
+	}
+	w.After(20*time.Millisecond*time.Duration(min(len(w.orgs), 5)), func() { w.watchHoldings(what) })
+}
+
+func (w *simulation) checkHoldings(what string, o *simOrg) {
 	rate, capacity := 0.0, 0.0
 	for _, n := range w.nodes {
 		if !n.up {
 			continue
 		}
-		if b := n.local.buckets[w.org]; b != nil && n.clock() < b.expiresAt {
+		if b := n.local.buckets[o.id]; b != nil && n.clock() < b.expiresAt {
 			rate += float64(b.part.Rate)
 			capacity += float64(b.part.Capacity)
 		}
 	}
 	const rounding = 1e-4
-	if rate > w.limit.Rate*(1+rounding) || capacity > w.cfg.Terms.capacity(w.limit)*(1+rounding) {
-		w.t.Fatalf("%s: at %v nodes hold a rate of %.2f per second and a capacity of %.2f tokens", what, w.Now, rate, capacity)
+	if rate > o.limit.Rate*(1+rounding) || capacity > w.cfg.Terms.capacity(o.limit)*(1+rounding) {
+		w.t.Fatalf("%s: at %v nodes hold a rate of %.2f per second and a capacity of %.2f tokens of %s", what, w.Now, rate, capacity, o.id)
 	}
-	w.After(20*time.Millisecond, func() { w.watchHoldings(what) })
 }
 
 // checkBound fails if more requests ran in some window than the terms allow.
 func (w *simulation) checkBound(what string) {
 	w.t.Helper()
-	if most, at := w.maxInWindow(); float64(most) > w.bound() {
-		w.t.Fatalf("%s: %d requests ran in the window up to %v; the bound is %v", what, most, at, w.bound())
+	for _, o := range w.orgs {
+		bound := w.cfg.Terms.bound(o.limit)
+		if most, at := o.maxInWindow(w.cfg.Terms.Window); float64(most) > bound {
+			w.t.Fatalf("%s: %d requests of %s ran in the window up to %v; the bound is %v", what, most, o.id, at, bound)
+		}
 	}
 }
