Serve sooner after all nodes lose power together

Cause, by "all nodes killed" (six nodes, four classes of 60 requests a second): nodes that found no informed peer asked again only after 1 s and then waited until 2 s after the first question for answers of all peers, so some had no configuration for 2.6 s. Then rate limits were not granted for up to 2.5 s: nothing listened yet at the lease holder's address, or it had no lease yet, and a node that asked for many waiting requests gave up on it for 2 s at once.

Change: an answer to a starting node tells how long ago the platform had nothing newer. One such answer is enough if that was after the node's own start, since its earlier process can't have had a newer version in force. The clock of configsync includes suspended time. Questions are repeated every 400 ms while StartWait lasts. An installed set that makes a node ready is published at once. A refused connection keeps a lease holder from being asked for 200 ms, and only one empty reply in 300 ms counts against it. The lab has an organisation.

--- a/bench/faults/lab.go
+++ b/bench/faults/lab.go
@@ -26,30 +26,36 @@
 	shared  bool   // whether claims share rows
 }
 
-// configSet declares the lab's services.
+// labKey is the API key of the lab's organisation; its set holds the digest.
+const labKey = "lab-key"
+
+// configSet declares the lab's services. The organisation's limit exceeds what any
+// scenario sends.
 const configSet = `tenant: lab
 share: 1
+organisations:
+  - {name: acme, keys: [sha256-c86bec5c22f475aa5a3b9220c8d0bc2b7d91ca9b1ff0272d75953f6643596bd4], rate: 120, burst: 60}
 services:
   - name: feed
     slots: 50
     connections: 500
     calls: [archive.lab]
     classes:
-      - {name: read, method: GET, path: /feed, importance: 20, deadline: 2s, attempts: 2}
+      - {name: read, method: GET, path: /feed, anonymous: true, importance: 20, deadline: 2s, attempts: 2}
   - name: notices
     slots: 50
     connections: 500
     calls: [archive.lab]
     classes:
-      - {name: publish, method: POST, path: /notices, importance: 90, deadline: 3s, attempts: 2, atMostOnce: true, remember: 24h}
+      - {name: publish, method: POST, path: /notices, anonymous: true, importance: 90, deadline: 3s, attempts: 2, atMostOnce: true, remember: 24h}
   - name: archive
     slots: 50
     connections: 500
     classes:
-      - {name: article, method: GET, path: /articles, importance: 20, deadline: 2s, attempts: 2}
-      - {name: store, method: PUT, path: /articles, importance: 50, deadline: 2s, attempts: 2}
-      - {name: write, method: POST, path: /writes, importance: 50, deadline: 2s, attempts: 2}
-      - {name: upload, method: POST, path: /uploads, importance: 80, deadline: 1m, attempts: 0, maxBody: 64MiB}
+      - {name: article, method: GET, path: /articles, anonymous: true, importance: 20, deadline: 2s, attempts: 2}
+      - {name: store, method: PUT, path: /articles, anonymous: true, importance: 50, deadline: 2s, attempts: 2}
+      - {name: write, method: POST, path: /writes, anonymous: true, importance: 50, deadline: 2s, attempts: 2}
+      - {name: upload, method: POST, path: /uploads, anonymous: true, importance: 80, deadline: 1m, attempts: 0, maxBody: 64MiB}
 `
 
 // deployment returns the deployment that the lab runs.
--- a/bench/faults/load.go
+++ b/bench/faults/load.go
@@ -25,7 +25,7 @@
 }
 
 // serviceOfClass maps a class to the service that its requests are sent to.
-var serviceOfClass = map[string]string{"read": "feed.lab", "write": "archive.lab", "publish": "notices.lab", "crash": "feed.lab", "upload": "archive.lab"}
+var serviceOfClass = map[string]string{"read": "feed.lab", "limited": "feed.lab", "write": "archive.lab", "publish": "notices.lab", "crash": "feed.lab", "upload": "archive.lab"}
 
 // load is a running mix of requests.
 type load struct {
--- a/bench/faults/scenario.go
+++ b/bench/faults/scenario.go
@@ -66,6 +66,7 @@
 		{"connections silent, node killed", silentAndKilled},
 		{"overload, connections silent", silentInOverload},
 		{"node frozen until held dead, new set", frozenUntilDead},
+		{"all nodes killed", allNodesKilled},
 	}
 }
 
--- a/bench/standin/client/attempt.go
+++ b/bench/standin/client/attempt.go
@@ -74,6 +74,9 @@
 	}
 	req.Host = c.Host
 	req.Header.Set(headerMark, mark)
+	if c.APIKey != "" {
+		req.Header.Set(wire.HeaderAuthorization, "Bearer "+c.APIKey)
+	}
 	if c.Key {
 		// In lower case: with the canonical name net/http treats the request as
 		// replayable and would add retries that are not counted.
--- a/bench/standin/client/config.go
+++ b/bench/standin/client/config.go
@@ -33,6 +33,8 @@
 	Body      int  // size of the request body in bytes
 	Key       bool // send an Idempotency-Key
 	KeyUUIDv7 bool // use a version 7 UUID as the key
+	// APIKey is the key of the organisation that calls; empty: none is sent.
+	APIKey string
 
 	// Phases are the consecutive arrival phases of an open loop.
 	Phases []Phase
--- a/internal/core/configsync/call.go
+++ b/internal/core/configsync/call.go
@@ -14,6 +14,7 @@
 	tenant   request.Tenant
 	head     configset.Head   // for callObject: the set to load
 	peer     request.TargetID // for callKnownHeads
+	sentAt   time.Duration    // for callKnownHeads
 	deadline time.Duration
 }
 
@@ -86,7 +87,7 @@
 	case !ok:
 	case c.kind == callKnownHeads:
 		s.endCall(id)
-		s.handleKnownHeads(now, c.peer, r)
+		s.handleKnownHeads(now, c, r)
 	case c.kind == callAsk:
 		s.endCall(id)
 		s.handleFetchReply(now, s.tenants[c.tenant], r)
--- a/internal/core/configsync/configsync_test.go
+++ b/internal/core/configsync/configsync_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -110,6 +111,55 @@
 	is.True(reads < len(c.nodes)) // the first few inform the others
 }
 
+// Guards against nodes that lose power together and then wait for each other, although
+// some of them have read the platform.
+func TestFleetThatStartsAtOnceIsReadySoon(t *testing.T) {
+	const step = 2 * time.Second // after one step 0.7 are ready, after two 0.9
+	for _, size := range []int{6, 70, 85} {
+		is := is.New(t)
+		c := newCluster(size, t.Fatalf)
+		c.apply("khaosan", 1, 0)
+		c.runFor(15 * time.Second)
+		for _, n := range c.nodes {
+			n.restart()
+		}
+		for _, part := range []float64{0.7, 0.9} {
+			c.runFor(step)
+			ready := 0
+			for _, n := range c.nodes {
+				if n.state.Ready() {
+					ready++
+				}
+			}
+			t.Logf("%d of %d nodes are ready", ready, size)
+			is.True(float64(ready) >= part*float64(size))
+		}
+	}
+}
+
+// Guards against a starting node that takes one peer's word for the newest versions,
+// although the platform may have had a newer one in force here before the start.
+func TestOneAnswerFromBeforeTheStartIsNotEnough(t *testing.T) {
+	is := is.New(t)
+	peers := manyPeers(12, 1)
+	for _, tc := range []struct {
+		age      time.Duration // of what the peer read from the platform
+		informed bool
+	}{{0, false}, {time.Second, false}, {2 * time.Second, false}, {900 * time.Millisecond, true}} {
+		start := time.Minute
+		s := New(DefaultConfig(), peers[0], rand.New(rand.NewPCG(1, 1)), start)
+		s.SetPeers(peers, peers, true)
+		now := start + time.Second
+		for _, a := range s.Tick(now) {
+			if ask, ok := a.(AskPeer); ok {
+				s.HandleReply(now+100*time.Millisecond, ask.ID, Reply{Informed: true, PlatformAge: tc.age})
+				break
+			}
+		}
+		is.Equal(s.startup.informed, tc.informed)
+	}
+}
+
 // Guards against a downgrade by an answer that was delayed by a pause and
 // arrives after a newer one.
 func TestOlderSetIsIgnored(t *testing.T) {
--- a/internal/core/configsync/fuzz_test.go
+++ b/internal/core/configsync/fuzz_test.go
@@ -54,6 +54,6 @@
 		if v := s.InForce("khaosan"); v == 2 && s.tenants["khaosan"].held.Head() != next.Head() {
 			t.Fatal("version 2 in force is not the announced set")
 		}
-		s.handleKnownHeads(1, peers[1].ID, r)
+		s.handleKnownHeads(1, pendingCall{peer: peers[1].ID}, r)
 	})
 }
--- a/internal/core/configsync/message.go
+++ b/internal/core/configsync/message.go
@@ -1,6 +1,8 @@
 package configsync
 
 import (
+	"time"
+
 	"peardrift/internal/core/configset"
 	"peardrift/internal/core/request"
 )
@@ -43,6 +45,10 @@
 	// sent Heads.
 	Informed bool `msgpack:"i,omitempty"`
 
+	// PlatformAge is sent with Heads: they include all versions that the platform had
+	// this long ago. 0: unknown.
+	PlatformAge time.Duration `msgpack:"p,omitempty"`
+
 	// Heads is the response to Ask.Heads.
 	Heads []configset.Head `msgpack:"n,omitempty"`
 }
--- a/internal/core/configsync/poll.go
+++ b/internal/core/configsync/poll.go
@@ -53,16 +53,23 @@
 		return
 	}
 	p.inFlight = true
-	s.stats.Reads++
+	s.countRead(now)
 	s.emit(ReadHead{ID: s.beginCall(pendingCall{kind: callHeadRow, tenant: t, deadline: now + s.cfg.LoadTimeout}), Tenant: t})
 }
 
+func (s *State) countRead(now time.Duration) {
+	s.stats.Reads++
+	if s.startup.firstReadAt == 0 {
+		s.startup.firstReadAt = now
+	}
+}
+
 func (s *State) readTenantList(now time.Duration) {
 	if s.tenantList.inFlight {
 		return
 	}
 	s.tenantList.inFlight = true
-	s.stats.Reads++
+	s.countRead(now)
 	s.emit(ReadTenants{ID: s.beginCall(pendingCall{kind: callTenantList, deadline: now + s.cfg.LoadTimeout})})
 }
 
--- a/internal/core/configsync/serve.go
+++ b/internal/core/configsync/serve.go
@@ -50,7 +50,7 @@
 
 func (s *State) handleAsk(now time.Duration, id uint64, a Ask) {
 	if a.Heads {
-		s.emit(Answer{ID: id, Reply: Reply{Informed: s.startup.informed, Heads: s.Known()}})
+		s.emit(Answer{ID: id, Reply: Reply{Informed: s.startup.informed, PlatformAge: s.platformAge(now), Heads: s.Known()}})
 		return
 	}
 	s.learn(now, a.Want)
--- a/internal/core/configsync/startup.go
+++ b/internal/core/configsync/startup.go
@@ -15,10 +15,13 @@
 // ago: it asked a single peer, which had been paused or partitioned. So several
 // informed peers must answer, and the highest reported version wins.
 type startup struct {
+	startedAt      time.Duration             // when the process started
 	firstAsked     time.Duration             // when peers were first asked, 0 if never
 	lastAsked      time.Duration             // when peers were last asked
 	answered       map[request.TargetID]bool // informed peers that answered
 	platformReadAt time.Duration             // when to read the platform; 0: not scheduled yet
+	firstReadAt    time.Duration             // when the platform was first read, 0 if never
+	platformAsOf   time.Duration             // this node knows all that the platform had then; 0: unknown
 	listedTenants  []request.Tenant          // tenants listed by the platform
 	informed       bool                      // enough peers or the platform reported the newest versions
 	ready          bool                      // those versions are in force
@@ -28,6 +31,10 @@
 	// askInterval is the time between two rounds of asking peers.
 	askInterval = time.Second
 
+	// startAskInterval is the same during StartWait. Peers that are starting too are
+	// informed soon, since the first ones read the platform.
+	startAskInterval = 400 * time.Millisecond
+
 	// incompleteViewFactor times StartWait is how long a node with an
 	// incomplete member list waits to learn of more peers than the few it
 	// joined through.
@@ -45,13 +52,17 @@
 
 // askForKnownHeads asks several random peers for the versions that they know.
 func (s *State) askForKnownHeads(now time.Duration) {
-	if s.otherCount == 0 || s.startup.firstAsked != 0 && now < s.startup.lastAsked+askInterval {
+	interval := askInterval
+	if now < s.startup.firstAsked+s.cfg.StartWait {
+		interval = startAskInterval
+	}
+	if s.otherCount == 0 || s.startup.firstAsked != 0 && now < s.startup.lastAsked+interval {
 		return
 	}
 	s.startup.lastAsked = now
 	s.startup.firstAsked = cmp.Or(s.startup.firstAsked, max(now, 1))
 	for _, p := range s.randomPeers(s.cfg.StartPeers) {
-		id := s.beginCall(pendingCall{kind: callKnownHeads, peer: p.ID, deadline: now + s.cfg.StartWait})
+		id := s.beginCall(pendingCall{kind: callKnownHeads, peer: p.ID, sentAt: now, deadline: now + s.cfg.StartWait})
 		s.emit(AskPeer{ID: id, To: p, Ask: Ask{Heads: true}})
 	}
 }
@@ -71,14 +82,32 @@
 // informed itself are recorded, but the answer does not count: when a whole
 // fleet starts at once, nodes would otherwise convince each other that there is
 // no configuration.
-func (s *State) handleKnownHeads(now time.Duration, from request.TargetID, r Reply) {
+//
+// One answer suffices if it includes all that the platform had after this process
+// started: the process before it can't have had a newer version in force.
+func (s *State) handleKnownHeads(now time.Duration, c pendingCall, r Reply) {
 	for _, h := range r.Heads {
 		s.learn(now, h)
 	}
-	if r.Informed && !s.startup.informed {
-		s.startup.answered[from] = true
-		s.checkPeerAnswers(now)
+	if s.startup.informed || !r.Informed {
+		return
+	}
+	s.startup.answered[c.peer] = true
+	if asOf := c.sentAt - r.PlatformAge; r.PlatformAge > 0 && asOf > s.startup.startedAt {
+		s.startup.platformAsOf = asOf
+		s.markInformed(now)
+		return
+	}
+	s.checkPeerAnswers(now)
+}
+
+// platformAge returns how long ago the platform had nothing that this node doesn't
+// know; 0 if unknown.
+func (s *State) platformAge(now time.Duration) time.Duration {
+	if !s.startup.informed || s.startup.platformAsOf == 0 {
+		return 0
 	}
+	return max(now-s.startup.platformAsOf, 1)
 }
 
 // checkPeerAnswers marks the node informed once enough peers have answered, or
@@ -137,6 +166,7 @@
 		}
 	}
 	if all {
+		s.startup.platformAsOf = s.startup.firstReadAt
 		s.markInformed(now)
 	}
 }
--- a/internal/core/configsync/state.go
+++ b/internal/core/configsync/state.go
@@ -83,7 +83,7 @@
 		tenants:        make(map[request.Tenant]*tenant),
 		index:          configset.NewIndex(),
 		calls:          make(map[uint64]pendingCall),
-		startup:        startup{answered: make(map[request.TargetID]bool)},
+		startup:        startup{startedAt: now, answered: make(map[request.TargetID]bool)},
 		wholeSetBucket: tokenBucket{tokens: cfg.WholeSetBurst, refilledAt: now},
 	}
 }
--- a/internal/node/clock.go
+++ b/internal/node/clock.go
@@ -16,4 +16,11 @@
 	return time.Duration(ts.Nano())
 }
 
+// sinceNow returns a clock that starts at 0 and includes the time for which the machine
+// is suspended.
+func sinceNow() func() time.Duration {
+	start := uptime()
+	return func() time.Duration { return uptime() - start }
+}
+
 var processStart = time.Now()
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -28,7 +28,7 @@
 	calls     *rpc.Pool
 	submit    func(func()) error
 	post      func(func())
-	now       func() time.Duration
+	now       func() time.Duration // includes the time for which the machine is suspended
 	gossip    func(member.Fact)
 	onInstall func()        // called for each version that takes effect
 	watch     *watcher      // nil if the platform can't be watched for changes
@@ -60,8 +60,8 @@
 	return r.config.state.PiggybackAnswer(request, room)
 }
 
-func (r heartbeatPiggyback) HandleReply(now time.Duration, answer []byte) {
-	r.config.deferred = append(r.config.deferred, r.config.state.HandlePiggyback(now, answer)...)
+func (r heartbeatPiggyback) HandleReply(_ time.Duration, answer []byte) {
+	r.config.deferred = append(r.config.deferred, r.config.state.HandlePiggyback(r.config.now(), answer)...)
 }
 
 // learnGossiped processes the gossiped heads if any fact has changed.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -141,6 +141,15 @@
 	c.node.logRejectedConnections()
 }
 
+// handleInstall handles a configuration that has taken effect. A starting node that it
+// makes ready doesn't wait for the next tick.
+func (c *control) handleInstall() {
+	c.node.metrics.Counters.ConfigChanges.Inc(1)
+	if !c.published.ready && c.canRoute() {
+		c.publish()
+	}
+}
+
 // publish hands the data plane a new view if any of its inputs changed.
 func (c *control) publish() {
 	next := viewInputs{
--- a/internal/node/limitgrants.go
+++ b/internal/node/limitgrants.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 	"time"
 
 	"peardrift/internal/adapter/zaplog"
@@ -102,7 +104,7 @@
 	now := l.now()
 	switch {
 	case err != nil:
-		s.avoidUntil[m.ID], s.knownHolder = now+avoidDuration, 0
+		s.avoidUntil[m.ID], s.knownHolder = now+avoidanceAfter(err), 0
 		s.nextAsk = now
 		l.log.Debug("rate limits not asked", zaplog.Target(m.ID), zaplog.Error(err))
 	case !r.Divides:
@@ -127,6 +129,14 @@
 	}
 }
 
+// avoidanceAfter returns how long a node isn't asked after a request failed.
+func avoidanceAfter(err error) time.Duration {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return refusedAvoidDuration
+	}
+	return avoidDuration
+}
+
 // handleRedirect processes a reply from a node that doesn't hold the lease.
 func (l *limiter) handleRedirect(s *shard, m member.Member, now time.Duration, r ratelimit.GrantReply) {
 	s.knownHolder = 0
@@ -135,6 +145,10 @@
 		return
 	}
 	s.nextAsk = now + askRetryDelay
+	if now < s.emptyReplyAt+askRetryDelay && s.emptyReplies > 0 {
+		return // callers' requests ask more often, and the node may be starting
+	}
+	s.emptyReplyAt = now
 	if s.emptyReplies++; s.emptyReplies >= maxEmptyReplies {
 		s.emptyReplies = 0
 		s.avoidUntil[m.ID] = now + avoidDuration
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -70,7 +70,8 @@
 	ranked       []member.Member
 	knownHolder  request.TargetID // the lease holder as far as known; 0: ask the first of ranked
 	avoidUntil   map[request.TargetID]time.Duration
-	emptyReplies int // consecutive replies that name no lease holder
+	emptyReplies int           // consecutive replies that name no lease holder, one in askRetryDelay
+	emptyReplyAt time.Duration // time of the last one that was counted
 	askInFlight  bool
 	starting     bool // the lease holder hasn't answered since this node started
 	seq          uint64
@@ -90,6 +91,9 @@
 	// maxEmptyReplies is the number of consecutive replies without a lease holder after
 	// which another node is asked.
 	maxEmptyReplies = 6
+	// refusedAvoidDuration is the same for a node at whose address nothing listens. It may
+	// be starting.
+	refusedAvoidDuration = 200 * time.Millisecond
 	// takeTimeout is how long a caller's request may wait for a grant.
 	takeTimeout = 100 * time.Millisecond
 )
@@ -105,7 +109,6 @@
 	if n.integration != nil {
 		cfg.Terms, first = n.integration.Limits, n.integration.Bootstrap
 	}
-	start := uptime()
 	l := &limiter{
 		log: n.log, cfg: cfg, self: n.self.ID, processID: rand.Uint64(), bootstrap: first,
 		calls: n.calls, meter: c.meter, submit: n.pool.Submit, post: c.post,
@@ -115,7 +118,7 @@
 			default:
 			}
 		},
-		now:   func() time.Duration { return uptime() - start },
+		now:   sinceNow(),
 		index: c.config.index,
 		local: ratelimit.NewLocal(cfg),
 	}
--- a/internal/node/limits_test.go
+++ b/internal/node/limits_test.go
@@ -1,12 +1,16 @@
 package node
 
 import (
+	"context"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"peardrift/internal/adapter/rpc"
 	"peardrift/internal/core/configset"
+	"peardrift/internal/core/member"
 	"peardrift/internal/core/ratelimit"
 	"peardrift/internal/core/request"
 )
@@ -37,3 +41,33 @@
 		l.tryTake(o, true)
 	}
 }
+
+// Guards against a lease holder that is not asked for seconds although it restarts at
+// once, because other nodes found nothing listening at its address.
+func TestNodeThatRestartsIsAskedSoon(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(listener.Close())
+	calls := rpc.NewPool(rpc.DefaultConfig(), &rpc.Meter{})
+	defer calls.Close()
+	err = calls.Call(t.Context(), listener.Addr().String(), methodAskLimits, &ratelimit.GrantRequest{}, &ratelimit.GrantReply{})
+	is.True(err != nil)
+	is.Equal(avoidanceAfter(err), refusedAvoidDuration)
+	is.Equal(avoidanceAfter(context.DeadlineExceeded), avoidDuration)
+}
+
+// Guards against many waiting requests that make a node give up at once on a starting
+// lease holder, and then not ask it for seconds.
+func TestStartingLeaseHolderIsAskedAgain(t *testing.T) {
+	is := is.New(t)
+	l, s, m := &limiter{}, &shard{avoidUntil: make(map[request.TargetID]time.Duration)}, member.Member{Record: &member.Record{}}
+	for i := range 5 * maxEmptyReplies { // in half of the time that the replies may take
+		l.handleRedirect(s, m, time.Second+time.Duration(i)*askRetryDelay/10, ratelimit.GrantReply{})
+	}
+	is.Equal(s.avoidUntil[m.ID], time.Duration(0))
+	for i := range maxEmptyReplies {
+		l.handleRedirect(s, m, time.Minute+time.Duration(i)*askRetryDelay, ratelimit.GrantReply{})
+	}
+	is.True(s.avoidUntil[m.ID] > time.Minute)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -231,10 +231,10 @@
 	self := configsync.Peer{ID: rec.ID, Region: rec.Region, Addr: rec.ControlAddr}
 	c.config = &configManager{
 		log: n.log, store: n.sets, calls: n.calls,
-		submit: n.pool.Submit, post: c.post, now: c.now,
+		submit: n.pool.Submit, post: c.post, now: sinceNow(),
 		state:       configsync.New(n.configsyncConfig(), self, rand.New(rand.NewPCG(rand.Uint64(), uint64(rec.ID))), 0),
 		gossip:      func(f member.Fact) { c.state.PutFact(c.now(), f) },
-		onInstall:   func() { n.metrics.Counters.ConfigChanges.Inc(1) },
+		onInstall:   c.handleInstall,
 		pendingAsks: make(map[uint64]chan configsync.Reply),
 		readLevel:   zapcore.DebugLevel,
 	}
--- a/internal/node/services.go
+++ b/internal/node/services.go
@@ -152,7 +152,7 @@
 func (s *adminService) Head(in *adminapi.HeadArgs, out *adminapi.HeadReply) error {
 	c := s.node.control
 	c.ask(func() {
-		c.config.execute(c.config.state.Hint(c.now(), in.Tenant, in.Version))
+		c.config.execute(c.config.state.Hint(c.config.now(), in.Tenant, in.Version))
 		out.InForce = c.config.state.InForce(in.Tenant)
 	})
 	return nil
