Let nodes without an integration hold waiting requests and send rejected calls again

Settings traffic.waiting, traffic.resendRatio, traffic.resendWindow and target.notExecutedHeader turn them on, and a class may declare its objective in a configuration set. The defaults leave nodes as before; a set without objectives encodes as before.

--- a/internal/adapter/yamlset/parse_test.go
+++ b/internal/adapter/yamlset/parse_test.go
@@ -166,3 +166,28 @@
 		}
 	})
 }
+
+// Guards against an objective that the operators' tool accepts and nodes never receive, or
+// that is out of range.
+func TestObjectiveReachesNodes(t *testing.T) {
+	is := is.New(t)
+	const class = "maxBody: 4KiB}"
+	parse := func(objective string) (configset.Set, error) {
+		feed := strings.Replace(feedFile, class, "objective: "+objective+", "+class, 1)
+		return Parse(File{"a.yaml", []byte(tenantFile)}, File{"b.yaml", []byte(feed)})
+	}
+	set, err := parse("300ms")
+	is.NoErr(err)
+	set.Version = 1
+	p, err := configset.Pack(set)
+	is.NoErr(err)
+	sent, err := p.Bytes()
+	is.NoErr(err)
+	received, err := configset.Unpack(sent, p.Head())
+	is.NoErr(err)
+	got := received.Set()
+	is.Equal(got.Services[0].Classes[0].Objective, 300*time.Millisecond)
+	is.Equal(got.Services[1].Classes[0].Objective, time.Duration(0))
+	_, err = parse("2h")
+	is.True(err != nil)
+}
--- a/internal/adapter/yamlset/set.go
+++ b/internal/adapter/yamlset/set.go
@@ -103,6 +103,7 @@
 		"path":       {required: true, decode: d.str(&c.Path)},
 		"importance": {required: true, decode: d.integer(&importance)},
 		"deadline":   {decode: d.duration(&c.Deadline)},
+		"objective":  {decode: d.duration(&c.Objective)},
 		"attempts":   {decode: d.integer(&c.Attempts)},
 		"atMostOnce": {decode: d.boolean(&c.AtMostOnce)},
 		"remember": {decode: func(n ast.Node, field string) {
--- a/internal/core/configset/diff.go
+++ b/internal/core/configset/diff.go
@@ -93,6 +93,9 @@
 	out[at+"path"] = c.Path
 	out[at+"importance"] = fmt.Sprint(c.Importance)
 	out[at+"deadline"] = c.Deadline.String()
+	if c.Objective > 0 {
+		out[at+"objective"] = c.Objective.String()
+	}
 	out[at+"attempts"] = fmt.Sprint(c.Attempts)
 	out[at+"maxBody"] = fmt.Sprint(c.MaxBody)
 	if c.Anonymous {
--- a/internal/core/configset/set.go
+++ b/internal/core/configset/set.go
@@ -97,12 +97,12 @@
 	// Anonymous requests need no key, even where others do.
 	Anonymous bool `msgpack:"y,omitempty"`
 
+	// Objective is the time within which an answer is worth most; 0 if none.
+	Objective time.Duration `msgpack:"v,omitempty"`
+
 	// The remaining fields are set for routes only and never encoded with a
 	// class.
 
-	// Objective is the time within which an answer is worth most; 0 if none.
-	Objective time.Duration `msgpack:"-"`
-
 	// Repeat says whether a request may run more than once.
 	Repeat RepeatPolicy `msgpack:"-"`
 
--- a/internal/core/configset/validate.go
+++ b/internal/core/configset/validate.go
@@ -165,6 +165,7 @@
 	}
 	checkRange(v, field.withKey("importance"), c.Importance, 0, request.MaxImportance)
 	checkRange(v, field.withKey("deadline"), c.Deadline, MinDeadline, MaxDeadline)
+	checkRange(v, field.withKey("objective"), c.Objective, 0, MaxDeadline)
 	checkRange(v, field.withKey("attempts"), c.Attempts, 0, MaxAttempts)
 	checkRange(v, field.withKey("maxBody"), c.MaxBody, 0, MaxBodyLimit)
 	v.checkKeyRetention(field, c)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -175,10 +175,13 @@
 }
 
 // trafficConfig returns the engine's configuration. Requests wait at their entry where the
-// platform declares objectives and a memory limit bounds what they take.
+// platform declares objectives, or the settings say so, and a memory limit bounds what they
+// take.
 // integration is nil if the node uses the project's default interfaces.
 func trafficConfig(s settings.Settings, integration *Integration) dataplane.Config {
 	cfg := dataplane.DefaultConfig()
+	cfg.Dialect.NotExecuted = s.Target.NotExecutedHeader
+	cfg.Resend.Ratio, cfg.Resend.Window = s.Traffic.ResendRatio, s.Traffic.ResendWindow
 	if integration != nil {
 		cfg = dataplane.IntegratedConfig()
 		cfg.Dialect = integration.Dialect
@@ -187,7 +190,7 @@
 	}
 	cfg.BufferBytes, cfg.MaxCalls = s.Traffic.BufferBytes, s.Traffic.MaxCalls
 	cfg.MaxBody, cfg.UploadTimeout = s.Traffic.MaxBodyBytes, s.Traffic.UploadTimeout
-	if integration != nil {
+	if integration != nil || s.Traffic.Waiting {
 		cfg.EnableWaiting(s.Limits.MemoryBytes)
 	}
 	return cfg
--- a/internal/settings/default.go
+++ b/internal/settings/default.go
@@ -31,6 +31,7 @@
 			UploadTimeout:  5 * time.Minute,
 			IdleTimeout:    90 * time.Second,
 			ConnectTimeout: 250 * time.Millisecond,
+			ResendWindow:   10 * time.Second,
 		},
 		Shutdown: Shutdown{Announce: 3 * time.Second, Grace: 25 * time.Second},
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -65,6 +65,12 @@
 	// dead idle target sooner and costs the target more calls; higher does the
 	// reverse.
 	HealthPeriod time.Duration `yaml:"healthPeriod" validate:"min=100ms,max=1m"`
+
+	// NotExecutedHeader names the header with which the target marks answers to requests
+	// that it has not run. Default: none; no answer of the target is taken for a refusal.
+	// Set it only if the target marks no answer to a request that has run: such a request
+	// would be tried again.
+	NotExecutedHeader string `yaml:"notExecutedHeader" validate:"max=64,printascii,excludesall= :"`
 }
 
 // Listen holds the addresses (ip:port) of the node's listeners. Port 0 selects a free
--- a/internal/settings/traffic.go
+++ b/internal/settings/traffic.go
@@ -45,4 +45,21 @@
 	// Lower gives up on a slow peer sooner, before the call has started there; it must
 	// exceed the round trip to the farthest region.
 	ConnectTimeout time.Duration `yaml:"connectTimeout" validate:"min=10ms,max=10s"`
+
+	// Waiting lets requests of classes that declare an objective wait at this node for
+	// capacity of the services below. Default false: they are refused at once. It needs
+	// Limits.MemoryBytes, an eighth of which waiting requests may take. A platform that
+	// sets objectives turns it on by itself.
+	Waiting bool `yaml:"waiting"`
+
+	// ResendRatio bounds the further sends to the own target of calls that it marks as not
+	// run, per call in ResendWindow, 0 to 1. Default 0: none. Higher completes more requests while
+	// the target rejects calls and adds load to it. It needs Target.NotExecutedHeader. A
+	// platform that states a bound replaces it.
+	ResendRatio float64 `yaml:"resendRatio" validate:"min=0,max=1"`
+
+	// ResendWindow is the window in which ResendRatio holds. Default 10s. A node sends
+	// nothing again for one window after its start. Longer allows more further sends at
+	// once after a quiet time.
+	ResendWindow time.Duration `yaml:"resendWindow" validate:"min=1s,max=1m"`
 }
