--- a/bench/standin/client/attempt.go
+++ b/bench/standin/client/attempt.go
@@ -72,6 +72,11 @@
 	if err != nil {
 		return nil, status.Wrap(status.CodeInvalidSettings, err, "request of class %s", c.Name)
 	}
+	if c.Body == 0 {
+		// net/http sends a request without a body again when its connection breaks, which
+		// would add retries that are not counted. A body of unknown length, empty, prevents it.
+		req.Body, req.GetBody = io.NopCloser(strings.NewReader("")), nil
+	}
 	req.Host = c.Host
 	req.Header.Set(headerMark, mark)
 	if c.Key {
--- a/bench/standin/client/client_test.go
+++ b/bench/standin/client/client_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -205,3 +206,27 @@
 	is.Equal(s.Counters().Finished, report["reads"].Sent+report["uploads"].Sent)
 	is.Equal(s.Counters().RepeatedKeys(" /"), nil)
 }
+
+// Guards against a read that is sent again without being counted when a kept connection
+// breaks: it may have run, and the answer to the second send hides that.
+func TestReadOnBrokenConnectionIsSentOnce(t *testing.T) {
+	is := is.New(t)
+	var received atomic.Int32
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		is.Equal(r.ContentLength, int64(0))
+		if received.Add(1) == 1 {
+			_, _ = w.Write(answerTo(r).Encode())
+			return
+		}
+		conn, _, err := w.(http.Hijacker).Hijack()
+		is.NoErr(err)
+		_ = conn.Close()
+	}))
+	defer srv.Close()
+	c := Class{Name: "reads", Workers: 1, Requests: 2, Host: "feed.khaosan", Path: "/morning"}
+	report, err := Run(t.Context(), Config{URLs: []string{srv.URL}, Duration: time.Hour, Classes: []Class{c}})
+	is.NoErr(err)
+	is.Equal(report["reads"].ByResult[Completed], int64(1))
+	is.Equal(report["reads"].ByResult[Unknown], int64(1))
+	is.Equal(received.Load(), int32(2))
+}
--- a/bench/standin/target/handler.go
+++ b/bench/standin/target/handler.go
@@ -20,6 +20,9 @@
 	headerCrash    = "X-Crash"
 	headerDeadline = "X-Request-Deadline-Ms"
 	headerKey      = "Idempotency-Key"
+	// HeaderNotExecuted marks answers to requests that were rejected without a run, by the
+	// share set with POST /control/reject.
+	HeaderNotExecuted = "X-Not-Executed"
 	// maxBodyMark is the size of the longest body that is used as a mark, in bytes.
 	maxBodyMark = 256
 	retryAfter  = "1"
@@ -40,7 +43,7 @@
 		c.JSON(http.StatusOK, s.reportedLoad(time.Now()))
 	case "/control/counters":
 		c.JSON(http.StatusOK, s.Counters())
-	case "/control/drain", "/control/silence", "/control/slow":
+	case "/control/drain", "/control/silence", "/control/slow", "/control/reject":
 		s.control(c, path)
 	default:
 		s.work(ctx, c, path)
@@ -71,6 +74,15 @@
 			return
 		}
 		s.SetSlowdown(arg.Factor)
+	case "/control/reject":
+		var arg struct {
+			Share float64 `json:"share"`
+		}
+		if err := c.BindJSON(&arg); err != nil || arg.Share < 0 || arg.Share > 1 {
+			c.String(http.StatusBadRequest, "share must be a number from 0 to 1")
+			return
+		}
+		s.serviceTimes.setRejected(arg.Share)
 	}
 	c.Status(http.StatusNoContent)
 }
@@ -95,6 +107,11 @@
 		s.shed(c, "draining")
 		return
 	}
+	if s.serviceTimes.drawRejected() {
+		c.Response.Header.Set(HeaderNotExecuted, "1")
+		s.shed(c, "rejected")
+		return
+	}
 	route, ok := s.route(string(c.Method()), path)
 	if !ok {
 		c.String(http.StatusNotFound, "no such route")
--- a/bench/standin/target/target_test.go
+++ b/bench/standin/target/target_test.go
@@ -320,3 +320,26 @@
 	is.NoErr(err)
 	is.Equal(code, 200)
 }
+
+// Guards against rejections that don't say so, or that count as runs: with either, a node's
+// handling of rejected calls is not tried.
+func TestRejectedRequestsDoNotRun(t *testing.T) {
+	is := is.New(t)
+	s := start(t, target.DefaultConfig("archive.khaosan"))
+	reject := func(share string) {
+		code, _, err := do(t.Context(), "POST", s.URL()+"/control/reject", map[string]string{"Content-Type": "application/json"}, `{"share":`+share+`}`)
+		is.NoErr(err)
+		is.Equal(code, http.StatusNoContent)
+	}
+	reject("1")
+	resp, err := http.Get(s.URL() + "/")
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(resp.Header.Get(target.HeaderNotExecuted), "1")
+	is.Equal(s.Counters().Started, int64(0))
+	reject("0")
+	code, _, err := do(t.Context(), "GET", s.URL()+"/", nil, "")
+	is.NoErr(err)
+	is.Equal(code, http.StatusOK)
+}
--- a/bench/standin/target/work.go
+++ b/bench/standin/target/work.go
@@ -15,6 +15,7 @@
 	dist       string
 	sigma      float64
 	factor     float64 // multiplier set at run time; 1 is normal
+	rejected   float64 // share of requests to reject without a run
 	coldFactor float64
 	coldUntil  time.Time // end of the cold start
 }
@@ -43,6 +44,19 @@
 	p.factor = f
 }
 
+func (p *serviceTimer) setRejected(share float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rejected = share
+}
+
+// drawRejected reports whether the next request is rejected.
+func (p *serviceTimer) drawRejected() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rejected > 0 && p.rng.Float64() < p.rejected
+}
+
 // draw returns the service time of a run that starts at now.
 func (p *serviceTimer) draw(now time.Time, mean time.Duration) time.Duration {
 	p.mu.Lock()
