--- a/bench/faults/combined.go
+++ b/bench/faults/combined.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"peardrift/bench/harness"
 	"peardrift/bench/standin/client"
 	"peardrift/bench/standin/platform"
 	"peardrift/internal/faultproxy"
@@ -57,7 +58,7 @@
 	row, err := ld.play(ctx, func() error {
 		err := l.setSlowdown(slowdownFactor)
 		return firstError(err, ld.await(ctx, "requests are refused for overload", overloaded),
-			postControl("http://"+l.host("archive", 1).Addr.Target+"/control/silence", nil))
+			harness.PostControl("http://"+l.host("archive", 1).Addr.Target+"/control/silence", nil))
 	}, pause(ctx, 2*time.Second), func() error { return l.setSlowdown(1) })
 	if end := ld.finish(ctx); err == nil {
 		err = end
@@ -109,7 +110,7 @@
 	h := l.host("feed", 1)
 	var workErr error
 	row, n, err := l.playCrashes(ctx, func(ctx context.Context) error {
-		if err := postControl("http://"+h.Addr.Ops+"/drain", nil); err != nil {
+		if err := harness.PostControl("http://"+h.Addr.Ops+"/drain", nil); err != nil {
 			return err
 		}
 		if err := l.resendCrashingRequest(ctx); err != nil {
--- a/bench/faults/lab.go
+++ b/bench/faults/lab.go
@@ -123,7 +123,7 @@
 		}
 	}
 	l.Fleet.TuneTarget = func(h *harness.Host, c *target.Config) {
-		c.Dist, c.RunsFile = target.DistFixed, filepath.Join(l.Fleet.Dir, h.Name+runsSuffix)
+		c.Dist, c.RunsFile = target.DistFixed, l.Fleet.RunsFile(h)
 		c.AlwaysHealthy = h.Name == drainHost // a drain must be noticed without the health endpoint
 	}
 	if err := l.Fleet.Add(deployment()); err != nil || proxyErr != nil {
--- a/bench/faults/load.go
+++ b/bench/faults/load.go
@@ -157,7 +157,7 @@
 }
 
 func idle(h *harness.Host) bool {
-	c, err := fetchCounters(h)
+	c, err := h.Counters()
 	if err != nil || c.InFlight > 0 || c.Queued > 0 {
 		return false
 	}
--- a/bench/faults/process.go
+++ b/bench/faults/process.go
@@ -60,7 +60,7 @@
 // that may be dead are reused.
 func targetSilent(ctx context.Context, l *Lab) (Row, error) {
 	return l.play(ctx, l.callerURLs("feed"), func() error {
-		return postControl("http://"+l.host("archive", 1).Addr.Target+"/control/silence", nil)
+		return harness.PostControl("http://"+l.host("archive", 1).Addr.Target+"/control/silence", nil)
 	}, pause(ctx, 2*time.Second), nil)
 }
 
--- a/bench/faults/stop.go
+++ b/bench/faults/stop.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 
 	"peardrift/bench/harness"
@@ -41,7 +40,7 @@
 			return err
 		}
 		drainedAt = time.Now()
-		err := postControl("http://"+h.Addr.Ops+"/drain", nil)
+		err := harness.PostControl("http://"+h.Addr.Ops+"/drain", nil)
 		afterDrain(h)
 		return err
 	}, func() (err error) {
@@ -58,12 +57,12 @@
 // awaitRuns waits until a host's target has started 20 more runs.
 func (l *Lab) awaitRuns(ctx context.Context, h *harness.Host) error {
 	const runs = 20
-	before, err := fetchCounters(h)
+	before, err := h.Counters()
 	if err != nil {
 		return err
 	}
 	return await(ctx, h.Name+" receives requests", func() bool {
-		now, err := fetchCounters(h)
+		now, err := h.Counters()
 		return err == nil && now.Started >= before.Started+runs
 	})
 }
@@ -74,21 +73,21 @@
 	if err := pause(ctx, drainTimeout)(); err != nil {
 		return last, err
 	}
-	before, err := fetchCounters(h)
+	before, err := h.Counters()
 	if err != nil {
 		return last, err
 	}
 	if err := pause(ctx, time.Second)(); err != nil {
 		return last, err
 	}
-	after, err := fetchCounters(h)
+	after, err := h.Counters()
 	if err != nil {
 		return last, err
 	}
 	if n := after.Started - before.Started; n > 0 {
 		return last, status.New(CodeGuaranteeViolated, "%s started %d runs more than %v after its drain", h.Name, n, drainTimeout)
 	}
-	file, err := os.Stat(filepath.Join(l.Fleet.Dir, h.Name+runsSuffix))
+	file, err := os.Stat(l.Fleet.RunsFile(h))
 	if err != nil {
 		return last, status.Wrap(harness.CodeHarness, err, "stat the run log")
 	}
@@ -196,7 +195,7 @@
 func (l *Lab) setSlowdown(factor float64) error {
 	for n := range 2 {
 		url := "http://" + l.host("archive", n+1).Addr.Target + "/control/slow"
-		if err := postControl(url, map[string]float64{"factor": factor}); err != nil {
+		if err := harness.PostControl(url, map[string]float64{"factor": factor}); err != nil {
 			return err
 		}
 	}
--- a/bench/harness/apply.go
+++ b/bench/harness/apply.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"peardrift/internal/core/request"
 	"peardrift/internal/status"
 )
 
@@ -41,3 +42,16 @@
 		"--node", f.Hosts[0].Addr.Control, filepath.Join(root, "examples", example))
 	return err
 }
+
+// ApplyLatest submits the set in a file on the newest version of the tenant's set that a node
+// has in force.
+func (f *Fleet) ApplyLatest(ctx context.Context, tenant, file string) error {
+	base := int64(0)
+	for _, h := range f.Hosts {
+		if s, err := h.Status(); err == nil {
+			base = max(base, s.Versions[request.Tenant(tenant)])
+		}
+	}
+	_, _, err := f.RunTool(ctx, "apply", "--base", strconv.FormatInt(base, 10), file)
+	return err
+}
--- a/bench/harness/direct.go
+++ b/bench/harness/direct.go
@@ -58,7 +58,7 @@
 		}
 	}
 	for _, h := range f.Direct {
-		if err := f.waitUntil(startTimeout, func() bool { return status2xx("http://" + h.Addr.Target + "/healthz") }); err != nil {
+		if err := f.WaitUntil(startTimeout, func() bool { return status2xx("http://" + h.Addr.Target + "/healthz") }); err != nil {
 			return status.Wrap(CodeHarness, err, "%s does not answer, see %s", h.Name, h.Target.Log)
 		}
 	}
--- a/bench/harness/fleet.go
+++ b/bench/harness/fleet.go
@@ -162,7 +162,7 @@
 	if f.Platform, err = f.run("platform", f.Bins.Platform, "--listen", f.addr); err != nil {
 		return err
 	}
-	if err := f.waitUntil(startTimeout, func() bool { return status2xx(f.URL + "/control/counters") }); err != nil {
+	if err := f.WaitUntil(startTimeout, func() bool { return status2xx(f.URL + "/control/counters") }); err != nil {
 		return status.Wrap(CodeHarness, err, "the platform does not answer, see %s", f.Platform.Log)
 	}
 	for _, h := range f.Hosts {
--- a/bench/harness/stop.go
+++ b/bench/harness/stop.go
@@ -1,7 +1,7 @@
 package harness
 
 import (
-	"strings"
+	"errors"
 	"sync"
 	"time"
 
@@ -22,46 +22,37 @@
 	for _, h := range f.Direct {
 		targets = append(targets, h.Target)
 	}
-	var failures []string
+	var failures []error
 	for _, group := range [][]*Process{nodes, targets, {f.Platform}} {
-		failures = append(failures, stopAll(group, grace)...)
+		failures = append(failures, stopAll(group, grace))
 	}
-	if len(failures) > 0 {
-		return status.New(CodeStop, "%s", strings.Join(failures, "; "))
-	}
-	return nil
+	return errors.Join(failures...)
 }
 
-// stopAll stops processes concurrently and describes each that did not shut down
-// gracefully.
-func stopAll(ps []*Process, grace time.Duration) []string {
-	failures := make([]string, len(ps))
+// stopAll stops processes concurrently.
+func stopAll(ps []*Process, grace time.Duration) error {
+	failures := make([]error, len(ps))
 	var wg sync.WaitGroup
 	for i, p := range ps {
-		if p == nil {
-			continue
+		if p != nil {
+			wg.Go(func() { failures[i] = p.StopCleanly(grace) })
 		}
-		wg.Go(func() { failures[i] = stopOne(p, grace) })
 	}
 	wg.Wait()
-	var out []string
-	for _, s := range failures {
-		if s != "" {
-			out = append(out, s)
-		}
-	}
-	return out
+	return errors.Join(failures...)
 }
 
-func stopOne(p *Process, grace time.Duration) string {
+// StopCleanly sends SIGTERM. It fails if the process has already exited, has to be killed
+// after grace, or exits with a code other than 0.
+func (p *Process) StopCleanly(grace time.Duration) error {
 	if p.Exited() {
-		return p.Name + " had already exited"
+		return status.New(CodeStop, "%s had already exited", p.Name)
 	}
 	if !p.Stop(grace) {
-		return p.Name + " did not exit within " + grace.String()
+		return status.New(CodeStop, "%s did not exit within %v", p.Name, grace)
 	}
 	if p.ExitCode() != 0 {
-		return p.Name + " exited with " + p.cmd.ProcessState.String()
+		return status.New(CodeStop, "%s exited with %v", p.Name, p.cmd.ProcessState)
 	}
-	return ""
+	return nil
 }
--- a/bench/harness/wait.go
+++ b/bench/harness/wait.go
@@ -23,7 +23,7 @@
 			s, err := h.Status()
 			return err == nil && s.Members["alive"] == len(f.Hosts)
 		}
-		if err := f.waitUntil(time.Until(end), knowsAll); err != nil {
+		if err := f.WaitUntil(time.Until(end), knowsAll); err != nil {
 			return status.Wrap(CodeHarness, err, "%s does not see all hosts as alive", h.Name)
 		}
 	}
@@ -39,7 +39,7 @@
 			exited = h.Node.Exited()
 			return exited || status2xx("http://"+h.Addr.Ops+"/ready")
 		}
-		if err := f.waitUntil(time.Until(end), ready); err != nil {
+		if err := f.WaitUntil(time.Until(end), ready); err != nil {
 			return status.Wrap(CodeHarness, err, "%s is not ready, see %s", h.Name, h.Node.Log)
 		}
 		if exited {
@@ -49,9 +49,9 @@
 	return nil
 }
 
-// waitUntil polls done until it reports true. It fails on timeout and as soon as
+// WaitUntil polls done until it reports true. It fails on timeout and as soon as
 // the fleet is closed.
-func (f *Fleet) waitUntil(within time.Duration, done func() bool) error {
+func (f *Fleet) WaitUntil(within time.Duration, done func() bool) error {
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	for !done() {
