Start what the gates would admit of what arrives

Cause: entries paced starts by a rate that a cut lowered and that rose by 8% of the demand a second.

--- a/internal/core/earlyrefusal/fraction.go
+++ b/internal/core/earlyrefusal/fraction.go
@@ -15,33 +15,6 @@
 	return 1 - float64(refused)/float64(end-first)
 }
 
-// AboveLevel reports whether a service refuses requests, but none of an importance.
-func (t *Table) AboveLevel(now time.Duration, k Key, imp request.Importance) bool {
-	l := t.keys[k.ownKey()]
-	if l == nil {
-		return false
-	}
-	newest := l.newestReport()
-	if now-newest > t.cfg.Hold {
-		return false
-	}
-	highest := request.Level(0)
-	for i := range l.targets {
-		if h := &l.targets[i]; t.isCurrent(l, newest, h.reportedAt) {
-			highest = max(highest, h.lastLevel)
-		}
-	}
-	return highest > 0 && highest <= request.LowestPriority(imp)
-}
-
-// ReportedAt returns the time of the newest report for a key.
-func (t *Table) ReportedAt(k Key) time.Duration {
-	if l := t.keys[k]; l != nil {
-		return l.newestReport()
-	}
-	return never
-}
-
 // meanLevel is the mean level of a key's targets within one importance.
 type meanLevel struct {
 	importance request.Importance
--- a/internal/core/pace/doc.go
+++ b/internal/core/pace/doc.go
@@ -3,11 +3,12 @@
 //
 // The level that the service's gates report states which part of each importance they
 // admit. For each key (called service, class, tenant) and importance, the entry holds a token
-// bucket. While the gates refuse, its rate goes down to the admitted fraction of the demand
-// that the entry measures. While they refuse nothing, the rate rises slowly, since the calls
-// of a request reach the gates until the request ends. The rate stays where it is when demand
-// falls, and no tokens are needed while it is well above the demand. A service that never
-// refused anything is not paced.
+// bucket. Each request that arrives adds the admitted part of a token, and each that starts
+// takes one, so that what starts is what the gates would admit of what arrives, while the
+// requests that wait decide among themselves which of them starts. The admitted part falls
+// with the level at once and rises slowly, since the calls of a request reach the gates until
+// the request ends. Once everything is admitted, those that still wait start beside the
+// arrivals, at a part of their rate.
 //
 // The node calls Arrived once for each request, Start when the request could start, and,
 // if Start reports false, Start again at Next or later. A request that has started has to
--- a/internal/dataplane/levels.go
+++ b/internal/dataplane/levels.go
@@ -93,20 +93,6 @@
 	return l.table.Fraction(now, k, imp)
 }
 
-// AboveLevel implements pace.Admitted.
-func (l *levels) AboveLevel(now time.Duration, k earlyrefusal.Key, imp request.Importance) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.table.AboveLevel(now, k, imp)
-}
-
-// ReportedAt implements pace.Admitted.
-func (l *levels) ReportedAt(k earlyrefusal.Key) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.table.ReportedAt(k)
-}
-
 // forget drops a target that is no longer a member.
 func (l *levels) forget(id request.TargetID) {
 	l.mu.Lock()
