Count the objective of waiting requests from the first send

Cause: a return was taken for a new request: it waited a whole objective anew and took the place of requests sent for the first time. Change: the queue learns which times callers commonly state, derives the time since the first send, puts returns in order by it, and holds those past their objective in a group of their own.

--- a/internal/core/waiting/bench_test.go
+++ b/internal/core/waiting/bench_test.go
@@ -31,6 +31,7 @@
 	r := arrival(Ticket(i), request.Importance(i%4), now, time.Hour+time.Duration(i%97)*ms)
 	r.Key.Class = benchClasses[i/4%16]
 	r.Deadline = now + 2*time.Hour
+	r.Stated = time.Duration(2000-i%2*i%500) * ms // every other one states less
 	return r
 }
 
--- a/internal/core/waiting/bounds.go
+++ b/internal/core/waiting/bounds.go
@@ -10,10 +10,10 @@
 		if w == nil || !q.yields(now, w, r, g) || !q.canMakeRoom(w, r, g) {
 			return out, false
 		}
-		t, from := w.ticket, w.group
+		t, from, latest := w.ticket, w.group, q.latestStart(now, w)
 		q.remove(w)
 		q.arm(now, from)
-		out = append(out, Action{t, q.refusal(now, from)})
+		out = append(out, Action{t, q.refusal(now, from, latest)})
 	}
 	return out, true
 }
@@ -45,24 +45,37 @@
 	return lower >= excess
 }
 
-// least returns the waiting request of least importance and, among those, of most slack.
+// least returns the waiting request of least importance and, among
+// those, a late return or else the one of most slack.
 func (q *Queue) least(now time.Duration) *entry {
 	var least *entry
 	for _, g := range q.wakes.items {
 		e := g.last.top()
-		if least == nil || g.importance < least.group.importance ||
-			g.importance == least.group.importance && q.latestStart(now, e) > q.latestStart(now, least) {
+		if least == nil || q.yieldsTo(now, e, least) {
 			least = e
 		}
 	}
 	return least
 }
 
+// yieldsTo reports whether the waiting request a is refused before b.
+func (q *Queue) yieldsTo(now time.Duration, a, b *entry) bool {
+	if a.group.importance != b.group.importance {
+		return a.group.importance < b.group.importance
+	}
+	if a.group.late != b.group.late {
+		return a.group.late
+	}
+	return q.latestStart(now, a) > q.latestStart(now, b)
+}
+
 // yields reports whether the waiting request w yields its place to r.
 func (q *Queue) yields(now time.Duration, w *entry, r *Request, g *group) bool {
 	if w.group.importance != g.importance {
 		return w.group.importance < g.importance
 	}
-	due := r.due()
-	return q.latestStart(now, w) > due-q.chainTime(now, g.state, due-r.Arrived)
+	if w.group.late != g.late {
+		return w.group.late
+	}
+	return q.latestStart(now, w) > q.latest(now, r, g.state)
 }
--- a/internal/core/waiting/config.go
+++ b/internal/core/waiting/config.go
@@ -18,8 +18,8 @@
 	// MinSamples is the number of completed requests from which on the chain time counts
 	// as known. Default 8. Below it, half of the time until the objective is assumed.
 	MinSamples int
-	// SampleWindow is the length of the window of chain times; the current and the
-	// previous window count. Default 10s. A lower value follows changes sooner and is
+	// SampleWindow is the length of the window of chain times and of the times that callers
+	// state; the current and the previous window count. Default 10s. A lower value follows changes sooner and is
 	// less certain at low request rates.
 	SampleWindow time.Duration
 	// MaxKeys is the maximum number of keys with a queue of their own. Default 1024.
--- a/internal/core/waiting/decision.go
+++ b/internal/core/waiting/decision.go
@@ -18,13 +18,23 @@
 	Key        earlyrefusal.Key // called service, class, tenant
 	Importance request.Importance
 	Arrived    time.Duration
-	Objective  time.Duration // counted from Arrived; 0: does not wait
+	Objective  time.Duration // counted from the first send; 0: does not wait
 	Deadline   time.Duration // instant
+	Stated     time.Duration // time that the caller states to wait; 0: none
 	Bytes      int           // memory that the request holds while it waits
+
+	elapsed time.Duration // since the first send, before it arrived
+	late    bool          // a return that can't meet its objective
 }
 
-// due returns the instant by which the answer is wanted.
-func (r *Request) due() time.Duration { return min(r.Arrived+r.Objective, r.Deadline) }
+// due returns the instant by which the answer is wanted: the objective, counted from the
+// first send, or the deadline if that is earlier or the objective can't be met.
+func (r *Request) due() time.Duration {
+	if r.late {
+		return r.Deadline
+	}
+	return min(r.Arrived-r.elapsed+r.Objective, r.Deadline)
+}
 
 // Pacer decides when requests may start.
 type Pacer interface {
--- a/internal/core/waiting/doc.go
+++ b/internal/core/waiting/doc.go
@@ -9,8 +9,13 @@
 // left beyond what the chain needs. One that can no longer finish in time is refused at
 // once; it has not run.
 //
+// The objective counts from the caller's first send. Callers state how long they still
+// wait; from the times that are common for a key the queue derives how long ago a request
+// that states less was first sent. A return that can't meet its objective any more is late:
+// it may start until its deadline, less the chain's time, if the others have time for it.
+//
 // Waiting requests are bounded in number and in bytes. Above a bound the one of least
-// importance, and among those the one with the most slack, is refused.
+// importance, and among those a late one or else the one with the most slack, is refused.
 //
 // The delay told to a refused caller is the backlog ahead of its request divided by the
 // rate at which requests of that backlog start, spread over as much again.
--- a/internal/core/waiting/queue.go
+++ b/internal/core/waiting/queue.go
@@ -22,10 +22,14 @@
 	lastIndex int    // in group.last
 }
 
-// group holds the waiting requests of one key and importance.
+// group holds the waiting requests of one key and importance that can meet their
+// objective, or the returns that can't.
 type group struct {
 	state      *keyState
 	importance request.Importance
+	late       bool
+	sibling    *group         // of the same importance, late or not; nil: none
+	rank       int8           // place in the order of the importance's groups, while in Queue.due
 	best, last heapOf[*entry] // by least slack; by most slack
 	wake       time.Duration  // when it has to be looked at again
 	wakeIndex  int            // in Queue.wakes; -1: nothing waits
@@ -38,7 +42,8 @@
 type keyState struct {
 	key    earlyrefusal.Key
 	times  chainTimes
-	groups []*group // by importance, highest first
+	stated statedTimes
+	groups []*group // by importance, highest first, and late ones after the others
 }
 
 // Queue holds the waiting requests of one entry node.
@@ -75,30 +80,64 @@
 // Arrive decides on a new request.
 func (q *Queue) Arrive(now time.Duration, r Request, out []Action) (Decision, []Action) {
 	out = q.Tick(now, out)
-	g := q.group(r.Key, r.Importance)
-	if g == nil {
+	s := q.state(r.Key)
+	if s == nil {
 		return q.decideUnknown(now, &r), out
 	}
-	if g.best.len() == 0 && q.pacer.Start(now, r.Key, r.Importance) {
+	q.date(now, &r, s)
+	g := s.group(r.Importance, r.late)
+	latest := q.latest(now, &r, s)
+	if (!r.late || now <= latest) && s.isNext(g) && q.pacer.Start(now, r.Key, r.Importance) {
 		g.rate.add(now, q.cfg.RateWindow)
 		return Decision{Verdict: Start}, out
 	}
 	if q.drained {
 		return Decision{Reason: status.CodeDraining}, out
 	}
-	due := r.due()
-	if r.Objective <= 0 || now > due-q.chainTime(now, g.state, due-r.Arrived) {
-		return q.refusal(now, g), out
+	if r.Objective <= 0 || now > latest || q.isHopeless(now, &r, g, latest) {
+		return q.refusal(now, g, latest), out
 	}
 	var ok bool
 	if out, ok = q.makeRoom(now, &r, g, out); !ok {
-		return q.refusal(now, g), out
+		return q.refusal(now, g, latest), out
 	}
 	q.insert(&r, g)
 	q.arm(now, g)
 	return Decision{Verdict: Wait}, out
 }
 
+// date sets the time since the request's first send, and whether it is late for that.
+func (q *Queue) date(now time.Duration, r *Request, s *keyState) {
+	r.elapsed = s.stated.elapsed(now, r.Stated, q.cfg.SampleWindow)
+	r.late = r.elapsed > 0 && now > q.latest(now, r, s)
+}
+
+// latest returns until when an arriving request can start and finish in time.
+func (q *Queue) latest(now time.Duration, r *Request, s *keyState) time.Duration {
+	due := r.due()
+	return due - q.chainTime(now, s, due-r.Arrived)
+}
+
+// isNext reports whether no waiting request is to be started before an arrival of the
+// group. Those of higher importances have a share of their own.
+func (s *keyState) isNext(g *group) bool {
+	return g.best.len() == 0 && (!g.late || g.sibling == nil || g.sibling.best.len() == 0)
+}
+
+// isHopeless reports whether an arrival of a late group can't start in time: it would be
+// the last of the group, and the backlog ahead, at the present rate of starts, takes
+// hopelessFactor times what it can wait.
+func (q *Queue) isHopeless(now time.Duration, r *Request, g *group, latest time.Duration) bool {
+	if !g.late || g.best.len() > 0 && r.due() < g.last.top().due {
+		return false
+	}
+	ahead, rate := q.backlog(now, g.state, g.importance, g.late)
+	return rate > 0 && ahead > hopelessFactor*rate*(latest-now).Seconds()
+}
+
+// hopelessFactor allows for a rate of starts that rises while a request waits.
+const hopelessFactor = 2
+
 // decideUnknown decides on a request whose key has no queue because there are too many.
 func (q *Queue) decideUnknown(now time.Duration, r *Request) Decision {
 	if q.pacer.Start(now, r.Key, r.Importance) {
@@ -122,9 +161,10 @@
 func (q *Queue) Tick(now time.Duration, out []Action) []Action {
 	for q.wakes.len() > 0 && q.wakes.top().wake <= now {
 		g := q.wakes.top()
-		q.disarm(g)
-		g.headStart = q.latestStart(now, g.best.top())
-		q.due.insert(g)
+		q.enqueue(now, g)
+		if o := g.sibling; o != nil && o.best.len() > 0 {
+			q.enqueue(now, o) // so that the order between the two holds
+		}
 	}
 	for q.due.len() > 0 {
 		g := q.due.top()
@@ -137,15 +177,67 @@
 			q.arm(now, g)
 			continue
 		}
-		g.headStart = q.latestStart(now, g.best.top())
+		q.setRank(now, g)
 		q.due.fix(g.dueIndex)
 	}
 	return out
 }
 
-// precedes orders groups by importance, then by the least slack of their requests.
+// enqueue takes a group that Tick has to look at.
+func (q *Queue) enqueue(now time.Duration, g *group) {
+	q.disarm(g)
+	q.setRank(now, g)
+	q.due.insert(g)
+}
+
+// setRank sets the group's place among those that Tick looks at.
+func (q *Queue) setRank(now time.Duration, g *group) {
+	g.headStart = q.latestStart(now, g.best.top())
+	g.rank = rankTimely
+	if g.late {
+		g.rank = rankLate
+		if q.mayPrecede(now, g) {
+			g.rank = rankSafe
+		}
+	}
+}
+
+// Order of the groups of one importance.
+const (
+	rankSafe   int8 = iota // late requests for which those that can meet their objective have time
+	rankTimely             // requests that can meet their objective
+	rankLate               // other late requests
+)
+
+// mayPrecede reports whether the waiting requests of a late group's importance that can
+// meet their objective have the time for a late one to start first.
+func (q *Queue) mayPrecede(now time.Duration, late *group) bool {
+	t := late.sibling
+	if t == nil || t.best.len() == 0 {
+		return true
+	}
+	rate := t.rate.perSecond(now, q.cfg.RateWindow) + late.rate.perSecond(now, q.cfg.RateWindow)
+	slack := q.latestStart(now, t.best.top()) - now
+	return lateMargin*float64(t.best.len()+1) < rate*slack.Seconds()
+}
+
+// lateMargin is the part of the backlog that has to start, at the present rate, before the
+// most urgent request of it is due. At 1 few late requests start before they are refused:
+// the measured rate rises only after the capacity that returns.
+const lateMargin = 0.15
+
+// precedes orders groups by importance, then those that can meet their objective before
+// late ones, then by the least slack of their requests.
 func precedes(a, b *group) bool {
-	return a.importance > b.importance || a.importance == b.importance && a.headStart < b.headStart
+	if a.importance != b.importance {
+		return a.importance > b.importance
+	}
+	return a.rank < b.rank || a.rank == b.rank && a.headStart < b.headStart
+}
+
+// above reports whether the group's requests start before those of the importance.
+func (g *group) above(imp request.Importance, late bool) bool {
+	return g.importance > imp || g.importance == imp && !g.late && late
 }
 
 // decideNext decides on the group's most urgent request; false if it waits on.
@@ -154,9 +246,9 @@
 	t, latest := e.ticket, g.headStart
 	if now > latest {
 		q.remove(e)
-		return Action{t, q.refusal(now, g)}, true
+		return Action{t, q.refusal(now, g, latest)}, true
 	}
-	if !q.pacer.Start(now, g.state.key, g.importance) {
+	if g.late && !q.mayPrecede(now, g) || !q.pacer.Start(now, g.state.key, g.importance) {
 		return Action{}, false
 	}
 	q.remove(e)
@@ -233,27 +325,28 @@
 	return s
 }
 
-// group returns the group of a key and importance; nil if there are too many keys.
-func (q *Queue) group(k earlyrefusal.Key, imp request.Importance) *group {
-	s := q.state(k)
-	if s == nil {
-		return nil
-	}
+// group returns the group of an importance and creates it at first use.
+func (s *keyState) group(imp request.Importance, late bool) *group {
 	at := 0
-	for at < len(s.groups) && s.groups[at].importance > imp {
+	for at < len(s.groups) && s.groups[at].above(imp, late) {
 		at++
 	}
-	if at < len(s.groups) && s.groups[at].importance == imp {
+	if at < len(s.groups) && s.groups[at].importance == imp && s.groups[at].late == late {
 		return s.groups[at]
 	}
-	g := newGroup(s, imp)
+	g := newGroup(s, imp, late)
+	for _, o := range s.groups {
+		if o.importance == imp {
+			g.sibling, o.sibling = o, g
+		}
+	}
 	s.groups = slices.Insert(s.groups, at, g)
 	return g
 }
 
-func newGroup(s *keyState, imp request.Importance) *group {
+func newGroup(s *keyState, imp request.Importance, late bool) *group {
 	return &group{
-		state: s, importance: imp, wakeIndex: -1,
+		state: s, importance: imp, late: late, wakeIndex: -1,
 		best: heapOf[*entry]{before: dueBefore, pos: func(e *entry) *int { return &e.bestIndex }},
 		last: heapOf[*entry]{
 			before: func(a, b *entry) bool { return dueBefore(b, a) },
--- a/internal/dataplane/call.go
+++ b/internal/dataplane/call.go
@@ -43,6 +43,7 @@
 
 	index     *configset.Index // that a root request was prepared with
 	waits     bool             // the entry queue decides when the request starts
+	stated    time.Duration    // time that the caller states to wait; 0: none
 	startedAt time.Duration    // if waits: when it decided
 }
 
--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -219,13 +219,15 @@
 			return nil, err
 		}
 	}
+	stated := e.statedTimeout(c)
 	out := &outboundCall{
 		info:     info,
 		class:    class,
 		id:       id,
 		sampled:  e.cfg.Sampled(id),
 		priority: request.PriorityOf(class.Importance, id),
-		deadline: e.now() + e.callTimeout(c, class.Deadline),
+		deadline: e.now() + limitTimeout(stated, class.Deadline),
+		stated:   stated,
 		index:    v.Index,
 		entry:    entryAllowance{allowance: retry.NewRequestAllowance(class.Attempts, false)},
 		meta: wire.Meta{
@@ -294,7 +296,7 @@
 		id:        x.id,
 		sampled:   x.sampled,
 		priority:  x.priority,
-		deadline:  min(x.deadline, e.now()+e.callTimeout(c, class.Deadline)),
+		deadline:  min(x.deadline, e.now()+limitTimeout(e.statedTimeout(c), class.Deadline)),
 		allowance: x,
 		parent:    x,
 		meta:      x.meta,
@@ -395,16 +397,27 @@
 	})
 }
 
-// callTimeout returns how long the caller waits: the class's limit, or less if the
+// limitTimeout returns how long the caller waits: the class's limit, or less if the
 // caller says so.
-func (e *Engine) callTimeout(c *app.RequestContext, limit time.Duration) time.Duration {
+func limitTimeout(stated, limit time.Duration) time.Duration {
+	if stated <= 0 || stated > limit {
+		return limit
+	}
+	return stated
+}
+
+// maxStatedTimeout is the longest time that a caller can state.
+const maxStatedTimeout = 24 * time.Hour
+
+// statedTimeout returns how long the caller says that it waits; 0 if it does not.
+func (e *Engine) statedTimeout(c *app.RequestContext) time.Duration {
 	timeout := c.Request.Header.Peek(e.cfg.Dialect.TimeoutHeader())
 	if len(timeout) == 0 {
-		return limit // most callers send none; skip the cost of a parse error
+		return 0 // most callers send none; skip the cost of a parse error
 	}
 	ms, err := strconv.ParseInt(string(timeout), 10, 64)
-	if err != nil || ms <= 0 || ms > limit.Milliseconds() {
-		return limit
+	if err != nil || ms <= 0 || ms > maxStatedTimeout.Milliseconds() {
+		return 0
 	}
 	return time.Duration(ms) * time.Millisecond
 }
--- a/internal/dataplane/entryqueue.go
+++ b/internal/dataplane/entryqueue.go
@@ -228,6 +228,7 @@
 		Arrived:    hop.Start.Sub(e.epoch),
 		Objective:  c.class.Objective,
 		Deadline:   c.deadline,
+		Stated:     c.stated,
 		Bytes:      waiting.RequestBytes + headBytes + len(c.req.BodyBytes()),
 	})
 	c.startedAt = e.now()
