--- a/internal/core/waiting/queue.go
+++ b/internal/core/waiting/queue.go
@@ -136,7 +136,7 @@
 }
 
 // hopelessFactor allows for a rate of starts that rises while a request waits.
-const hopelessFactor = 2
+const hopelessFactor = 3
 
 // decideUnknown decides on a request whose key has no queue because there are too many.
 func (q *Queue) decideUnknown(now time.Duration, r *Request) Decision {
@@ -224,7 +224,7 @@
 // lateMargin is the part of the backlog that has to start, at the present rate, before the
 // most urgent request of it is due. At 1 few late requests start before they are refused:
 // the measured rate rises only after the capacity that returns.
-const lateMargin = 0.15
+const lateMargin = 0.1
 
 // precedes orders groups by importance, then those that can meet their objective before
 // late ones, then by the least slack of their requests.
