--- a/internal/adapter/zaplog/fields.go
+++ b/internal/adapter/zaplog/fields.go
@@ -27,6 +27,10 @@
 // Level is the field of the admission threshold, as an importance.
 func Level(l request.Level) zap.Field { return zap.Float64("refused_below", l.AsImportance()) }
 
+// LeftZone is the field of a call that went to another zone because the targets of the own
+// one are short of capacity.
+func LeftZone(left bool) zap.Field { return zap.Bool("left_zone", left) }
+
 // CalleeLevel is the field of the admission threshold, as an importance, that an entry
 // hop knew of its callee and the services downstream of it.
 func CalleeLevel(l request.Level) zap.Field { return zap.Float64("known_below", l.AsImportance()) }
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -68,7 +68,7 @@
 		fields = append(fields, zaplog.Target(h.Target), zap.String("zone", h.Zone))
 	}
 	if h.LeftZone {
-		fields = append(fields, zap.Bool("left_zone", true))
+		fields = append(fields, zaplog.LeftZone(true))
 	}
 	if h.Level > 0 {
 		fields = append(fields, zaplog.Level(h.Level))
