--- a/internal/core/resend/budget_test.go
+++ b/internal/core/resend/budget_test.go
@@ -216,6 +216,7 @@
 	is.True(!b.Take(now, prio(90, 1), cfg.MaxResends))
 }
 
+// Guards against decisions that add garbage to every call.
 func TestDecisionsDoNotAllocate(t *testing.T) {
 	b := NewBudget(config(), 0)
 	now := serve(b, 0, 20*time.Second, true, prio(90, 0.9), prio(20, 0.9))
--- a/internal/core/resend/config.go
+++ b/internal/core/resend/config.go
@@ -5,8 +5,8 @@
 // Config holds the settings of the package.
 type Config struct {
 	// Ratio bounds the resends of one target, per first send in Window, from 0 to 1.
-	// Default 0: nothing is resent and no class is refused. Higher completes more requests while targets
-	// reject calls, and adds load to them.
+	// Default 0: nothing is resent and no class is refused. Higher completes more requests
+	// while targets reject calls, and adds load to them.
 	Ratio float64
 	// Reserve is the fraction of Ratio, 0 to 1, that is not spent. Default 0.1. It covers
 	// shares of the load that move from one target to another within two windows, and the
--- a/internal/core/targetspeed/meter_test.go
+++ b/internal/core/targetspeed/meter_test.go
@@ -170,6 +170,7 @@
 	})
 }
 
+// Guards against measurements that add garbage to every call.
 func TestEndedDoesNotAllocate(t *testing.T) {
 	x := newMachine(honest)
 	x.run(time.Second)
--- a/internal/core/waiting/waiting_test.go
+++ b/internal/core/waiting/waiting_test.go
@@ -63,6 +63,7 @@
 	return ts
 }
 
+// Guards against holding a request while there is capacity.
 func TestRequestStartsAtOnceWithCapacity(t *testing.T) {
 	is := is.New(t)
 	d, _ := arrive(newQueue(&fakePacer{tokens: 1}, 10), arrival(1, 10, 0, time.Second))
@@ -220,6 +221,7 @@
 	}
 }
 
+// Guards against starting a request whose caller has left.
 func TestCancelledRequestIsNotStarted(t *testing.T) {
 	is := is.New(t)
 	p := &fakePacer{}
@@ -297,6 +299,7 @@
 	is.True(!ok)
 }
 
+// Guards against chain times that are estimated too short.
 func TestBucketBoundsContainTimes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := time.Duration(rapid.Int64Range(0, int64(100*time.Second)).Draw(t, "time"))
