Keep the rest of a token between arrivals

Cause: a bucket of up to ten requests a second held at most one token, so that the part which an arrival left over was lost: with 0.95 admitted, every second request started at 2, 5 and 10 a second.

Change: a bucket holds at least two. TestAdmittedFractionOfDemandStarts offers 2, 5, 10 and 100 a second; it had 100 only and fails at the others on the code before.

--- a/internal/core/pace/bucket.go
+++ b/internal/core/pace/bucket.go
@@ -78,8 +78,13 @@
 	b.add(cfg, max(part, cfg.ProbeFraction))
 }
 
+// minDepth is the least number of tokens that a bucket holds. With 1, the part of a token
+// that is left of the arrival before would be lost, and a bucket of little demand to which
+// each arrival adds 0.9 would let every second request start.
+const minDepth = 2
+
 func (b *bucket) add(cfg *Config, tokens float64) {
-	b.tokens = min(b.tokens+tokens, max(1, b.demand*cfg.Depth.Seconds()))
+	b.tokens = min(b.tokens+tokens, max(minDepth, b.demand*cfg.Depth.Seconds()))
 }
 
 // wholeToken is one token, less rounding errors.
--- a/internal/core/pace/config.go
+++ b/internal/core/pace/config.go
@@ -27,8 +27,8 @@
 	// 0.93. Higher values use more of the capacity, and more of the requests that start are
 	// refused further down.
 	Margin float64
-	// Depth is the time for which tokens are kept: a bucket holds the tokens of Depth at
-	// the rate of the demand, but at least one. Default 100ms. Higher values allow larger
+	// Depth bounds the tokens of a bucket: those of Depth at the rate of the demand, but at
+	// least two. Default 100ms. Higher values allow larger
 	// bursts; lower values leave more capacity unused where arrivals are irregular.
 	Depth time.Duration
 	// ProbeFraction is the lowest fraction of the demand that is started, 0 to 1. Default
--- a/internal/core/pace/pace_test.go
+++ b/internal/core/pace/pace_test.go
@@ -46,13 +46,16 @@
 
 // Guards against an entry that starts another part of its demand than the level admits.
 func TestAdmittedFractionOfDemandStarts(t *testing.T) {
-	for _, f := range []fixed{1, 0.75, 0.5, 0.1} {
-		is := is.New(t)
-		tab := New(DefaultConfig(), &f)
-		offer(tab, 0, 5*time.Second, 100)
-		started := offer(tab, 5*time.Second, 15*time.Second, 100)
-		is.True(float64(started) >= 0.9*1000*float64(f))
-		is.True(float64(started) <= 1.03*1000*float64(f))
+	for _, perSecond := range []int{2, 5, 10, 100} {
+		for _, f := range []fixed{1, 0.95, 0.75, 0.5, 0.1} {
+			is := is.New(t)
+			tab := New(DefaultConfig(), &f)
+			offer(tab, 0, 5*time.Second, perSecond)
+			started := offer(tab, 5*time.Second, 15*time.Second, perSecond)
+			want := float64(10*perSecond) * float64(f)
+			is.True(float64(started) >= 0.9*want-2)
+			is.True(float64(started) <= 1.03*want+2)
+		}
 	}
 }
 
