Report a level below the importance of the answered request upstream

Cause: where requests are paced, the level reported upstream is the mean within the importance of the request that is answered. Requests that are raised to the highest importance share their class's key with the others, so one answer in eight said that nothing is refused, and the recent minimum was 0.

Change: if all of the importance is admitted, the level of the targets is reported, at most the importance's lower bound. A mean counts only from MinTargets reports, as the quantile does. TestLevelBelowImportanceIsReported is new. Found in review.

--- a/internal/core/earlyrefusal/fraction.go
+++ b/internal/core/earlyrefusal/fraction.go
@@ -61,11 +61,16 @@
 	}
 	first, end := request.LowestPriority(imp), request.LowestPriority(imp+1)
 	var all, closed weightedSum
+	known, current := 0, 0
 	for i := range l.targets {
 		h := &l.targets[i]
+		if now-h.reportedAt < knownForAges*t.cfg.LevelTTL {
+			known++
+		}
 		if !t.isCurrent(l, newest, h.reportedAt) {
 			continue
 		}
+		current++
 		weight := float64(h.weight)
 		if chain {
 			weight *= math.Exp2(-(newest - h.reportedAt).Seconds() / chainHalfLife.Seconds())
@@ -77,6 +82,9 @@
 			closed.add(refused, weight)
 		}
 	}
+	if current < min(t.cfg.MinTargets, known) {
+		return 0
+	}
 	if closed.weight >= closedPart*all.weight {
 		all = closed
 	}
--- a/internal/core/earlyrefusal/fraction_test.go
+++ b/internal/core/earlyrefusal/fraction_test.go
@@ -55,3 +55,14 @@
 	is.True(math.Abs(tab.Fraction(10*ms, archiveKey, 20)-0.5) < 1e-3)
 	is.Equal(tab.Fraction(2*time.Second, archiveKey, 20), 1.0) // reports have ended
 }
+
+// Guards against answers to the important requests of a class that say upstream that
+// nothing is refused, while all of its less important ones are.
+func TestLevelBelowImportanceIsReported(t *testing.T) {
+	is := is.New(t)
+	tab := pacedTable()
+	learnLevels(tab, 0, payPriority, payPriority, payPriority, payPriority)
+	is.True(tab.latest(0, archiveKey, request.LowestPriority(100)) == payPriority)
+	is.Equal(tab.Fraction(0, archiveKey, 100), 1.0)
+	is.Equal(tab.Fraction(0, archiveKey, 20), 0.0)
+}
--- a/internal/core/earlyrefusal/table.go
+++ b/internal/core/earlyrefusal/table.go
@@ -226,8 +226,18 @@
 func (t *Table) latest(now time.Duration, k Key, p request.Priority) request.Level {
 	if t.cfg.Paced {
 		imp := p.Importance()
-		return max(t.mean(now, k.ownKey(), imp), t.mean(now, k, imp))
+		if within := max(t.mean(now, k.ownKey(), imp), t.mean(now, k, imp)); within > 0 {
+			return within
+		}
+		// The level lies below the importance. Requests of one class may have several:
+		// without it, answers to the more important ones would say that nothing is refused.
+		return min(t.latestOfTargets(now, k, p), request.LowestPriority(imp))
 	}
+	return t.latestOfTargets(now, k, p)
+}
+
+// latestOfTargets returns the quantile of the targets' last reported levels.
+func (t *Table) latestOfTargets(now time.Duration, k Key, p request.Priority) request.Level {
 	_, own := t.levelsOf(now, k.ownKey()).levelsFor(p)
 	return max(own, t.levelsOf(now, k).latest)
 }
