Count callers whose started requests failed as possible returns

A caller whose request fails after its start returns with less time left as well. Only refusals of the queue counted, so that in a period of failures returns seemed to be callers whose times vary by nature. A completed request no longer creates the state of a key that the configuration has removed. Found in review.

--- a/internal/core/waiting/queue.go
+++ b/internal/core/waiting/queue.go
@@ -269,11 +269,19 @@
 
 // Finished records the chain time of a completed request, from its start to its answer.
 func (q *Queue) Finished(now time.Duration, k earlyrefusal.Key, took time.Duration) {
-	if s := q.state(k); s != nil {
+	if s := q.keys[k]; s != nil {
 		s.times.add(now, took, q.cfg.SampleWindow)
 	}
 }
 
+// Failed records that a request which had started ended without an answer that completes
+// it, so that its caller may return.
+func (q *Queue) Failed(now time.Duration, k earlyrefusal.Key) {
+	if s := q.keys[k]; s != nil {
+		s.stated.refused(now, q.cfg.SampleWindow)
+	}
+}
+
 // Drain refuses all waiting requests; from now on none waits.
 func (q *Queue) Drain(now time.Duration, out []Action) []Action {
 	q.drained = true
--- a/internal/dataplane/entryqueue.go
+++ b/internal/dataplane/entryqueue.go
@@ -135,6 +135,13 @@
 	q.core.Finished(q.now(), k, took)
 }
 
+// failed records that a request which had started was not completed.
+func (q *entryQueue) failed(k earlyrefusal.Key) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.core.Failed(q.now(), k)
+}
+
 // setIndex puts a configuration into force. Requests whose class declares no objective in
 // it stop waiting.
 func (q *entryQueue) setIndex(idx *configset.Index) {
@@ -260,10 +267,15 @@
 	hop.ID = c.id
 }
 
-// recordFinished tells the entry queue how long a completed request took from its start.
+// recordFinished tells the entry queue how long a completed request took from its start, and
+// of others that were sent that their callers may return.
 func (e *Engine) recordFinished(c *outboundCall, r *result) {
-	if c.waits && r.outcome == request.Completed && r.attempts > 0 {
+	switch {
+	case !c.waits || r.attempts == 0:
+	case r.outcome == request.Completed:
 		e.entryQueue.finished(c.key(), e.now()-c.startedAt)
+	default:
+		e.entryQueue.failed(c.key())
 	}
 }
 
