Set the gate's time factor in the order in which it changes

Cause: the factor was computed under one mutex and set at the gate under another, so that an older one could be set last and stay until the next change of 2%.

Change: it is set under the first mutex.

Found in review.

--- a/internal/core/resend/config.go
+++ b/internal/core/resend/config.go
@@ -6,7 +6,9 @@
 type Config struct {
 	// Ratio bounds the resends of one target, per first send in Window, from 0 to 1.
 	// Default 0: nothing is resent and no class is refused. Higher completes more requests
-	// while targets reject calls, and adds load to them.
+	// while targets reject calls, and adds load to them. What callers' nodes may spend on
+	// retries for each call (retry.Config.Ratio) comes off it: at 0.11 or less nothing is
+	// left for calls that callers may retry at the default of 0.1.
 	Ratio float64
 	// Reserve is the fraction of Ratio, 0 to 1, that is not spent. Default 0.1. It covers
 	// shares of the load that move from one target to another within two windows, and the
@@ -29,7 +31,7 @@
 	// 1 s. Longer gives a steadier threshold, which lags behind the demand.
 	Average time.Duration
 	// Sample is the number of sends over which the share of rejections is averaged.
-	// Default 256. Higher gives a steadier threshold; lower notices sooner that
+	// Default 128. Higher gives a steadier threshold; lower notices sooner that
 	// rejections begin, before which calls of all priorities are resent.
 	Sample int
 	// Starts holds the settings of the entry's decision.
--- a/internal/dataplane/speed.go
+++ b/internal/dataplane/speed.go
@@ -52,16 +52,17 @@
 	return change, s.meter.Stats(s.now())
 }
 
-// changedFactor returns the time factor, and whether the gate has to be told.
-func (s *targetSpeed) changedFactor() (f float64, changed bool) {
+// applyFactor calls set with the time factor if it has changed. set runs under the mutex, so
+// that an older factor can't be set after a newer one.
+func (s *targetSpeed) applyFactor(set func(float64)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	f = s.meter.Factor(s.now())
+	f := s.meter.Factor(s.now())
 	if math.Abs(f-s.factor) < factorStep*s.factor {
-		return f, false
+		return
 	}
 	s.factor = f
-	return f, true
+	set(f)
 }
 
 // reset forgets what was measured of an earlier instance of the target.
@@ -92,11 +93,7 @@
 // short of capacity.
 func (e *Engine) CallsToOtherZone() uint64 { return e.toOtherZone.Load() }
 
-func (e *Engine) applyTimeFactor() {
-	if f, changed := e.speed.changedFactor(); changed {
-		e.gate.setTimeFactor(f)
-	}
-}
+func (e *Engine) applyTimeFactor() { e.speed.applyFactor(e.gate.setTimeFactor) }
 
 // targetRun is one run of a request on the own target.
 type targetRun struct {
