--- a/internal/core/waiting/queue.go
+++ b/internal/core/waiting/queue.go
@@ -269,7 +269,7 @@
 
 // Finished records the chain time of a completed request, from its start to its answer.
 func (q *Queue) Finished(now time.Duration, k earlyrefusal.Key, took time.Duration) {
-	if s := q.keys[k]; s != nil {
+	if s := q.state(k); s != nil {
 		s.times.add(now, took, q.cfg.SampleWindow)
 	}
 }
