Let requests wait only where the settings ask for it

Change: traffic.waiting alone turns it on, also beside an integration; the platform does not set it.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -190,7 +190,7 @@
 	}
 	cfg.BufferBytes, cfg.MaxCalls = s.Traffic.BufferBytes, s.Traffic.MaxCalls
 	cfg.MaxBody, cfg.UploadTimeout = s.Traffic.MaxBodyBytes, s.Traffic.UploadTimeout
-	if integration != nil || s.Traffic.Waiting {
+	if s.Traffic.Waiting {
 		cfg.EnableWaiting(s.Limits.MemoryBytes)
 	}
 	return cfg
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -8,8 +8,8 @@
 	"peardrift/internal/settings"
 )
 
-// Guards against requests that wait at nodes whose settings state no memory limit, or
-// that have neither an integration nor the setting.
+// Guards against requests that wait at nodes whose settings state no memory limit or do not
+// ask for it.
 func TestRequestsWaitOnlyWithinMemoryLimit(t *testing.T) {
 	s := settings.Default()
 	limited := s
@@ -23,10 +23,13 @@
 	is.True(trafficConfig(asked, nil).Waiting.MaxWaiting > 0)
 	asked.Limits.MemoryBytes = 0
 	is.Equal(trafficConfig(asked, nil).Waiting.MaxWaiting, 0)
-	is.True(!trafficConfig(s, &Integration{}).Gate.Paced)
-	is.True(trafficConfig(limited, &Integration{}).Gate.Paced)
-	is.True(trafficConfig(limited, &Integration{}).Early.Paced)
-	w := trafficConfig(limited, &Integration{}).Waiting
+	is.True(!trafficConfig(limited, &Integration{}).Gate.Paced)
+	is.True(!trafficConfig(limited, &Integration{}).Early.Paced)
+	asked = limited
+	asked.Traffic.Waiting = true
+	is.True(trafficConfig(asked, &Integration{}).Gate.Paced)
+	is.True(trafficConfig(asked, &Integration{}).Early.Paced)
+	w := trafficConfig(asked, &Integration{}).Waiting
 	is.True(w.MaxWaiting > 0 && w.MaxWaiting < s.Traffic.MaxCalls)
 	is.True(w.MaxBytes <= limited.Limits.MemoryBytes/8)
 }
--- a/internal/settings/traffic.go
+++ b/internal/settings/traffic.go
@@ -48,8 +48,7 @@
 
 	// Waiting lets requests of classes that declare an objective wait at this node for
 	// capacity of the services below. Default false: they are refused at once. It needs
-	// Limits.MemoryBytes, an eighth of which waiting requests may take. A platform that
-	// sets objectives turns it on by itself.
+	// Limits.MemoryBytes, an eighth of which waiting requests may take.
 	Waiting bool `yaml:"waiting"`
 
 	// ResendRatio bounds the further sends to the own target of calls that it marks as not
