Say plainly what three comments mean

The comment of notExecutedHeader now says what goes wrong: a request runs twice if the target marks one that has run. go test ./internal/settings ./bench/standin/target and -run ChainTime ./internal/core/waiting pass.

--- a/bench/standin/target/target_test.go
+++ b/bench/standin/target/target_test.go
@@ -321,8 +321,8 @@
 	is.Equal(code, 200)
 }
 
-// Guards against rejections that don't say so, or that count as runs: with either, a node's
-// handling of rejected calls is not tried.
+// Guards against rejections that are not marked as not run, and against counting them as
+// runs: tests of resends would then test something else.
 func TestRejectedRequestsDoNotRun(t *testing.T) {
 	is := is.New(t)
 	s := start(t, target.DefaultConfig("archive.khaosan"))
--- a/internal/core/waiting/waiting_test.go
+++ b/internal/core/waiting/waiting_test.go
@@ -276,7 +276,7 @@
 }
 
 // Guards against a chain time that is too short for requests to finish, or so long that
-// none may wait; and against one that outlasts the conditions it was measured in.
+// none may wait, and against one that is still used after two windows without samples.
 func TestChainTimeIsHighQuantile(t *testing.T) {
 	is := is.New(t)
 	var c chainTimes
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -68,8 +68,8 @@
 
 	// NotExecutedHeader names the header with which the target marks answers to requests
 	// that it has not run. Default: none; no answer of the target is taken for a refusal.
-	// Set it only if the target marks no answer to a request that has run: such a request
-	// would be tried again.
+	// A marked request may be sent again, so it runs twice if the target marks one that has
+	// run.
 	NotExecutedHeader string `yaml:"notExecutedHeader" validate:"max=64,printascii,excludesall= :"`
 }
 
