Measure targets' times only where they state a figure

Cause: each call took the mutex of the target's meter four times, and kept times of classes also of targets that state no fourth figure, where nothing uses them.

Change: a call without a figure before and in its answer is not measured, and the end of a call and the time factor share one lock: three times with a figure, twice without.

go test ./internal/dataplane ./internal/core/targetspeed pass; not benchmarked.

--- a/internal/dataplane/speed.go
+++ b/internal/dataplane/speed.go
@@ -41,23 +41,24 @@
 	return s.meter.ClassTime(s.now(), class)
 }
 
-// ended records a call and returns how trust in the figure changed.
-func (s *targetSpeed) ended(c *targetspeed.Call) (targetspeed.Change, targetspeed.Stats) {
+// ended records a call, calls set with the time factor if it has changed, and returns how
+// trust in the figure changed.
+func (s *targetSpeed) ended(c *targetspeed.Call, set func(float64)) (targetspeed.Change, targetspeed.Stats) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	change := s.meter.Ended(s.now(), c)
+	now := s.now()
+	change := s.meter.Ended(now, c)
+	s.applyFactorLocked(now, set)
 	if change == targetspeed.NoChange {
 		return change, targetspeed.Stats{}
 	}
-	return change, s.meter.Stats(s.now())
+	return change, s.meter.Stats(now)
 }
 
-// applyFactor calls set with the time factor if it has changed. set runs under the mutex, so
-// that an older factor can't be set after a newer one.
-func (s *targetSpeed) applyFactor(set func(float64)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	f := s.meter.Factor(s.now())
+// applyFactorLocked calls set with the time factor if it has changed. set runs under the
+// mutex, so that an older factor can't be set after a newer one.
+func (s *targetSpeed) applyFactorLocked(now time.Duration, set func(float64)) {
+	f := s.meter.Factor(now)
 	if math.Abs(f-s.factor) < factorStep*s.factor {
 		return
 	}
@@ -72,10 +73,13 @@
 	s.meter = targetspeed.New(targetspeed.DefaultConfig())
 }
 
-func (s *targetSpeed) stats() targetspeed.Stats {
+// stats returns a snapshot, and calls set with the time factor if it has changed.
+func (s *targetSpeed) stats(set func(float64)) targetspeed.Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.meter.Stats(s.now())
+	now := s.now()
+	s.applyFactorLocked(now, set)
+	return s.meter.Stats(now)
 }
 
 // OnFigureTrust sets the function that is called when trust in the own target's stated time
@@ -84,17 +88,12 @@
 
 // TargetSpeed returns a snapshot of the own target's speed. It also ends the gate's use of a
 // figure that has become too old, if no answers do.
-func (e *Engine) TargetSpeed() targetspeed.Stats {
-	e.applyTimeFactor()
-	return e.speed.stats()
-}
+func (e *Engine) TargetSpeed() targetspeed.Stats { return e.speed.stats(e.gate.setTimeFactor) }
 
 // CallsToOtherZone returns how many calls were sent to another zone because the own one is
 // short of capacity.
 func (e *Engine) CallsToOtherZone() uint64 { return e.toOtherZone.Load() }
 
-func (e *Engine) applyTimeFactor() { e.speed.applyFactor(e.gate.setTimeFactor) }
-
 // targetRun is one run of a request on the own target.
 type targetRun struct {
 	began   time.Duration
@@ -120,12 +119,14 @@
 	if l, ok := e.cfg.Dialect.GetLoad(&resp.Header); ok {
 		c.Figure = l.Figure
 	}
+	if c.Figure == 0 && c.Before == 0 {
+		return // times of targets that state no figure are not used
+	}
 	if r.code == "" && r.outcome == request.Completed && s.body.stream == nil {
 		c.Took = r.headAt - run.began - (s.running.blockedTime() - run.blocked)
 	}
-	change, st := e.speed.ended(&c)
+	change, st := e.speed.ended(&c, e.gate.setTimeFactor)
 	if change != targetspeed.NoChange {
 		e.onFigureTrust(change, st)
 	}
-	e.applyTimeFactor()
 }
