Count calls that leave their zone where the other hops are counted

Cause: the routing table counted them, the callee compared that count before and after a pick, the engine summed them and the control goroutine reported differences; each attempt's hop says the same already.

Change: the table tells of its last pick, and the metrics count attempts' hops. The comment of trafficConfig no longer says that the platform turns waiting on. TestCallsToOtherZoneAreCountedOnce is new.

--- a/internal/adapter/tallymetrics/calls.go
+++ b/internal/adapter/tallymetrics/calls.go
@@ -56,6 +56,9 @@
 	if h.Waited > 0 {
 		m.waits(c).observe(h)
 	}
+	if h.Kind == dataplane.HopAttempt && h.LeftZone {
+		m.Counters.CallsToOtherZone.Inc(1)
+	}
 	if h.Kind == dataplane.HopServe {
 		c.queue.RecordDuration(min(h.Queued, maxDuration))
 		c.resends.Inc(int64(max(h.Sends-1, 0)))
--- a/internal/adapter/tallymetrics/metrics_test.go
+++ b/internal/adapter/tallymetrics/metrics_test.go
@@ -91,6 +91,19 @@
 	})
 }
 
+// Guards against a call that leaves its zone and is counted at both of its hops, or at none.
+func TestCallsToOtherZoneAreCountedOnce(t *testing.T) {
+	runMetrics(t, 10, func(is *is.I, m *Metrics, scrape func() string) {
+		for _, kind := range []dataplane.HopKind{dataplane.HopAttempt, dataplane.HopEntry} {
+			h := newHop(kind, "feed.khaosan", "read", time.Millisecond)
+			h.LeftZone = true
+			m.Hop(h)
+			m.Hop(newHop(kind, "feed.khaosan", "read", time.Millisecond))
+		}
+		is.True(strings.Contains(scrape(), "peardrift_calls_to_other_zone_total 1\n"))
+	})
+}
+
 // Guards against unbounded cardinality: a caller keeps sending new host names, or a
 // node new codes, and a series per external value grows memory and scrapes.
 func TestSeriesAreBounded(t *testing.T) {
--- a/internal/core/route/pick.go
+++ b/internal/core/route/pick.go
@@ -50,6 +50,7 @@
 // PickFor is Pick for a call of a known class.
 func (t *Table) PickFor(now time.Duration, call *Call, tried *Tried) (idx int, ok bool) {
 	t.refresh(now)
+	t.leftZone = false
 	w := t.want(call)
 	c := noCandidate
 	near, far := t.all[:len(t.local)], t.all[len(t.local):]
--- a/internal/core/route/pool.go
+++ b/internal/core/route/pool.go
@@ -64,7 +64,7 @@
 			}
 		}
 		if t.rng.Float64()*t.cfg.PoolWidth < urgency*difference {
-			t.toOtherZone++
+			t.leftZone = true
 			return c
 		}
 	}
@@ -102,6 +102,6 @@
 	return min(t.cfg.ZoneCost.Seconds()/max(usual, minLatency), 1)
 }
 
-// ToOtherZone returns how many calls were sent to another zone because the own one is short
+// LeftZone reports whether the last PickFor chose another zone because the own one is short
 // of capacity.
-func (t *Table) ToOtherZone() uint64 { return t.toOtherZone }
+func (t *Table) LeftZone() bool { return t.leftZone }
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -73,8 +73,8 @@
 	meanLoad     float64
 	meanLatency  float64
 
-	classTimes  map[request.Class]float64 // seconds at a pace of 1
-	toOtherZone uint64
+	classTimes map[request.Class]float64 // seconds at a pace of 1
+	leftZone   bool                      // see LeftZone
 }
 
 // NewTable returns an empty table for a caller at the given place. rng samples the
--- a/internal/dataplane/callee.go
+++ b/internal/dataplane/callee.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"peardrift/internal/core/request"
@@ -23,7 +22,6 @@
 	budget      retry.ServiceBudget
 	decider     *retry.Decider
 	costs       map[request.Class]*retry.CallCount
-	toOtherZone *atomic.Uint64         // of the engine
 	forget      func(request.TargetID) // called for each target that was removed
 	meanLatency time.Duration          // moving average of the latency of completed calls; 0 if unknown
 }
@@ -46,8 +44,6 @@
 		decider: retry.NewDecider(&e.cfg.Retry, rng),
 		costs:   make(map[request.Class]*retry.CallCount),
 		forget:  e.levels.forget,
-
-		toOtherZone: &e.toOtherZone,
 	}
 	e.callees[name] = cl
 	return cl
@@ -93,20 +89,16 @@
 	defer cl.mu.Unlock()
 	cl.refresh(v, c.info.Name)
 	now := cl.now()
-	left := cl.table.ToOtherZone()
 	idx, ok := cl.table.PickFor(now, &c.want, tried)
 	if !ok {
 		return choice{}, false
 	}
-	leaves := cl.table.ToOtherZone() != left
-	if leaves {
-		cl.toOtherZone.Add(1)
-	}
 	tried.Add(idx)
 	cl.table.Started(now, idx)
 	t := cl.table.Target(idx)
 	return choice{
-		idx: idx, id: t.ID, zone: t.Zone, addr: cl.addrs[t.ID], class: c.want.Class, started: now, leaves: leaves,
+		idx: idx, id: t.ID, zone: t.Zone, addr: cl.addrs[t.ID], class: c.want.Class, started: now,
+		leaves: cl.table.LeftZone(),
 	}, true
 }
 
--- a/internal/dataplane/engine.go
+++ b/internal/dataplane/engine.go
@@ -177,7 +177,6 @@
 	onNotice        func(instance string, n wire.Notice)
 	onFigureTrust   func(targetspeed.Change, targetspeed.Stats)
 	speed           *targetSpeed
-	toOtherZone     atomic.Uint64
 	notice          atomic.Pointer[targetNotice] // last notice of the own target
 
 	mu      sync.Mutex
--- a/internal/dataplane/speed.go
+++ b/internal/dataplane/speed.go
@@ -90,10 +90,6 @@
 // figure that has become too old, if no answers do.
 func (e *Engine) TargetSpeed() targetspeed.Stats { return e.speed.stats(e.gate.setTimeFactor) }
 
-// CallsToOtherZone returns how many calls were sent to another zone because the own one is
-// short of capacity.
-func (e *Engine) CallsToOtherZone() uint64 { return e.toOtherZone.Load() }
-
 // targetRun is one run of a request on the own target.
 type targetRun struct {
 	began   time.Duration
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -44,7 +44,6 @@
 	leaving         bool
 	retiring        bool // the node is about to stop and still takes calls
 	overload        overloadDetector
-	leftZone        uint64 // calls sent to another zone that are counted in the metrics
 }
 
 // viewInputs are the values that a published view is built from.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -175,9 +175,8 @@
 }
 
 // trafficConfig returns the engine's configuration. Requests wait at their entry where the
-// platform declares objectives, or the settings say so, and a memory limit bounds what they
-// take.
-// integration is nil if the node uses the project's default interfaces.
+// settings ask for it and a memory limit bounds what they take. integration is nil if the
+// node uses the project's default interfaces.
 func trafficConfig(s settings.Settings, integration *Integration) dataplane.Config {
 	cfg := dataplane.DefaultConfig()
 	cfg.Dialect.NotExecuted = s.Target.NotExecutedHeader
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -111,9 +111,6 @@
 	g.TimeFactorStated.Update(speed.Stated)
 	g.TimeFactorMeasured.Update(speed.Measured)
 	g.TimeFactorTrust.Update(speed.Trust)
-	left := n.engine.CallsToOtherZone()
-	n.metrics.Counters.CallsToOtherZone.Inc(int64(left - c.leftZone))
-	c.leftZone = left
 	g.Suspects.Update(float64(n.engine.Suspects()))
 	g.ConfigVersion.Update(float64(c.config.index().Version(n.self.Tenant)))
 	g.Ready.Update(boolGauge(c.published.ready))
