Share how a gate and the entry queue deliver decisions

Cause: the entry queue had its own copy of the gate's channels, timer and delivery.

Change: both use one type. No change of behaviour.

go test and go test -race ./internal/dataplane pass.

--- a/internal/dataplane/entryqueue.go
+++ b/internal/dataplane/entryqueue.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -33,22 +32,13 @@
 	pacer   pacer
 	index   *configset.Index // in force
 	last    waiting.Ticket
-	waiting map[waiting.Ticket]chan waiting.Decision
+	waiting undecided[waiting.Ticket, waiting.Decision]
 	actions []waiting.Action
-	timer   *time.Timer
-	firesAt time.Duration // when the timer fires next
-	closed  bool
 }
 
 func newEntryQueue(cfg waiting.Config, p pacer, now func() time.Duration) *entryQueue {
-	q := &entryQueue{
-		now:     now,
-		core:    waiting.New(cfg, p, newRand()),
-		pacer:   p,
-		waiting: make(map[waiting.Ticket]chan waiting.Decision),
-		firesAt: math.MaxInt64,
-	}
-	q.timer = time.AfterFunc(math.MaxInt64, q.tick)
+	q := &entryQueue{now: now, core: waiting.New(cfg, p, newRand()), pacer: p}
+	q.waiting = newUndecided[waiting.Ticket, waiting.Decision](q.tick)
 	return q
 }
 
@@ -103,8 +93,7 @@
 	d, q.actions = q.core.Arrive(now, *r, q.actions[:0])
 	var wait chan waiting.Decision
 	if d.Verdict == waiting.Wait {
-		wait = make(chan waiting.Decision, 1)
-		q.waiting[r.Ticket] = wait
+		wait = q.waiting.add(r.Ticket)
 	}
 	q.deliver()
 	return d, r.Ticket, wait
@@ -183,10 +172,9 @@
 func (q *entryQueue) tick() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.closed {
+	if !q.waiting.fired() {
 		return
 	}
-	q.firesAt = math.MaxInt64
 	q.actions = q.core.Tick(q.now(), q.actions[:0])
 	q.deliver()
 }
@@ -194,17 +182,9 @@
 // deliver sends decisions to the waiting requests and sets the timer.
 func (q *entryQueue) deliver() {
 	for _, a := range q.actions {
-		if wait, ok := q.waiting[a.Ticket]; ok {
-			delete(q.waiting, a.Ticket)
-			wait <- a.Decision
-		}
-	}
-	next := q.core.Next()
-	if q.closed || next >= q.firesAt {
-		return // a timer that fires too early is harmless
+		q.waiting.decide(a.Ticket, a.Decision)
 	}
-	q.firesAt = next
-	q.timer.Reset(max(next-q.now(), time.Millisecond))
+	q.waiting.arm(q.core.Next(), q.now)
 }
 
 func (q *entryQueue) stats() waiting.Stats {
@@ -216,8 +196,7 @@
 func (q *entryQueue) close() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.closed = true
-	q.timer.Stop()
+	q.waiting.close()
 }
 
 // mayWait reports whether the entry queue decides when a root request starts. A streamed
--- a/internal/dataplane/gate.go
+++ b/internal/dataplane/gate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -20,21 +19,13 @@
 	mu      sync.Mutex
 	core    *admission.Gate
 	last    admission.Ticket
-	waiting map[admission.Ticket]chan admission.Decision
+	queued  undecided[admission.Ticket, admission.Decision]
 	actions []admission.Action
-	timer   *time.Timer
-	firesAt time.Duration // when the timer fires next
-	closed  bool
 }
 
 func newGate(cfg admission.Config, rng *rand.Rand, now func() time.Duration) *gate {
-	g := &gate{
-		now:     now,
-		core:    admission.New(cfg, rng),
-		waiting: make(map[admission.Ticket]chan admission.Decision),
-	}
-	g.firesAt = math.MaxInt64
-	g.timer = time.AfterFunc(math.MaxInt64, g.tick)
+	g := &gate{now: now, core: admission.New(cfg, rng)}
+	g.queued = newUndecided[admission.Ticket, admission.Decision](g.tick)
 	return g
 }
 
@@ -60,8 +51,7 @@
 	d, g.actions = g.core.Arrive(g.now(), *a, g.actions[:0])
 	var wait chan admission.Decision
 	if d.Verdict == admission.Queue {
-		wait = make(chan admission.Decision, 1)
-		g.waiting[a.Ticket] = wait
+		wait = g.queued.add(a.Ticket)
 	}
 	g.deliver()
 	return d, a.Ticket, wait
@@ -104,10 +94,9 @@
 func (g *gate) tick() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.closed {
+	if !g.queued.fired() {
 		return
 	}
-	g.firesAt = math.MaxInt64
 	g.actions = g.core.Tick(g.now(), g.actions[:0])
 	g.deliver()
 }
@@ -115,24 +104,9 @@
 // deliver sends decisions to the waiting calls and sets the timer.
 func (g *gate) deliver() {
 	for _, a := range g.actions {
-		if wait, ok := g.waiting[a.Ticket]; ok {
-			delete(g.waiting, a.Ticket)
-			wait <- a.Decision
-		}
-	}
-	g.arm()
-}
-
-// arm sets the timer if the core's next deadline is earlier than the timer's. A timer
-// that fires too early is harmless, so it is never postponed, which would cost time on
-// each call.
-func (g *gate) arm() {
-	next := g.core.Next()
-	if g.closed || next >= g.firesAt {
-		return
+		g.queued.decide(a.Ticket, a.Decision)
 	}
-	g.firesAt = next
-	g.timer.Reset(max(next-g.now(), time.Millisecond))
+	g.queued.arm(g.core.Next(), g.now)
 }
 
 func (g *gate) setSlots(slots int) {
@@ -187,8 +161,7 @@
 func (g *gate) close() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.closed = true
-	g.timer.Stop()
+	g.queued.close()
 }
 
 func refusal(d admission.Decision) *status.Error {
