Tell why an answer was passed on only in part

A caller of whom an answer was cut off saw a closed connection; the node's line said "call unknown" without a code, and no metric counted it, so that the incident's hypotheses couldn't be told apart: the caller left, the deadline passed, the callee broke off, or the node itself canceled the call. All four end the call's context or its stream in the same way.

A request's context now keeps what ended it, and the entry, egress and serve hops of a streamed answer carry the reason into the log line (truncated), the span (peardrift.truncated) and peardrift_truncated_answers_total.

--- a/internal/adapter/hertzhttp/request_context.go
+++ b/internal/adapter/hertzhttp/request_context.go
@@ -15,7 +15,8 @@
 	context.Context // parent; only its values are used
 
 	mu        sync.Mutex
-	err       error         // reason for the end; nil while active
+	err       error // reason for the end; nil while active
+	reason    EndReason
 	done      chan struct{} // created on first use
 	deadline  time.Time     // zero if there is none
 	timer     *time.Timer   // nil until the deadline needs one
@@ -96,18 +97,52 @@
 	return true
 }
 
+// EndReason tells what ended the context of a request.
+type EndReason uint8
+
+const (
+	// NotEnded: the context is active.
+	NotEnded EndReason = iota
+	// Canceled: the request has ended, or its handler canceled the context.
+	Canceled
+	// CallerLeft: the caller closed its connection.
+	CallerLeft
+	// DeadlinePassed: the context's deadline passed.
+	DeadlinePassed
+)
+
+// EndReasonOf returns what ended ctx. It tells CallerLeft from Canceled only for the
+// context of a request served by a Server.
+func EndReasonOf(ctx context.Context) EndReason {
+	if c, ok := ctx.(*requestContext); ok {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.reason
+	}
+	switch ctx.Err() {
+	case nil:
+		return NotEnded
+	case context.DeadlineExceeded:
+		return DeadlinePassed
+	default:
+		return Canceled
+	}
+}
+
 // cancel ends the context if it is still active.
-func (c *requestContext) cancel() { c.end(context.Canceled) }
+func (c *requestContext) cancel() { c.end(context.Canceled, Canceled) }
+
+func (c *requestContext) callerLeft() { c.end(context.Canceled, CallerLeft) }
 
-func (c *requestContext) expire() { c.end(context.DeadlineExceeded) }
+func (c *requestContext) expire() { c.end(context.DeadlineExceeded, DeadlinePassed) }
 
-func (c *requestContext) end(err error) {
+func (c *requestContext) end(err error, reason EndReason) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.err != nil {
 		return
 	}
-	c.err = err
+	c.err, c.reason = err, reason
 	if c.done != nil {
 		close(c.done)
 	}
--- a/internal/adapter/hertzhttp/watch.go
+++ b/internal/adapter/hertzhttp/watch.go
@@ -127,7 +127,7 @@
 	if ne, ok := err.(net.Error); ok && ne.Timeout() {
 		return
 	}
-	r.ctx.cancel()
+	r.ctx.callerLeft()
 }
 
 // end ends the request's context and returns the connection to its server.
--- a/internal/adapter/oteltrace/span.go
+++ b/internal/adapter/oteltrace/span.go
@@ -30,6 +30,7 @@
 	attrSends     = attribute.Key("peardrift.sends")
 	attrResend    = attribute.Key("peardrift.resend")
 	attrWaited    = attribute.Key("peardrift.waited_ms")
+	attrTruncated = attribute.Key("peardrift.truncated")
 	attrWait      = attribute.Key("peardrift.wait_result")
 )
 
@@ -141,5 +142,8 @@
 	if h.Waited > 0 {
 		as = append(as, attrWaited.Float64(h.Waited.Seconds()*1000), attrWait.String(h.WaitResult.String()))
 	}
+	if h.Truncated != dataplane.NotTruncated {
+		as = append(as, attrTruncated.String(h.Truncated.String()))
+	}
 	return as
 }
--- a/internal/adapter/oteltrace/tracer_test.go
+++ b/internal/adapter/oteltrace/tracer_test.go
@@ -121,7 +121,7 @@
 	is.NoErr(err)
 	h := newHop(dataplane.HopServe, 1, request.Refused)
 	h.Code, h.Retry, h.Target, h.Zone, h.Queued, h.Waited = status.CodeOverloaded, "final", 1, "bangkok-a", 1, 1
-	h.Sends, h.Resend = 2, dataplane.ResendBudget
+	h.Sends, h.Resend, h.Truncated = 2, dataplane.ResendBudget, dataplane.TruncatedByNode
 	var keys, documented []string
 	for _, a := range attributes(h) {
 		keys = append(keys, string(a.Key))
--- a/internal/adapter/tallymetrics/calls.go
+++ b/internal/adapter/tallymetrics/calls.go
@@ -37,6 +37,8 @@
 	// results is copied on write, under Metrics.mu.
 	results atomic.Pointer[map[result]counter]
 	waits   atomic.Pointer[waitSeries] // nil until a request has waited; set under Metrics.mu
+
+	truncations atomic.Pointer[truncationSeries] // nil until an answer was truncated; set under Metrics.mu
 }
 
 // counter is a counter with the scope that contains only this counter.
@@ -56,6 +58,9 @@
 	if h.Waited > 0 {
 		m.waits(c).observe(h)
 	}
+	if h.Truncated != dataplane.NotTruncated {
+		m.truncations(c).counts[h.Truncated].Inc(1)
+	}
 	if h.Kind == dataplane.HopAttempt && h.LeftZone {
 		m.Counters.CallsToOtherZone.Inc(1)
 	}
@@ -137,6 +142,9 @@
 	if w := c.waits.Load(); w != nil {
 		scopes = append(scopes, w.scopes[:]...)
 	}
+	if t := c.truncations.Load(); t != nil {
+		scopes = append(scopes, t.scopes[1:]...)
+	}
 	for _, s := range scopes {
 		if s, ok := s.(io.Closer); ok {
 			_ = s.Close() // only the root scope's Close can fail
--- a/internal/adapter/tallymetrics/metrics_test.go
+++ b/internal/adapter/tallymetrics/metrics_test.go
@@ -64,6 +64,9 @@
 			h.Waited, h.WaitResult = 150*time.Millisecond, waiting.Start
 			m.Hop(h)
 		}
+		h = newHop(dataplane.HopEgress, "archive.khaosan", "read", time.Second)
+		h.Truncated = dataplane.TruncatedByNode
+		m.Hop(h)
 		m.Gauges.Limit.Update(25)
 		m.Counters.ControlBytes.Inc(100)
 		m.Scope().SubScope("claims").Counter("calls").Inc(2)
@@ -77,6 +80,8 @@
 			`peardrift_queue_seconds_bucket{class="read",hop="serve",service="feed.khaosan",le="0.01"} 1`,
 			`peardrift_entry_waits_total{class="read",hop="entry",result="started",service="archive.khaosan"} 2`,
 			`peardrift_entry_wait_seconds_bucket{class="read",hop="entry",service="archive.khaosan",le="0.2"} 2`,
+			`peardrift_truncated_answers_total{class="read",hop="egress",reason="node",service="archive.khaosan"} 1`,
+			`peardrift_truncated_answers_total{class="read",hop="egress",reason="callee",service="archive.khaosan"} 0`,
 			`peardrift_target_limit 25`,
 			`peardrift_control_bytes_total 100`,
 			`peardrift_claims_calls 2`,
@@ -186,6 +191,9 @@
 		waited := newHop(dataplane.HopEntry, "feed.khaosan", "read", time.Second)
 		waited.Waited, waited.WaitResult = time.Second, waiting.Start
 		m.Hop(waited)
+		truncated := newHop(dataplane.HopEntry, "feed.khaosan", "read", 0)
+		truncated.Truncated = dataplane.TruncatedByCallee
+		m.Hop(truncated)
 		var names, documented []string
 		for _, f := range regexp.MustCompile(`(?m)^# TYPE (peardrift_\w+) (\w+)$`).FindAllStringSubmatch(scrape(), -1) {
 			names = append(names, f[1]+" "+f[2])
--- a/internal/adapter/tallymetrics/names.go
+++ b/internal/adapter/tallymetrics/names.go
@@ -21,6 +21,7 @@
 	nameResendsRefused = "resends_refused_total"
 	nameWaits          = "entry_waits_total"
 	nameWait           = "entry_wait_seconds"
+	nameTruncated      = "truncated_answers_total"
 )
 
 // Names of the metrics of tenants.
@@ -39,6 +40,7 @@
 	labelCode    = "code"
 	labelTenant  = "tenant"
 	labelResult  = "result"
+	labelReason  = "reason"
 )
 
 // other is the label value shared by all values without a series of their own.
@@ -64,6 +66,7 @@
 // vecs holds the metric families whose series can be removed.
 type vecs struct {
 	calls, waits      *prom.CounterVec
+	truncated         *prom.CounterVec
 	time, queue, wait *prom.HistogramVec
 	resends           []*prom.CounterVec
 	tenants           []*prom.CounterVec
@@ -77,6 +80,9 @@
 	v.waits = must(r.RegisterCounter(namePrefix+"_"+nameWaits,
 		[]string{labelHop, labelService, labelClass, labelResult},
 		"Requests that waited for their start, by what ended the wait."))
+	v.truncated = must(r.RegisterCounter(namePrefix+"_"+nameTruncated,
+		[]string{labelHop, labelService, labelClass, labelReason},
+		"Answers that were passed on only in part, by reason."))
 	v.time = histogram(r, nameTime, "Time from a hop's start to its end.")
 	v.queue = histogram(r, nameQueue, "Time that a hop waited for a slot of the target.")
 	v.wait = histogram(r, nameWait, "Time that a request waited for its start.")
@@ -122,6 +128,7 @@
 		c.DeletePartialMatch(labels)
 	}
 	v.waits.DeletePartialMatch(labels)
+	v.truncated.DeletePartialMatch(labels)
 	v.wait.DeletePartialMatch(labels)
 }
 
--- a/internal/adapter/zaplog/fields.go
+++ b/internal/adapter/zaplog/fields.go
@@ -27,6 +27,9 @@
 // Level is the field of the admission threshold, as an importance.
 func Level(l request.Level) zap.Field { return zap.Float64("refused_below", l.AsImportance()) }
 
+// Truncated is the field of an answer that was passed on only in part: the reason.
+func Truncated(reason string) zap.Field { return zap.String("truncated", reason) }
+
 // LeftZone is the field of a call that went to another zone because the targets of the own
 // one are short of capacity.
 func LeftZone(left bool) zap.Field { return zap.Bool("left_zone", left) }
--- a/internal/adapter/zaplog/zaplog_test.go
+++ b/internal/adapter/zaplog/zaplog_test.go
@@ -73,7 +73,7 @@
 	var out bytes.Buffer
 	log, closeLog := newLogger(&out, zapcore.InfoLevel, 100)
 	log.Info("all", Request(request.ID{1}), Service("s.t"), Class("c"), Tenant("t"), Target(7),
-		Organisation("o"), Importance(1), Detail("d"), Name("n"), Version(1), Level(1), CalleeLevel(1), LeftZone(true), Outcome(request.Failed), Key("k"), Error(status.New(status.CodeInternal, "x")))
+		Organisation("o"), Importance(1), Detail("d"), Name("n"), Version(1), Level(1), CalleeLevel(1), LeftZone(true), Truncated("r"), Outcome(request.Failed), Key("k"), Error(status.New(status.CodeInternal, "x")))
 	log.Info("too long", zap.String("x", strings.Repeat("x", maxLineBytes)))
 	is.NoErr(closeLog())
 	var documented []string
--- a/internal/dataplane/answer.go
+++ b/internal/dataplane/answer.go
@@ -1,6 +1,7 @@
 package dataplane
 
 import (
+	"context"
 	"strings"
 	"time"
 
@@ -12,7 +13,7 @@
 )
 
 // answer relays a call's result to the caller or the own target.
-func (e *Engine) answer(to, from *protocol.Response, out *outboundCall, r *result, hop *Hop) {
+func (e *Engine) answer(ctx context.Context, to, from *protocol.Response, out *outboundCall, r *result, hop *Hop) {
 	e.relay(to, from, out.id, r)
 	to.Header.Set(wire.HeaderRequest, out.id.String())
 	if r.code == "" {
@@ -24,7 +25,7 @@
 		return
 	}
 	r.stream.OnClose(func() {
-		if !r.stream.Complete() {
+		if hop.Truncated = truncationOf(ctx, r.stream); hop.Truncated != NotTruncated {
 			hop.Outcome = request.Unknown
 		}
 		hop.End = time.Now()
--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -127,7 +127,7 @@
 		out.parent.callEnded(r)
 	}
 	hop.fill(out, r)
-	e.answer(&c.Response, resp, out, r, hop)
+	e.answer(ctx, &c.Response, resp, out, r, hop)
 	if r.stream == nil {
 		cancel()
 		protocol.ReleaseResponse(resp)
--- a/internal/dataplane/hop.go
+++ b/internal/dataplane/hop.go
@@ -62,6 +62,7 @@
 	Resend     string          // why a call that the target rejected was not sent again; empty if none was
 	Waited     time.Duration   // for its start; 0 if the request did not wait
 	WaitResult waiting.Verdict // if Waited
+	Truncated  Truncation      // why the answer was passed on only in part
 	Version    int64           // of the configuration set in force
 }
 
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -287,7 +287,10 @@
 
 // release frees the slot, and records and reports the end of the call.
 func (e *Engine) release(s *inboundCall, r *result, cancel func()) {
-	if r.stream != nil && !r.stream.Complete() {
+	if r.stream != nil {
+		s.hop.Truncated = truncationOf(s.running.ctx, r.stream)
+	}
+	if s.hop.Truncated != NotTruncated {
 		r.outcome = request.Unknown
 	}
 	e.running.remove(s.running)
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -85,6 +85,9 @@
 	if h.Waited > 0 {
 		fields = append(fields, zap.Duration("waited", h.Waited), zap.Stringer("wait_result", h.WaitResult))
 	}
+	if h.Truncated != dataplane.NotTruncated {
+		fields = append(fields, zaplog.Truncated(h.Truncated.String()))
+	}
 	if h.Detail != "" {
 		fields = append(fields, zaplog.Detail(h.Detail))
 	}
