Reproduce answers to targets that are cut off with their parent request

A target that calls through its node got the head and the start of a 200 and then a closed connection, when the request that it runs had ended meanwhile.

--- a/internal/dataplane/truncation_test.go
+++ b/internal/dataplane/truncation_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/matryer/is"
 
 	"peardrift/internal/adapter/hertzhttp"
@@ -85,6 +86,7 @@
 	return targetCall{resp, conn}
 }
 
+// readStart reads the start of the answer.
 func (c targetCall) readStart(t *testing.T) {
 	is := is.New(t)
 	is.Equal(c.StatusCode, http.StatusOK)
@@ -132,3 +134,62 @@
 		})
 	}
 }
+
+// observedTransport tells when calls begin and runs a function after each.
+type observedTransport struct {
+	Transport
+	began chan context.Context
+	after func(ctx context.Context)
+}
+
+func (o *observedTransport) Do(ctx context.Context, addr string, req *protocol.Request, resp *protocol.Response) (hertzhttp.Result, error) {
+	o.began <- ctx
+	res, err := o.Transport.Do(ctx, addr, req, resp)
+	o.after(ctx)
+	return res, err
+}
+
+// newObservedCaller returns an engine with a running request that ends by the returned
+// function.
+func newObservedCaller(t *testing.T, callee *streamingCallee) (*Engine, *runningRequest, *observedTransport, context.CancelFunc) {
+	e, info := newCaller(t, callee.Server)
+	o := &observedTransport{Transport: e.peers, began: make(chan context.Context, 1), after: func(context.Context) {}}
+	e.peers, e.crossZone = o, o
+	ctx, end := context.WithCancel(t.Context())
+	return e, runRequest(ctx, e, info, time.Minute), o, end
+}
+
+// Guards against a target that gets half an answer: the request that it runs ends while
+// the answer to one of its calls is being passed on, and the node closes the connection.
+func TestEndOfRequestDoesNotTruncateAnswerToItsTarget(t *testing.T) {
+	t.Run("an answer that is passed on ends whole", func(t *testing.T) {
+		is := is.New(t)
+		callee := newStreamingCallee(t)
+		e, x, o, endRequest := newObservedCaller(t, callee)
+		c := callFromTarget(t, e, x)
+		c.readStart(t)
+		endRequest()
+		select {
+		case <-(<-o.began).Done():
+			t.Error("the call was canceled")
+		case <-time.After(100 * time.Millisecond):
+		}
+		callee.finish()
+		rest, err := io.ReadAll(c.Body)
+		is.NoErr(err)
+		is.Equal(string(rest), answerRest)
+	})
+	t.Run("an answer that can't end does not begin", func(t *testing.T) {
+		is := is.New(t)
+		callee := newStreamingCallee(t)
+		e, x, o, endRequest := newObservedCaller(t, callee)
+		o.after = func(ctx context.Context) {
+			endRequest()
+			<-ctx.Done()
+		}
+		c := callFromTarget(t, e, x)
+		is.Equal(c.StatusCode, http.StatusBadGateway)
+		_, err := io.ReadAll(c.Body)
+		is.NoErr(err)
+	})
+}
