Don't cut off an answer because its target's own request has ended

A target that calls through its node, and waits for the answer, got the head and the start of a 200 and then a closed connection: neither an answer nor a refusal.

A call of a target is canceled when the request that the target runs ends, mostly because the caller's close has been seen. That was so until the last byte of the answer. Once the head of an answer without a length, or above the buffered size, had been passed on, the cancellation closed the callee's connection, the stream failed, and the target's connection was closed in the middle of the answer.

Now the end of the parent request and the start of the answer decide in one atomic step which came first: an answer that is passed on outlasts the request and ends with its callee, its receiver or its deadline; a call that is canceled first gets a whole failure, also if the callee's head has arrived. A call without an answer ends with its request as before.

The test of a stopping node passes the new argument and checks the same.

--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -95,8 +95,8 @@
 }
 
 // serveOutbound runs one call for a caller or the own target and answers it. If parent
-// is not nil, the call also ends with it; parent is the context of the request whose
-// target makes the call.
+// is not nil, the call also ends with it, until its answer is passed on; parent is the
+// context of the request whose target makes the call.
 func (e *Engine) serveOutbound(ctx, parent context.Context, c *app.RequestContext, hop *Hop, prepare func(*View) (*outboundCall, *status.Error)) {
 	e.calls.Add(1)
 	defer e.calls.Add(-1)
@@ -110,8 +110,9 @@
 	defer protocol.ReleaseRequest(out.req)
 	out.span = hop.Span
 	ctx, cancel := hertzhttp.WithDeadline(ctx, e.epoch.Add(out.deadline))
+	var link parentLink
 	if parent != nil {
-		cancel = e.cancelWithParent(parent, cancel)
+		cancel = e.cancelWithParent(parent, &link, cancel)
 	}
 	resp := protocol.AcquireResponse()
 	if out.waits && fault == nil {
@@ -121,6 +122,9 @@
 		}
 	}
 	r := e.execute(ctx, out, fault, resp)
+	if r.stream != nil && !link.detach() {
+		r.setCanceled()
+	}
 	e.resends.ended(out, r)
 	e.recordFinished(out, r)
 	if out.parent != nil {
@@ -136,26 +140,6 @@
 	}
 }
 
-// cancelWithParent calls cancel when the parent context ends, and returns the function
-// to call in place of cancel. Without it, a request whose target makes calls for
-// minutes would keep state of each of them until it ends.
-//
-// Once the node is stopping, it leaves ending such calls to the target, which notices
-// its own closed connection and closes the call soon enough. If the node canceled
-// them, a caller that left in the seconds after the stop began would make it answer a
-// call with a failure of its own while the downstream target still works on it.
-func (e *Engine) cancelWithParent(parent context.Context, cancel context.CancelFunc) context.CancelFunc {
-	stop := hertzhttp.AfterFunc(parent, func() {
-		if !e.retiring.Load() {
-			cancel()
-		}
-	})
-	return func() {
-		stop()
-		cancel()
-	}
-}
-
 // execute makes the call, unless it is refused already, and checks a refusal against
 // the known results of earlier calls.
 func (e *Engine) execute(ctx context.Context, out *outboundCall, fault *status.Error, resp *protocol.Response) *result {
--- a/internal/dataplane/retire_test.go
+++ b/internal/dataplane/retire_test.go
@@ -21,7 +21,7 @@
 			}
 			parent, endParent := context.WithCancel(context.Background())
 			ctx, cancel := context.WithCancel(context.Background())
-			done := e.cancelWithParent(parent, cancel)
+			done := e.cancelWithParent(parent, new(parentLink), cancel)
 			endParent()
 			synctest.Wait()
 			is.Equal(ctx.Err() == nil, stopping)
