--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -110,9 +110,10 @@
 	defer protocol.ReleaseRequest(out.req)
 	out.span = hop.Span
 	ctx, cancel := hertzhttp.WithDeadline(ctx, e.epoch.Add(out.deadline))
-	var link parentLink
+	var link *parentLink
 	if parent != nil {
-		cancel = e.cancelWithParent(parent, &link, cancel)
+		link = new(parentLink)
+		cancel = e.cancelWithParent(parent, link, cancel)
 	}
 	resp := protocol.AcquireResponse()
 	if out.waits && fault == nil {
--- a/internal/dataplane/parentlink.go
+++ b/internal/dataplane/parentlink.go
@@ -11,8 +11,7 @@
 
 // parentLink decides which comes first: the end of a call's parent request, which cancels
 // the call, or the call's answer. An answer that is being passed on must not be cut off:
-// its head has told the target that it succeeds, and the callee has done its work. The
-// zero value is the link of a call without a parent, or whose parent hasn't ended.
+// its head has told the target that it succeeds. A call without a parent has a nil link.
 type parentLink struct {
 	state atomic.Int32
 }
@@ -25,7 +24,9 @@
 
 // detach makes the call outlast its parent; it returns false if the call has been
 // canceled.
-func (l *parentLink) detach() bool { return l.state.CompareAndSwap(linkAttached, linkDetached) }
+func (l *parentLink) detach() bool {
+	return l == nil || l.state.CompareAndSwap(linkAttached, linkDetached)
+}
 
 // tryCancel reports whether the call is to be canceled because its parent has ended.
 func (l *parentLink) tryCancel() bool { return l.state.CompareAndSwap(linkAttached, linkCanceled) }
