Don't take a connection that the server closes for one that its client closed

An answer that the callee broke off more than 200 ms after the request's start was reported as truncated by the caller: the server closes the caller's connection when the answer's stream fails, the read that watches for the client's close ends with "use of closed network connection", and this ended the request's context as if the client had left.

The watch now ignores the end of its own connection. What it waits for has ended then: the stream has failed, or the blocked read or write fails.

Found by a review of the diagnostics.

--- a/internal/adapter/hertzhttp/watch.go
+++ b/internal/adapter/hertzhttp/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -122,9 +123,9 @@
 }
 
 // readEnded handles the end of the blocking read. A timeout means that end stopped
-// it.
+// it; a closed connection was closed by this server, not by the client.
 func (r *watchedRequest) readEnded(err error) {
-	if ne, ok := err.(net.Error); ok && ne.Timeout() {
+	if ne, ok := err.(net.Error); ok && ne.Timeout() || errors.Is(err, net.ErrClosed) {
 		return
 	}
 	r.ctx.callerLeft()
--- a/internal/dataplane/truncation_test.go
+++ b/internal/dataplane/truncation_test.go
@@ -106,6 +106,9 @@
 	return x
 }
 
+// watchedAfter is when the server certainly watches the caller of a request.
+const watchedAfter = 500 * time.Millisecond
+
 // Guards against truncated answers that can't be told apart: whatever ended one, the hop
 // said no more than that its outcome is unknown.
 func TestTruncatedAnswerIsReportedWithItsReason(t *testing.T) {
@@ -118,6 +121,10 @@
 		"the caller leaves":     {time.Minute, func(_ *streamingCallee, c targetCall) { _ = c.conn.Close() }, TruncatedByCaller},
 		"the deadline passes":   {300 * time.Millisecond, func(*streamingCallee, targetCall) {}, TruncatedByDeadline},
 		"the callee breaks off": {time.Minute, func(callee *streamingCallee, _ targetCall) { _ = (<-callee.conns).Close() }, TruncatedByCallee},
+		"the callee breaks off later": {time.Minute, func(callee *streamingCallee, _ targetCall) {
+			time.Sleep(watchedAfter)
+			_ = (<-callee.conns).Close()
+		}, TruncatedByCallee},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
