Record received bytes when they arrive, not when a whole body has

What callers see: an answer of another node that arrives slowly is cut after about 0.5 s. An answer of up to 64 KiB fails as "connection went silent"; a chunked one, whose header has been passed on, ends in a closed connection.

Cause: activity was recorded after each call of the codec, and the codec waits for a whole body, or for up to 4 KiB of a chunk, in one call. The other node has written the answer and no longer lists the call, so that the probe fails it although bytes keep arriving.

Why it works: the socket reports each read, so that the silence of a call is the time since the last byte arrived. The four overrides of the codec's reads that did this before are no longer needed.

--- a/internal/adapter/hertzhttp/conn.go
+++ b/internal/adapter/hertzhttp/conn.go
@@ -37,7 +37,9 @@
 }
 
 func newClientConn(p *pool, raw network.Conn, sock *socket) *clientConn {
-	return &clientConn{Conn: raw, sock: sock, pool: p, watchResult: make(chan bool, 1), abort: func() { _ = raw.Close() }}
+	c := &clientConn{Conn: raw, sock: sock, pool: p, watchResult: make(chan bool, 1), abort: func() { _ = raw.Close() }}
+	sock.onReceive = func() { p.recordActivity(c, true) }
+	return c
 }
 
 // startWatch waits for bytes or a close on an idle connection until stopWatch is
@@ -82,43 +84,6 @@
 	return good
 }
 
-// Peek implements network.Reader and reports received bytes to the pool.
-func (c *clientConn) Peek(n int) ([]byte, error) {
-	had := c.Conn.Len()
-	b, err := c.Conn.Peek(n)
-	c.recordReceived(had)
-	return b, err
-}
-
-// Read implements io.Reader and reports received bytes to the pool.
-func (c *clientConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.pool.recordActivity(c, true)
-	}
-	return n, err
-}
-
-// ReadBinary implements network.Reader and reports received bytes to the pool.
-func (c *clientConn) ReadBinary(n int) ([]byte, error) {
-	had := c.Conn.Len()
-	b, err := c.Conn.ReadBinary(n)
-	if had < n && err == nil {
-		c.pool.recordActivity(c, true)
-	}
-	return b, err
-}
-
-// Skip implements network.Reader and reports received bytes to the pool.
-func (c *clientConn) Skip(n int) error {
-	had := c.Conn.Len()
-	err := c.Conn.Skip(n)
-	if had < n && err == nil {
-		c.pool.recordActivity(c, true)
-	}
-	return err
-}
-
 // Flush implements network.Writer and reports sent bytes to the pool.
 func (c *clientConn) Flush() error {
 	was := c.waitingLocally.Swap(false)
@@ -177,9 +142,3 @@
 		c.pool.finish(c, conn.Complete)
 	}
 }
-
-func (c *clientConn) recordReceived(had int) {
-	if c.Conn.Len() > had {
-		c.pool.recordActivity(c, true)
-	}
-}
--- a/internal/adapter/hertzhttp/dial.go
+++ b/internal/adapter/hertzhttp/dial.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/config"
@@ -18,12 +17,29 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	s, err := newSocket(raw.(syscall.Conn)) // every TCP connection implements it
+	tcp := raw.(*net.TCPConn) // as for each dial of "tcp"
+	s, err := newSocket(tcp)
 	if err != nil {
 		_ = raw.Close()
 		return nil, nil, err
 	}
-	return wrapConn(raw), s, nil
+	return wrapConn(&receivingConn{tcp, s}), s, nil
+}
+
+// receivingConn reports received bytes as they arrive. The codec's reads may return
+// only when a whole body has arrived, and the connection would look silent until then.
+type receivingConn struct {
+	*net.TCPConn
+	sock *socket
+}
+
+// Read implements io.Reader.
+func (c *receivingConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n > 0 && c.sock.onReceive != nil {
+		c.sock.onReceive()
+	}
+	return n, err
 }
 
 // wrapConn wraps a network connection in the codec's type. hertz's dialer does not
--- a/internal/adapter/hertzhttp/socket.go
+++ b/internal/adapter/hertzhttp/socket.go
@@ -7,6 +7,8 @@
 	raw   syscall.RawConn
 	empty bool                  // result of peek
 	peek  func(fd uintptr) bool // allocated once instead of per call
+
+	onReceive func() // called when bytes have been read; may be nil
 }
 
 func newSocket(c syscall.Conn) (*socket, error) {
