Test that a client's next request doesn't end the running one

The watch for a client's disconnect reads from its connection. With a watch changed to end the context at any byte, this test alone of the package's passing tests fails. It passes on the current code.

--- a/internal/adapter/hertzhttp/watch_test.go
+++ b/internal/adapter/hertzhttp/watch_test.go
@@ -79,3 +79,43 @@
 		})
 	}
 }
+
+// Only a close may end a request's context. A client that sends its next requests
+// early is still there, and its response would be cut.
+func TestNextRequestDoesNotEndContext(t *testing.T) {
+	for name, early := range map[string]string{
+		"whole": requests["without a body"],
+		"begun": "G",
+		"CRLF":  "\r\n", // allowed before a request
+	} {
+		for which, wait := range map[string]time.Duration{"before the watch": 0, "while watched": 3 * watchDelay / 2} {
+			t.Run(name+" "+which, func(t *testing.T) {
+				t.Parallel()
+				started, ended := make(chan struct{}, 1), make(chan error, 1)
+				addr := startServer(t, func(ctx context.Context, c *app.RequestContext) {
+					select {
+					case started <- struct{}{}:
+					default:
+						return // the next request
+					}
+					select {
+					case <-ctx.Done():
+					case <-time.After(3 * watchDelay):
+					}
+					select {
+					case ended <- ctx.Err():
+					default:
+					}
+				})
+				c, err := net.Dial("tcp", addr)
+				is.New(t).NoErr(err)
+				defer c.Close()
+				writeString(c, requests["without a body"])
+				<-started
+				time.Sleep(wait)
+				writeString(c, early)
+				is.New(t).NoErr(<-ended)
+			})
+		}
+	}
+}
