Let a shutdown wait until whole responses are written

A client that reads a large response slowly got a part of it and the end of the process: a request counted as done when its handler returned, but the codec writes a response that is not streamed after that, and Server.Shutdown returned before the first byte was written. A node that stops ends the process soon after.

The server's connections now keep a request active until the codec reads on or closes, which it does only when the response has been written. The grace time bounds the wait as before, and Active means the same for both kinds of response.

--- a/internal/adapter/hertzhttp/server.go
+++ b/internal/adapter/hertzhttp/server.go
@@ -74,8 +74,9 @@
 	if cfg.Conns != nil {
 		ln = &limitedListener{Listener: ln, limit: cfg.Conns}
 	}
-	s := &Server{ln: ln, done: make(chan error, 1)}
-	s.h = server.New(options(ln, cfg)...)
+	s := &Server{done: make(chan error, 1)}
+	s.ln = &serverListener{Listener: ln, active: &s.active}
+	s.h = server.New(options(s.ln, cfg)...)
 	s.h.NoHijackConnPool = true
 	s.h.NoRoute(func(ctx context.Context, c *app.RequestContext) { s.serve(ctx, c, handle) })
 	return s, nil
@@ -85,6 +86,7 @@
 	opts := []config.Option{
 		server.WithTransport(standard.NewTransporter),
 		server.WithListener(ln),
+		server.WithOnAccept(withServerConn),
 		server.WithIdleTimeout(cfg.IdleTimeout),
 		server.WithReadTimeout(cfg.ReadTimeout),
 		server.WithMaxHeaderBytes(cfg.MaxHeaderBytes),
@@ -109,8 +111,8 @@
 // Addr returns the bound address.
 func (s *Server) Addr() string { return s.ln.Addr().String() }
 
-// Active returns the number of requests that are in the handler or whose streamed
-// response is not yet written.
+// Active returns the number of requests that are in the handler or whose response is not
+// yet written.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
 // Start accepts connections until Shutdown.
@@ -138,12 +140,13 @@
 }
 
 func (s *Server) serve(ctx context.Context, c *app.RequestContext, handle Handler) {
-	s.active.Add(1)
+	conn := serverConnOf(ctx)
+	conn.beginRequest()
 	ctx, w := s.watch.begin(ctx, c)
 	streams := false
 	done := func() {
 		w.end()
-		s.active.Add(-1)
+		conn.endHandler()
 	}
 	defer func() {
 		if !streams {
--- /dev/null
+++ b/internal/adapter/hertzhttp/serverconn.go
@@ -0,0 +1,70 @@
+package hertzhttp
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+)
+
+// serverConn is a connection of a Server. hertz writes a response after its handler has
+// returned; serverConn keeps the request active until that is done.
+type serverConn struct {
+	net.Conn
+	active     *atomic.Int64 // requests of the server
+	responding atomic.Bool   // the handler has returned, and its response may not be written yet
+}
+
+// serverListener accepts serverConns.
+type serverListener struct {
+	net.Listener
+	active *atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *serverListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &serverConn{Conn: c, active: l.active}, nil
+}
+
+// serverConnKey is the context key of a request's serverConn.
+type serverConnKey struct{}
+
+func withServerConn(c net.Conn) context.Context {
+	return context.WithValue(context.Background(), serverConnKey{}, c)
+}
+
+func serverConnOf(ctx context.Context) *serverConn {
+	return ctx.Value(serverConnKey{}).(*serverConn)
+}
+
+// beginRequest counts a request whose handler is called.
+func (c *serverConn) beginRequest() {
+	c.active.Add(1)
+	c.responseWritten() // the one before, if its client had already sent this request
+}
+
+// endHandler leaves the rest of the request to hertz: writing the response, or what is
+// left of it in buffers.
+func (c *serverConn) endHandler() { c.responding.Store(true) }
+
+func (c *serverConn) responseWritten() {
+	if c.responding.Swap(false) {
+		c.active.Add(-1)
+	}
+}
+
+// Read implements net.Conn. After a request's handler has returned, hertz reads on only
+// when the response is written.
+func (c *serverConn) Read(b []byte) (int, error) {
+	c.responseWritten()
+	return c.Conn.Read(b)
+}
+
+// Close implements net.Conn.
+func (c *serverConn) Close() error {
+	defer c.responseWritten()
+	return c.Conn.Close()
+}
