Let clients receive the responses of a connection that a server closes

A client that sends further requests on its connection, and reads a large response slowly, got only the start of it and a reset connection.

The server closed the connection right after its last response, such as the 503 of a node that stops. Requests that are unread then, or that arrive later, make the kernel reset the connection and discard what is not yet sent of the responses before.

After the last response of a connection the server now closes the sending side, reads until the client closes, for at most 2 s or 1 MiB, and closes the connection then (RFC 9112, 9.6). The request stays active meanwhile, so that a shutdown waits for it within its grace time. Idle connections and responses that are broken off are closed as before.

Not covered: the codec's own responses to malformed requests, and connections that are open without a request when the process ends. Its cost was not measured.

--- a/internal/adapter/hertzhttp/limit.go
+++ b/internal/adapter/hertzhttp/limit.go
@@ -59,3 +59,12 @@
 	}
 	return c.Conn.Close()
 }
+
+// CloseWrite closes the sending side.
+func (c *countedConn) CloseWrite() error {
+	w, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return net.ErrClosed
+	}
+	return w.CloseWrite()
+}
--- a/internal/adapter/hertzhttp/server.go
+++ b/internal/adapter/hertzhttp/server.go
@@ -112,7 +112,7 @@
 func (s *Server) Addr() string { return s.ln.Addr().String() }
 
 // Active returns the number of requests that are in the handler or whose response is not
-// yet written.
+// yet written, and of connections whose clients have yet to receive their last response.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
 // Start accepts connections until Shutdown.
@@ -146,7 +146,7 @@
 	streams := false
 	done := func() {
 		w.end()
-		conn.endHandler()
+		conn.endHandler(s.isLast(c))
 	}
 	defer func() {
 		if !streams {
@@ -167,6 +167,11 @@
 	streams = guardResponseBody(c, done)
 }
 
+// isLast reports whether hertz closes the connection after the response.
+func (s *Server) isLast(c *app.RequestContext) bool {
+	return c.Response.ConnectionClose() || c.Request.Header.ConnectionClose() || !s.h.IsRunning()
+}
+
 // Close stops listening without waiting. It also works on a server that was never
 // started.
 func (s *Server) Close() { _ = s.ln.Close() }
--- a/internal/adapter/hertzhttp/serverconn.go
+++ b/internal/adapter/hertzhttp/serverconn.go
@@ -2,18 +2,33 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync/atomic"
+	"time"
 )
 
 // serverConn is a connection of a Server. hertz writes a response after its handler has
 // returned; serverConn keeps the request active until that is done.
+//
+// It also lets the client receive its last response. Bytes that are unread when a
+// connection is closed, or that arrive later, reset it, and the client may lose responses
+// that it has not received yet. After the last response serverConn therefore closes only
+// the sending side, and reads on until the client closes (RFC 9112, 9.6).
 type serverConn struct {
 	net.Conn
 	active     *atomic.Int64 // requests of the server
 	responding atomic.Bool   // the handler has returned, and its response may not be written yet
+	last       atomic.Bool   // hertz closes the connection after the response
 }
 
+const (
+	// maxDrainTime bounds how long a connection is read after its last response.
+	maxDrainTime = 2 * time.Second
+	// maxDrainBytes bounds how much is read then; a refused upload can be of any size.
+	maxDrainBytes = 1 << 20
+)
+
 // serverListener accepts serverConns.
 type serverListener struct {
 	net.Listener
@@ -48,7 +63,10 @@
 
 // endHandler leaves the rest of the request to hertz: writing the response, or what is
 // left of it in buffers.
-func (c *serverConn) endHandler() { c.responding.Store(true) }
+func (c *serverConn) endHandler(last bool) {
+	c.last.Store(last)
+	c.responding.Store(true)
+}
 
 func (c *serverConn) responseWritten() {
 	if c.responding.Swap(false) {
@@ -66,5 +84,16 @@
 // Close implements net.Conn.
 func (c *serverConn) Close() error {
 	defer c.responseWritten()
+	if c.last.Swap(false) {
+		c.drain()
+	}
 	return c.Conn.Close()
 }
+
+func (c *serverConn) drain() {
+	w, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || w.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(maxDrainTime)) != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, c.Conn, maxDrainBytes)
+}
