Don't cut off a response whose reader pauses because its peer can't be probed

A caller that stopped reading a large response for some seconds got a closed connection when it went on, if the node that sends the response was stopping or had no connection left.

A call without traffic is probed over a new connection, and fails if no probe says for 5 s that the peer works on it. That a pausing reader is no silence was looked at only with the peer's answer in hand; a peer that can't be reached gave none.

A response that is being passed on is now taken as under way while its reader pauses, whether the peer was reached or not. When the reader goes on, the connection itself tells whether the rest comes; the deadline bounds it. Uploads are treated as before.

--- a/internal/adapter/hertzhttp/client.go
+++ b/internal/adapter/hertzhttp/client.go
@@ -210,6 +210,7 @@
 		return err
 	}
 	cc.waitingLocally.Store(true) // until the caller reads
+	cc.streaming.Store(true)
 	res.Stream = &Stream{reader: resp.BodyStream(), conn: cc, stop: stop, reusable: !resp.ConnectionClose()}
 	resp.ConstructBodyStream(nil, nil) // a non-nil stream would be closed a second time
 	res.Length = max(n, -1)
--- a/internal/adapter/hertzhttp/conn.go
+++ b/internal/adapter/hertzhttp/conn.go
@@ -33,6 +33,7 @@
 
 	lost           atomic.Bool // closed because it went silent
 	waitingLocally atomic.Bool // the call waits for local I/O, not for the peer
+	streaming      atomic.Bool // the response is read by the caller of Do
 	watchResult    chan bool   // receives whether the connection was usable when the watch ended
 }
 
--- a/internal/adapter/hertzhttp/pool.go
+++ b/internal/adapter/hertzhttp/pool.go
@@ -65,6 +65,7 @@
 	c := p.conns[id]
 	c.idle, c.tag = false, tag
 	c.waitingLocally.Store(false)
+	c.streaming.Store(false)
 	return c, result
 }
 
--- a/internal/adapter/hertzhttp/probe.go
+++ b/internal/adapter/hertzhttp/probe.go
@@ -31,9 +31,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.client.now()
-	for id, c := range p.conns {
-		if w, ok := results[id]; ok && c.tag == tags[id] { // otherwise the connection carries another call by now
+	for id, tag := range tags {
+		c := p.conns[id]
+		if c == nil || c.tag != tag {
+			continue // closed, or it carries another call by now
+		}
+		if w, ok := results[id]; ok {
 			p.core.RecordStatus(now, id, c.adjustStatus(w))
+		} else if c.readerPauses() {
+			p.core.RecordStatus(now, id, conn.Executing)
 		}
 	}
 	p.core.ProbeDone(now, reached)
@@ -50,6 +56,11 @@
 	return w
 }
 
+// readerPauses reports whether the response is being passed on and its reader doesn't
+// read. The call is silent for that reason alone, also if the peer can't be reached: it may
+// be stopping, or have no connection left for the probe.
+func (c *clientConn) readerPauses() bool { return c.streaming.Load() && c.waitingLocally.Load() }
+
 // query returns the peer's result for each call, and whether the peer could be
 // reached.
 func (p *pool) query(tags map[conn.ID]string) (results map[conn.ID]conn.CallStatus, reached bool) {
