Drain a connection only after its last response, and count it until then

- A response that was being streamed when a shutdown began marked its connection as closing, although the codec had decided to keep it.
The next response on it, if it broke off, drained the connection in the middle, and the watch for the caller's close cleared the drain's deadline: the stream, its callee and the stop hung until the client closed.
The mark is now made when the handler returns, as the codec's decision is, and ends with the next request.
- After a refused upload the codec reads the rest of its body, which ended the count of the request before the drain: the process could end and reset the connection.
Reads after a last response don't end it any more.

--- a/internal/adapter/hertzhttp/close_test.go
+++ b/internal/adapter/hertzhttp/close_test.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -95,3 +97,70 @@
 	is.NoErr(s.Shutdown(context.Background()))
 	is.True(received.Load())
 }
+
+// Guards against a shutdown that doesn't wait for the response to a refused upload: the
+// rest of the upload is read after the response is written, and hid it from the count.
+func TestShutdownWaitsForClosingConnectionOfUpload(t *testing.T) {
+	for name, size := range map[string]int{"a body that is read at once": 100, "a stream": 20_000} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, err := Listen("127.0.0.1:0", DefaultServerConfig(), func(_ context.Context, c *app.RequestContext) {
+				c.SetConnectionClose()
+				c.SetStatusCode(http.StatusServiceUnavailable)
+			})
+			is.NoErr(err)
+			s.Start()
+			conn, err := net.Dial("tcp", s.Addr())
+			is.NoErr(err)
+			writeString(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: "+strconv.Itoa(size)+"\r\n\r\n"+strings.Repeat("x", size))
+			_, err = io.ReadAll(conn) // until the server closes its sending side
+			is.NoErr(err)
+			is.Equal(s.Active(), 1)
+			_ = conn.Close()
+			is.NoErr(s.Shutdown(context.Background()))
+		})
+	}
+}
+
+// Guards against a connection that is drained in the middle of a response: it carries on
+// after a response that was being streamed when the server began to stop, and the next
+// response breaks off.
+func TestConnectionIsDrainedOnlyAfterItsLastResponse(t *testing.T) {
+	is := is.New(t)
+	bodies := make(chan *io.PipeReader, 2)
+	first, writeFirst := io.Pipe()
+	second, writeSecond := io.Pipe()
+	bodies <- first
+	bodies <- second
+	s, err := Listen("127.0.0.1:0", DefaultServerConfig(), func(_ context.Context, c *app.RequestContext) {
+		c.SetBodyStream(<-bodies, -1)
+	})
+	is.NoErr(err)
+	s.Start()
+	conn, err := net.Dial("tcp", s.Addr())
+	is.NoErr(err)
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	respond := func(w *io.PipeWriter) *http.Response {
+		writeString(conn, requests["without a body"])
+		go func() { _, _ = io.WriteString(w, "the start") }()
+		resp, err := http.ReadResponse(in, nil)
+		is.NoErr(err)
+		_, err = io.ReadFull(resp.Body, make([]byte, len("the start")))
+		is.NoErr(err)
+		return resp
+	}
+	resp := respond(writeFirst)
+	_ = s.ln.Close() // as a shutdown does first
+	time.Sleep(50 * time.Millisecond)
+	_ = writeFirst.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	is.NoErr(err)
+	resp = respond(writeSecond)
+	_ = writeSecond.CloseWithError(io.ErrUnexpectedEOF)
+	_, err = io.Copy(io.Discard, resp.Body)
+	is.True(err != nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	is.NoErr(s.Shutdown(ctx)) // the client keeps its connection open
+}
--- a/internal/adapter/hertzhttp/server.go
+++ b/internal/adapter/hertzhttp/server.go
@@ -143,12 +143,13 @@
 	conn := serverConnOf(ctx)
 	conn.beginRequest()
 	ctx, w := s.watch.begin(ctx, c)
-	streams := false
+	streams, last := false, false
 	done := func() {
 		w.end()
-		conn.endHandler(s.isLast(c))
+		conn.endHandler(last)
 	}
 	defer func() {
+		last = s.isLast(c) // hertz decides it now, not when a stream ends
 		if !streams {
 			done()
 		}
--- a/internal/adapter/hertzhttp/serverconn.go
+++ b/internal/adapter/hertzhttp/serverconn.go
@@ -23,7 +23,8 @@
 }
 
 const (
-	// maxDrainTime bounds how long a connection is read after its last response.
+	// maxDrainTime bounds how long a connection is read after its last response. It leaves
+	// time for some retransmissions; a client that doesn't close holds its connection as long.
 	maxDrainTime = 2 * time.Second
 	// maxDrainBytes bounds how much is read then; a refused upload can be of any size.
 	maxDrainBytes = 1 << 20
@@ -58,6 +59,7 @@
 // beginRequest counts a request whose handler is called.
 func (c *serverConn) beginRequest() {
 	c.active.Add(1)
+	c.last.Store(false)
 	c.responseWritten() // the one before, if its client had already sent this request
 }
 
@@ -75,9 +77,11 @@
 }
 
 // Read implements net.Conn. After a request's handler has returned, hertz reads on only
-// when the response is written.
+// when the response is written; after the last response, to skip the rest of its request.
 func (c *serverConn) Read(b []byte) (int, error) {
-	c.responseWritten()
+	if !c.last.Load() {
+		c.responseWritten()
+	}
 	return c.Conn.Read(b)
 }
 
