Name the caller where it ended a call whose answer had not begun

The detail said that the request that the call belongs to has ended, also for a caller's own request, which belongs to none. The function is named for what it does. No behaviour changes but the text.

--- a/internal/dataplane/call.go
+++ b/internal/dataplane/call.go
@@ -133,14 +133,18 @@
 	r.code, r.detail = status.CodeTargetFailed, "the target failed"
 }
 
-// cancel replaces an answer that can't be read to its end, because the context of its
-// call ends, by a failure.
-func (r *result) cancel(ctx context.Context) {
+// replaceByFailure replaces an answer that can't be read to its end, because the context
+// of its call ends. The callee has not failed.
+func (r *result) replaceByFailure(ctx context.Context) {
 	r.discard()
 	r.outcome, r.retry = request.Unknown, retry.Final
-	r.code, r.detail = status.CodeCanceled, detailParentEnded
-	if hertzhttp.EndReasonOf(ctx) == hertzhttp.DeadlinePassed {
+	switch hertzhttp.EndReasonOf(ctx) {
+	case hertzhttp.DeadlinePassed:
 		r.code, r.detail = status.CodeDeadlineExceeded, "deadline exceeded"
+	case hertzhttp.CallerLeft:
+		r.code, r.detail = status.CodeCanceled, "canceled by the caller"
+	default:
+		r.code, r.detail = status.CodeCanceled, detailParentEnded
 	}
 }
 
--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -124,7 +124,7 @@
 	}
 	r := e.execute(ctx, out, fault, resp)
 	if r.stream != nil && (!link.detach() || ctx.Err() != nil) {
-		r.cancel(ctx)
+		r.replaceByFailure(ctx)
 	}
 	e.resends.ended(out, r)
 	e.recordFinished(out, r)
