--- a/internal/core/conn/doc.go
+++ b/internal/core/conn/doc.go
@@ -22,8 +22,9 @@
 // MaxRecheckInterval + 2 ProbeTimeout + Grace after the peer finished it; each plus the
 // time between two calls of Tick, provided that probes reach the peer and at
 // most MaxProbeCalls calls are silent. If the peer is unreachable or cannot tell,
-// the bound is GiveUp after the last byte or the peer's last confirmation that
-// it is executing the call.
+// the bound is GiveUp after the last byte or the last confirmation that the peer
+// is executing the call. The node confirms it itself where the call waits for
+// local I/O.
 //
 // The node calls Take before a call, and Opened or DialFailed if Take returned
 // Dial; RecordActivity for each transfer of bytes in either direction; End when the
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -199,9 +199,9 @@
 // meanwhile.
 const departureWait = 300 * time.Millisecond
 
-// waitDrained waits until no call is in flight and all claims are settled. Listeners stay
-// open while the target's answers are being streamed to other nodes: the target may make
-// calls meanwhile, and the other nodes probe for theirs.
+// waitDrained waits until no call is in flight, all answers are received and all claims are
+// settled. Listeners stay open while the target's answers are being sent to other nodes: the
+// target may make calls meanwhile, and the other nodes probe for theirs.
 func (n *Node) waitDrained(ctx context.Context) {
 	for (n.engine.InFlight() > 0 || n.servers.nodes.Active() > 0) && sleep(ctx, drainPollInterval) {
 	}
