--- a/internal/adapter/hertzhttp/slow_response_test.go
+++ b/internal/adapter/hertzhttp/slow_response_test.go
@@ -13,10 +13,8 @@
 	"github.com/matryer/is"
 )
 
-// A connection on which bytes of the response keep arriving is not silent, also while
-// the codec waits for the rest of a body or chunk. The peer has written the response
-// and no longer lists the call, so a call that counts as silent would be failed in the
-// middle of its response.
+// Guards against failing a call in the middle of its response: bytes keep arriving, but
+// the codec waits for the rest of a body or chunk, and the peer no longer lists the call.
 func TestSlowlyArrivingResponseIsNotSilent(t *testing.T) {
 	const pause, pieces = 50 * time.Millisecond, 40 // in all longer than SilentMax and Grace
 	body := strings.Repeat("x", 4000)
--- a/internal/adapter/hertzhttp/watch_test.go
+++ b/internal/adapter/hertzhttp/watch_test.go
@@ -80,8 +80,8 @@
 	}
 }
 
-// Only a close may end a request's context. A client that sends its next requests
-// early is still there, and its response would be cut.
+// Guards against cutting the response to a client that is still there: it has sent its
+// next request early, and the watch takes these bytes for a close.
 func TestNextRequestDoesNotEndContext(t *testing.T) {
 	for name, early := range map[string]string{
 		"whole": requests["without a body"],
