Log each second what a gate that refuses calls has decided

The incident's timeline had to be put together from single refused calls: between 'overload began' and 'overload over' no line said which level a gate had, whether its slots were in use, and how many calls it refused meanwhile. A level of 0 beside calls that wait 0.6 s, and a level above all importances beside idle slots, were both invisible. 'gate refuses' has these once a second, only while a gate has a level or refuses calls.

--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -32,6 +32,8 @@
 	draining  bool
 	evictions []int // scratch space of refuseBelow
 	counts    Counts
+
+	busy, usable time.Duration // as in Stats
 }
 
 // New returns a gate. rng adds jitter to retry delays and must not be shared with
--- a/internal/core/admission/stats.go
+++ b/internal/core/admission/stats.go
@@ -52,6 +52,9 @@
 	Service  time.Duration // expected service time of a request
 	Backlog  time.Duration // expected time to run the queue at the current limit
 	Draining bool
+	// Busy and Usable are the time that requests have spent in the target since the gate was
+	// created, and the time of the slots that the limit allowed; both are summed over slots.
+	Busy, Usable time.Duration
 }
 
 // usableLimit returns the concurrency limit or, if lower, the number of requests in
@@ -77,6 +80,8 @@
 		Service:  time.Duration(g.service.current() * float64(time.Second)),
 		Backlog:  g.queue.backlog / time.Duration(g.limiter.Limit()),
 		Draining: g.draining,
+		Busy:     g.busy,
+		Usable:   g.usable,
 	}
 	for _, t := range g.levels.tenants {
 		if t != nil {
--- a/internal/core/admission/window.go
+++ b/internal/core/admission/window.go
@@ -27,6 +27,8 @@
 	w := &g.window
 	if d := now - w.accountedUntil; d > 0 {
 		w.busy += time.Duration(g.running) * d
+		g.busy += time.Duration(g.running) * d
+		g.usable += time.Duration(g.limiter.Limit()) * d
 		if g.running >= g.limiter.Limit() {
 			w.fullTime += d
 		}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -44,6 +44,7 @@
 	leaving         bool
 	retiring        bool // the node is about to stop and still takes calls
 	overload        overloadDetector
+	gateReport      gateReporter
 }
 
 // viewInputs are the values that a published view is built from.
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -124,6 +124,9 @@
 	} else if ended {
 		n.log.Info("overload over", overloadFields(st)...)
 	}
+	if fields := c.gateReport.report(c.now(), st); fields != nil {
+		n.log.Info("gate refuses", fields...)
+	}
 }
 
 // logFigureTrust logs a change of trust in the time factor that the own target states.
