Reproduce two ways in which entries let in what the deepest service refuses

Both fail on the code as it is. TestTargetsThatTakeNoCallsDoNotOpenTheirService: a node whose target is gone or not ready answers with level 0, and callers count that as a quarter of the capacity that admits everything.

--- a/internal/core/admission/overload_test.go
+++ b/internal/core/admission/overload_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -221,3 +222,28 @@
 		}
 	}
 }
+
+// Guards against a level that swings between none and nearly all requests where a change of
+// it shows in the arrivals only after the calls before the gate have run: the newly admitted
+// requests had not arrived yet, and counted as no demand.
+func TestLevelIsSteadyWhenCallersReactLate(t *testing.T) {
+	for _, delay := range []time.Duration{300 * time.Millisecond, 1200 * time.Millisecond} {
+		for seed := range uint64(simSeeds) {
+			t.Run(fmt.Sprintf("%v/seed-%d", delay, seed+1), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				// The highest three of four importances need 0.6 of the capacity.
+				s := newSim(60, seed+1, true, 0, trigger(60, 63*time.Millisecond, 2, 63*time.Millisecond))
+				s.callDelay = delay
+				s.run(simEnd)
+				low, high := request.MaxPriority, request.Level(0)
+				for _, v := range s.intervals[(triggerStart+2*time.Second)/intervalLength : triggerEnd/intervalLength] {
+					low, high = min(low, v.level), max(high, v.level)
+				}
+				t.Logf("level %.2f to %.2f", low.AsImportance(), high.AsImportance())
+				is.True(low > 0)                 // demand is twice the capacity throughout
+				is.True(high.Importance() <= 10) // the higher importances fit
+			})
+		}
+	}
+}
--- a/internal/core/admission/sim_test.go
+++ b/internal/core/admission/sim_test.go
@@ -20,6 +20,9 @@
 	// the gate.
 	callersKnowLevel bool
 	retries          int // per refused request, each with a new identity
+	// callDelay is how long the calls of a request that its caller has let in take to reach
+	// the gate, at most; at least half of it.
+	callDelay time.Duration
 
 	events    events
 	now       time.Duration
@@ -128,6 +131,16 @@
 		s.refused(c)
 		return
 	}
+	if s.callDelay == 0 {
+		s.arrive(c)
+		return
+	}
+	c.Nested = true
+	c.Deadline += s.callDelay
+	s.in(s.callDelay/2+time.Duration(s.rng.Int64N(int64(s.callDelay/2))), func() { s.arrive(c) })
+}
+
+func (s *sim) arrive(c *call) {
 	s.interval().reached++
 	d, out := s.gate.Arrive(s.now, c.Arrival, s.out[:0])
 	s.out = out
--- a/internal/dataplane/levels_test.go
+++ b/internal/dataplane/levels_test.go
@@ -8,6 +8,7 @@
 
 	"peardrift/internal/core/request"
 	"peardrift/internal/core/route"
+	"peardrift/internal/status"
 	"peardrift/internal/wire"
 )
 
@@ -44,3 +45,37 @@
 	publish(3, 4)
 	is.Equal(e.levels.level(c), high)
 }
+
+// Guards against targets that take no calls and open their service: their nodes refuse each
+// call, with the level 0 of a gate that nothing passes, and callers go on sending to the
+// others, which have a high level.
+func TestTargetsThatTakeNoCallsDoNotOpenTheirService(t *testing.T) {
+	const high = request.Level(50 << 16)
+	for _, code := range []status.Code{status.CodeNoTarget, status.CodeNotReady, status.CodeDraining, status.CodeMisdirected} {
+		t.Run(string(code), func(t *testing.T) {
+			is := is.New(t)
+			e, info := newCaller(t)
+			now := time.Duration(0)
+			e.levels.now = func() time.Duration { return now }
+			c := &outboundCall{info: info, class: &info.Classes[0]}
+			learn := func(id request.TargetID, level request.Level, code status.Code) {
+				outcome := request.Refused
+				if code == "" {
+					outcome = request.Completed
+				}
+				e.levels.learn(c, &result{target: id, answered: true, outcome: outcome, code: code,
+					answer: wire.Answer{Outcome: outcome, Code: code, Level: level, Limit: 10}})
+			}
+			for id := range request.TargetID(4) {
+				learn(id+1, 0, "")
+			}
+			for ; now < time.Second; now += 20 * time.Millisecond {
+				learn(1, high, "")
+				learn(2, high, status.CodeOverloaded)
+				learn(3, 0, code)
+				learn(4, 0, code)
+			}
+			is.Equal(e.levels.level(c), high)
+		})
+	}
+}
