Don't take a target that takes no calls for one that admits them all

The entries knew level 0 in 98 of 100 of the failed requests.

Cause: each answer of a node carries its gate's admission level, also one that refuses a call because the own target is gone (no-target) or not ready. Nothing passes such a gate, so its level is 0. A caller took the lowest level that more than a quarter of the reported capacity has; one such target of four made it the lowest of the others, and two opened the service.

A result that says that the target takes no calls, or that its node can't be reached, now removes what was known of the target's levels until it answers again.

--- a/internal/core/earlyrefusal/table.go
+++ b/internal/core/earlyrefusal/table.go
@@ -170,8 +170,8 @@
 	return &l.targets[oldest]
 }
 
-// Forget removes a target that left the service, so that it no longer counts as
-// known.
+// Forget removes a target that left the service or takes no calls, so that it no longer
+// counts as known.
 func (t *Table) Forget(id request.TargetID) {
 	for _, l := range t.keys {
 		for i := range l.targets {
--- a/internal/dataplane/call.go
+++ b/internal/dataplane/call.go
@@ -113,6 +113,16 @@
 	}
 }
 
+// targetTakesNoCalls reports whether the attempt's target, or the node beside it, can take
+// no calls at present, whatever their priority.
+func (r *result) targetTakesNoCalls() bool {
+	switch r.code {
+	case status.CodeNotReady, status.CodeNoTarget, status.CodeDraining, status.CodeMisdirected, status.CodeConnectFailed:
+		return true
+	}
+	return false
+}
+
 // cause returns why the call failed: the node's own code or, if the target itself
 // answered with a failure, the code of the downstream call that failed.
 func (r *result) cause() status.Code {
--- a/internal/dataplane/levels.go
+++ b/internal/dataplane/levels.go
@@ -43,13 +43,19 @@
 	return l.table.Level(l.now(), c.key(), c.priority)
 }
 
-// learn records the levels that an answer reported.
+// learn records the levels that an answer reported. A target that takes no calls has none:
+// the level of its gate, which nothing passes, would count as capacity that admits all.
 func (l *levels) learn(c *outboundCall, r *result) {
-	if !r.answered {
+	takesNone := r.targetTakesNoCalls()
+	if !r.answered && !takesNone {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if takesNone {
+		l.table.Forget(r.target)
+		return
+	}
 	l.table.Learn(l.now(), c.key(), earlyrefusal.Report{
 		Target: r.target,
 		Own:    r.answer.Level,
