Move the admission level no faster than its effect shows

Cause: callers apply the level to requests that start, whose calls arrive here 0.3 to 1.5 s later, after the calls before them have run. The gate measured the demand of newly admitted priorities at once, found none, and lowered the level further until it admitted all; in the same way it moved its aim and forgot hidden demand each 50 ms. Then all of it arrived at once.

Calls now carry the age of their request (a further field of the header, which earlier versions ignore; without it nothing changes). Its mean over the arrivals is the time until a change of the level shows. The aim and the memory of hidden demand change by their steps per that time instead of per window, rates are averaged over an eighth of it, and the rate of a priority can rise but not fall until it has been admitted for that time.

With callers that react at once nothing changes.

--- a/bench/replay/client.go
+++ b/bench/replay/client.go
@@ -72,6 +72,7 @@
 	}
 	sim.after(sim.deployment.ClientDelay, func() {
 		n.entryCalls[seq] = c
+		t.startedAt = sim.now
 		c.deadline = sim.now + sim.clientTimeout - 2*sim.deployment.ClientDelay
 		c.startAttempt()
 	})
--- a/bench/replay/core.go
+++ b/bench/replay/core.go
@@ -46,6 +46,7 @@
 		Priority: g.priority(a),
 		Tenant:   g.node.sim.tenantIndex(a.call.root.class.Tenant),
 		Deadline: a.call.deadline,
+		Age:      g.node.sim.now - a.call.root.startedAt,
 		Nested:   g.node.sim.policy.DeepFirst && g.node.sim.policy.Order && a.call.depth > 0,
 	}, g.actions[:0])
 	g.apply(a, d)
--- a/internal/core/admission/decision.go
+++ b/internal/core/admission/decision.go
@@ -18,6 +18,7 @@
 	Tenant   uint16        // small index, as in SetShares
 	Deadline time.Duration // instant after which the caller stops waiting; 0: none
 	Nested   bool          // nested call: earlier hops of its call chain have already done work
+	Age      time.Duration // since the request started at its entry, where callers apply the level; 0 if unknown
 }
 
 // Verdict is the outcome of an arrival.
--- a/internal/core/admission/demand.go
+++ b/internal/core/admission/demand.go
@@ -21,6 +21,9 @@
 const (
 	rateRetention     = 0.5
 	rateDecayInterval = 250 * time.Millisecond
+	// reactionHalfLives is the number of half-lives of a rate in the time until a change of
+	// the level shows in the arrivals.
+	reactionHalfLives = 8
 )
 
 // demand is the profile of one tenant's recent arrivals by priority, in mean
@@ -35,6 +38,8 @@
 	arrived [buckets]float32 // in this window
 	rate    [buckets]float32 // per second
 	total   float64          // sum of rate
+	settling
+	reaction time.Duration // mean of all importances, as of the last settle
 }
 
 func bucketOf(p request.Priority) int { return min(int(p>>bucketShift), buckets-1) }
@@ -45,6 +50,16 @@
 	d.arrived[bucketOf(p)] += float32(weight)
 }
 
+// halvings returns how often a rate halves in a window without arrivals. The level can't
+// follow a change sooner than it shows in the arrivals, so rates are averaged over a part
+// of that time; less random variation then moves the level.
+func (d *demand) halvings(length time.Duration) float64 {
+	if halfLife := d.reaction / reactionHalfLives; halfLife > length {
+		return length.Seconds() / halfLife.Seconds()
+	}
+	return max(1, length.Seconds()/rateDecayInterval.Seconds())
+}
+
 // windowSample is how the arrivals of one window enter the rates.
 type windowSample struct {
 	weight float32 // of the window in the moving average
@@ -53,18 +68,22 @@
 }
 
 // endWindow closes a window during which the level and the exemptions were constant.
-// Admitted arrivals are measured. The others are not visible, because callers that know
+// Admitted arrivals are measured. Of priorities that are admitted only since a short time the
+// rates can rise but not fall, since their calls may still be on the way. The others are not visible, because callers that know
 // the level send nothing there. An importance of which a part is admitted is
 // extrapolated from it, since hashes are uniformly distributed; the rates of importances
 // that are refused entirely are multiplied by keep.
 func (d *demand) endWindow(length time.Duration, level request.Level, x exemptions, keep float32) {
 	w := windowSample{
-		weight: float32(1 - math.Pow(rateRetention, max(1, length.Seconds()/rateDecayInterval.Seconds()))),
+		weight: float32(1 - math.Pow(rateRetention, d.halvings(length))),
 		scale:  1 / float32(length.Seconds()),
 		keep:   keep,
 	}
 	for imp := range importances {
-		d.endImportance(imp, x.visibleFrom(imp, level), &w)
+		visible := x.visibleFrom(imp, level)
+		settled := max(visible, d.settledFrom(imp))
+		d.raiseUnsettled(visible, settled, &w)
+		d.endImportance(imp, settled, &w)
 	}
 	clear(d.arrived[:])
 	d.total = 0
@@ -73,6 +92,13 @@
 	}
 }
 
+// raiseUnsettled raises the rates of the priorities from visible to settled if more arrived.
+func (d *demand) raiseUnsettled(visible, settled request.Level, w *windowSample) {
+	for i := int((visible + bucketWidth - 1) >> bucketShift); i < int(settled>>bucketShift); i++ {
+		d.rate[i] += w.weight * max(d.arrived[i]*w.scale-d.rate[i], 0)
+	}
+}
+
 // endImportance updates the rates of one importance, of which the part from visible on
 // was admitted.
 func (d *demand) endImportance(imp int, visible request.Level, w *windowSample) {
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -24,6 +24,7 @@
 	window        window
 	queueDetector *limit.QueueDetector
 	rate          rateLimit
+	reaction      reactionTimes
 	limitCutAt    time.Duration // when the limit was last cut because requests queued inside the target
 
 	running   int
@@ -70,6 +71,8 @@
 		t.demand.record(a.Priority, g.service.factor(imp))
 	}
 	g.window.arrivals++
+	g.window.age += a.Age
+	g.reaction.arrive(imp, a.Age)
 
 	if g.draining {
 		return g.refuse(status.CodeDraining), out
--- a/internal/core/admission/level.go
+++ b/internal/core/admission/level.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"peardrift/internal/core/request"
@@ -17,20 +18,20 @@
 const pacedGraceWindows = 30
 
 // Parameters of the capacity factor, the ratio of admitted demand to measured
-// capacity.
+// capacity. The changes are per window, or per reaction time if that is longer.
 const (
 	minCapacityFactor = 0.5
 	maxCapacityFactor = 16
 	factorDecay       = 0.97  // while a queue persists
 	pacedFactorDecay  = 0.994 // the same with Config.Paced
 	factorStep        = 0.02  // while utilization is slightly below 1
-	maxFactorGrowth   = 1.5   // maximum growth ratio per window while utilization is low
+	maxFactorGrowth   = 1.5   // maximum growth ratio while utilization is low
 	raisedFactor      = 1.1
 	busyUtilization   = 0.97
 )
 
 // idleRetention is the fraction of the remembered demand below a level that remains
-// after each idle window.
+// after each idle window, or after each reaction time if that is longer.
 const idleRetention = 0.6
 
 // tenantLevel is the admission level of one tenant and the demand it is derived
@@ -112,7 +113,9 @@
 
 // windowStats holds the measurements of one window for the whole gate.
 type windowStats struct {
+	now           time.Duration
 	length        time.Duration
+	reaction      *reactionTimes
 	limit         float64
 	utilization   float64 // fraction of the limit in use
 	standingQueue bool    // the queue delay stayed above its target
@@ -122,15 +125,27 @@
 	rateExceeded  bool    // calls were refused because of it
 }
 
+// perWindow returns the ratio by which a value changes in this window that is to change by
+// f in the time until the change shows in the arrivals, but in no less than a window. If it
+// changed by f in each window, it would go on changing long after it has changed enough, and
+// the level would swing between admitting all and nearly nothing.
+func (m *windowStats) perWindow(f float64) float64 {
+	if m.reaction.mean <= m.length {
+		return f
+	}
+	return math.Pow(f, m.length.Seconds()/m.reaction.mean.Seconds())
+}
+
 // endWindow closes a window and sets the levels. It reports whether a level has
 // risen.
 func (l *levels) endWindow(m windowStats, ledger *share.Ledger, idleBelow float64) bool {
 	keep := float32(1)
 	if l.active && !m.standingQueue && m.utilization < idleBelow {
-		keep = idleRetention
+		keep = float32(m.perWindow(idleRetention))
 	}
 	for _, t := range l.tenants {
 		if t != nil {
+			t.demand.settle(m.now, m.reaction, t.level, t.exempt)
 			t.demand.endWindow(m.length, t.level, t.exempt, keep)
 		}
 	}
@@ -152,13 +167,13 @@
 func (l *levels) adjustCapacityFactor(m windowStats, idleBelow float64) {
 	switch {
 	case (m.standingQueue || m.rateExceeded && m.utilization >= busyUtilization) && l.active:
-		l.capacityFactor = max(minCapacityFactor, l.decreaseBase()*l.decay())
+		l.capacityFactor = max(minCapacityFactor, l.decreaseBase()*m.perWindow(l.decay()))
 	case m.standingQueue:
 		l.active = true
 	case m.utilization < idleBelow:
-		l.capacityFactor = min(maxCapacityFactor, l.capacityFactor*min(maxFactorGrowth, idleBelow/max(m.utilization, minUtilization)))
+		l.capacityFactor = min(maxCapacityFactor, l.capacityFactor*m.perWindow(min(maxFactorGrowth, idleBelow/max(m.utilization, minUtilization))))
 	case m.utilization < busyUtilization:
-		l.capacityFactor = min(max(l.capacityFactor, raisedFactor), l.capacityFactor+factorStep)
+		l.capacityFactor = min(max(l.capacityFactor, raisedFactor), l.capacityFactor+m.perWindow(1+factorStep)-1)
 	}
 }
 
--- a/internal/core/admission/sim_test.go
+++ b/internal/core/admission/sim_test.go
@@ -137,7 +137,8 @@
 	}
 	c.Nested = true
 	c.Deadline += s.callDelay
-	s.in(s.callDelay/2+time.Duration(s.rng.Int64N(int64(s.callDelay/2))), func() { s.arrive(c) })
+	c.Age = s.callDelay/2 + time.Duration(s.rng.Int64N(int64(s.callDelay/2)))
+	s.in(c.Age, func() { s.arrive(c) })
 }
 
 func (s *sim) arrive(c *call) {
--- a/internal/core/admission/window.go
+++ b/internal/core/admission/window.go
@@ -16,6 +16,7 @@
 	downstream     time.Duration // time that completed requests waited for the target's own calls
 	fullTime       time.Duration // time during which no slot was free
 	arrivals       int
+	age            time.Duration // of the arrivals, in all
 	completed      int
 	overloaded     int
 	delayLowAt     time.Duration // last instant at which the queue delay was low
@@ -61,8 +62,11 @@
 	length := now - w.start
 	lim := g.limiter.Limit()
 	rateUsed, rateExceeded := g.rate.endWindow(length)
+	g.reaction.endWindow(w.age, w.arrivals)
 	rose := g.levels.endWindow(windowStats{
+		now:           now,
 		length:        length,
+		reaction:      &g.reaction,
 		limit:         float64(lim),
 		utilization:   max(w.busy.Seconds()/(length.Seconds()*float64(lim)), rateUsed),
 		rateLimit:     g.rate.perSecond,
--- a/internal/dataplane/call.go
+++ b/internal/dataplane/call.go
@@ -44,7 +44,7 @@
 	index     *configset.Index // that a root request was prepared with
 	waits     bool             // the entry queue decides when the request starts
 	stated    time.Duration    // time that the caller states to wait; 0: none
-	startedAt time.Duration    // if waits: when it decided
+	startedAt time.Duration    // when the root request started; if it waited, at the end of that
 }
 
 // allowance is the retry allowance that attempts are charged to. An entry's allowance
@@ -216,7 +216,8 @@
 	span := newSpan()
 	m := c.meta
 	m.Allowance, m.Repeat = g.Allowance, g.Repeat
-	m.Remaining = c.deadline - e.now()
+	now := e.now()
+	m.Remaining, m.Age = c.deadline-now, now-c.startedAt
 	wire.SetMeta(&c.req.Header, &m)
 	traceContext{c.id, span, c.sampled}.set(&c.req.Header)
 	began := time.Now()
--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -206,15 +206,16 @@
 	}
 	stated := e.statedTimeout(c)
 	out := &outboundCall{
-		info:     info,
-		class:    class,
-		id:       id,
-		sampled:  e.cfg.Sampled(id),
-		priority: request.PriorityOf(class.Importance, id),
-		deadline: e.now() + limitTimeout(stated, class.Deadline),
-		stated:   stated,
-		index:    v.Index,
-		entry:    entryAllowance{allowance: retry.NewRequestAllowance(class.Attempts, false)},
+		info:      info,
+		class:     class,
+		id:        id,
+		sampled:   e.cfg.Sampled(id),
+		priority:  request.PriorityOf(class.Importance, id),
+		deadline:  e.now() + limitTimeout(stated, class.Deadline),
+		stated:    stated,
+		startedAt: e.now(),
+		index:     v.Index,
+		entry:     entryAllowance{allowance: retry.NewRequestAllowance(class.Attempts, false)},
 		meta: wire.Meta{
 			Tenant:     info.Tenant,
 			Class:      class.Name,
@@ -284,6 +285,7 @@
 		deadline:  min(x.deadline, e.now()+limitTimeout(e.statedTimeout(c), class.Deadline)),
 		allowance: x,
 		parent:    x,
+		startedAt: x.startedAt,
 		meta:      x.meta,
 	}
 	if x.isFirstCall(out.key()) {
--- a/internal/dataplane/inflight.go
+++ b/internal/dataplane/inflight.go
@@ -19,15 +19,16 @@
 // runningRequest is a request that runs on the own target. Its allowance pays for the
 // target's outgoing calls.
 type runningRequest struct {
-	id       request.ID
-	name     string // the target's name for it; may be empty
-	sampled  bool
-	class    request.Class // of the own service; meta has the root request's
-	span     SpanID
-	meta     wire.Meta
-	priority request.Priority
-	deadline time.Duration
-	ctx      context.Context // ends with the request; the target's calls end with it
+	id        request.ID
+	name      string // the target's name for it; may be empty
+	sampled   bool
+	class     request.Class // of the own service; meta has the root request's
+	span      SpanID
+	meta      wire.Meta
+	priority  request.Priority
+	deadline  time.Duration
+	startedAt time.Duration   // when the root request started, on this node's clock
+	ctx       context.Context // ends with the request; the target's calls end with it
 
 	mu           sync.Mutex
 	allowance    retry.RequestAllowance
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -136,7 +136,8 @@
 }
 
 func (e *Engine) prepare(s *inboundCall) *status.Error {
-	deadline := e.now() + s.meta.Remaining
+	arrived := e.now()
+	deadline := arrived + s.meta.Remaining
 	var fault *status.Error
 	s.tracked.beginIO()
 	s.body, fault = e.readBody(s.c, s.class.MaxBody, deadline)
@@ -163,6 +164,7 @@
 		meta:      s.meta,
 		priority:  request.PriorityOf(s.meta.Importance, s.trace.id),
 		deadline:  deadline,
+		startedAt: arrived - s.meta.Age,
 		allowance: retry.NewRequestAllowance(s.meta.Allowance, s.meta.Repeat),
 	}
 	s.hop.Name = s.runningStorage.name
@@ -177,6 +179,7 @@
 		Tenant:   s.tenant,
 		Deadline: s.running.deadline,
 		Nested:   s.meta.Depth > 0,
+		Age:      s.meta.Age,
 	})
 	s.ticket = t
 	s.hop.Queued = time.Since(s.hop.Start)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -84,6 +84,7 @@
 	Allowance  int           // extra attempts that the callee may spend on downstream calls
 	Repeat     bool          // an earlier attempt of the same call may have run
 	Depth      int           // 0 for the entry's call
+	Age        time.Duration // since the request started at its entry; 0 from nodes of earlier versions
 	RootKey    string        // idempotency key of the root request; may be empty
 	Origin     request.Service
 	Service    request.Service // called service; empty if Host names it
@@ -109,6 +110,7 @@
 	callService
 	callRoute
 	callOrganisation
+	callAge
 	callFields
 	// callRequired is the number of fields that nodes of every version send.
 	callRequired = callOrganisation
@@ -131,6 +133,7 @@
 	b = appendEscaped(append(b, separator), string(m.Service))
 	b = appendEscaped(append(b, separator), string(m.Route))
 	b = appendEscaped(append(b, separator), string(m.Organisation))
+	b = strconv.AppendInt(append(b, separator), max(m.Age, 0).Milliseconds(), 10)
 	h.SetArgBytes([]byte(HeaderCall), b, protocol.ArgsHasValue)
 	if m.RootKey != "" {
 		h.Set(HeaderRootKey, m.RootKey)
@@ -191,7 +194,7 @@
 		Tenant:     request.Tenant(unescape(r.fields[callTenant])),
 		Class:      request.Class(unescape(r.fields[callClass])),
 		Importance: request.Importance(r.int(callImportance, 0, int64(request.MaxImportance))),
-		Remaining:  time.Duration(r.int(callRemaining, 0, int64(time.Hour/time.Millisecond))) * time.Millisecond,
+		Remaining:  time.Duration(r.int(callRemaining, 0, maxMillis)) * time.Millisecond,
 		Allowance:  int(r.int(callAllowance, 0, 1<<10)),
 		Repeat:     len(r.fields[callRepeat]) > 0,
 		Depth:      int(r.int(callDepth, 0, MaxDepth)),
@@ -202,9 +205,15 @@
 
 		Organisation: request.Organisation(unescape(r.fields[callOrganisation])),
 	}
+	if len(r.fields[callAge]) > 0 {
+		m.Age = time.Duration(r.int(callAge, 0, maxMillis)) * time.Millisecond
+	}
 	return m, r.err
 }
 
+// maxMillis bounds the times of a call, in milliseconds.
+const maxMillis = int64(time.Hour / time.Millisecond)
+
 type metaReader struct {
 	fields [callFields][]byte
 	err    error
