Judge a request in progress by the levels since it started

Callers saw requests of ten calls to one service fail at any of them: each call was judged anew by the level of another target and another moment.

A call now says whether its service has served the request before: the node of the calling target sets it once a call to that service and class has completed, and calls below a call in progress are in progress too. A gate refuses such a call only if no level since the request started, with 300 ms for the way of a report, would have admitted it, and takes it from its queue before other nested calls of its importance. First calls, by which most requests of a rising level are turned away, are judged as before, so is every call of a node that doesn't say.

TestRequestInProgressIsJudgedByTheLevelsSinceItStarted and TestCallsAreInProgressAfterOneOfTheirServiceHasCompleted failed before: the field did not exist, and the call was refused.

--- a/bench/replay/call.go
+++ b/bench/replay/call.go
@@ -45,6 +45,7 @@
 	attempts   int
 	anyRan     bool   // some attempt ended other than refused
 	path       uint64 // position in the call tree
+	inProgress bool   // the service has completed an earlier call like this one, or like one above it
 	inRepeat   bool   // the calling execution may repeat an earlier one
 	current    *attempt
 	timer      *event
@@ -77,6 +78,7 @@
 	children       []*call
 	mayRepeat      bool          // the call may have executed before
 	calledServices uint64        // bit set of services
+	completedCalls uint64        // bit set of services that have completed a call
 	completedTime  time.Duration // slot time of completed child calls
 	downstreamWait time.Duration // time spent only waiting for child calls
 }
--- a/bench/replay/core.go
+++ b/bench/replay/core.go
@@ -42,12 +42,13 @@
 
 func (g *coreGate) arrive(a *attempt) {
 	d, actions := g.core.Arrive(g.node.sim.now, admission.Arrival{
-		Ticket:   admission.Ticket(a.seq),
-		Priority: g.priority(a),
-		Tenant:   g.node.sim.tenantIndex(a.call.root.class.Tenant),
-		Deadline: a.call.deadline,
-		Age:      g.node.sim.now - a.call.root.startedAt,
-		Nested:   g.node.sim.policy.DeepFirst && g.node.sim.policy.Order && a.call.depth > 0,
+		Ticket:     admission.Ticket(a.seq),
+		Priority:   g.priority(a),
+		Tenant:     g.node.sim.tenantIndex(a.call.root.class.Tenant),
+		Deadline:   a.call.deadline,
+		InProgress: g.node.sim.policy.Order && a.call.inProgress,
+		Age:        g.node.sim.now - a.call.root.startedAt,
+		Nested:     g.node.sim.policy.DeepFirst && g.node.sim.policy.Order && a.call.depth > 0,
 	}, g.actions[:0])
 	g.apply(a, d)
 	g.applyActions(actions)
--- a/bench/replay/target.go
+++ b/bench/replay/target.go
@@ -90,6 +90,9 @@
 			// The target has run, so the outcome can't be refused.
 			n.finish(a, result{outcome: request.Failed, code: r.code, retryAfter: r.retryAfter, fromDownstream: true})
 		} else if left == 0 {
+			for _, c := range a.children {
+				a.completedCalls |= n.sim.service(c.spec.Service).bit()
+			}
 			n.runStep(a, i+1)
 		}
 	}
@@ -132,7 +135,8 @@
 			}
 			out = append(out, &call{caller: n, spec: &step[i].Call, root: a.call.root, parent: a, allowance: &a.allowance,
 				path: path, inRepeat: a.mayRepeat,
-				depth: a.call.depth + 1, deadline: n.sim.childDeadline(a.call.deadline)})
+				inProgress: a.call.inProgress || a.completedCalls&n.sim.service(step[i].Call.Service).bit() != 0,
+				depth:      a.call.depth + 1, deadline: n.sim.childDeadline(a.call.deadline)})
 		}
 	}
 	return out
--- a/internal/core/admission/decision.go
+++ b/internal/core/admission/decision.go
@@ -18,7 +18,11 @@
 	Tenant   uint16        // small index, as in SetShares
 	Deadline time.Duration // instant after which the caller stops waiting; 0: none
 	Nested   bool          // nested call: earlier hops of its call chain have already done work
-	Age      time.Duration // since the request started at its entry, where callers apply the level; 0 if unknown
+	// InProgress is set for a further call of a request that the service has served before.
+	// A level that has risen since the request started does not refuse it, since the calls
+	// made so far would have been in vain.
+	InProgress bool
+	Age        time.Duration // since the request started at its entry, where callers apply the level; 0 if unknown
 }
 
 // Verdict is the outcome of an arrival.
--- a/internal/core/admission/entry.go
+++ b/internal/core/admission/entry.go
@@ -14,6 +14,7 @@
 	priority    request.Priority
 	tenant      int
 	deep        bool
+	judgedFrom  time.Duration // see Arrival.judgedFrom
 	running     bool
 	deadline    time.Duration
 	latestStart time.Duration  // latest start that can still meet the deadline and MaxWait
@@ -25,17 +26,27 @@
 
 func (e *entry) importance() int { return int(e.priority.Importance()) }
 
-// queueKey returns the sort key of the queue: importance, nested calls before new
-// requests, hashed identity. Nested calls go first only within their importance;
-// otherwise a flood of unimportant call chains would evict important requests.
-func queueKey(p request.Priority, deep bool) uint64 {
-	const hashBits = 16
-	hash := uint64(p) & (1<<hashBits - 1)
-	key := uint64(p.Importance()) << (hashBits + 1)
-	if deep {
-		key |= 1 << hashBits
+// Bits of a queue key: the hashed identity, and above it how far a request has got.
+const (
+	hashBits  = 16
+	stageBits = 2
+	keySpan   = 1 << (hashBits + stageBits) // keys of one importance
+)
+
+// queueKey returns the sort key of the queue: importance, calls of requests in progress
+// before other nested calls and these before new requests, hashed identity. They go first
+// only within their importance; otherwise a flood of unimportant call chains would evict
+// important requests.
+func queueKey(a *Arrival) uint64 {
+	hash := uint64(a.Priority) & (1<<hashBits - 1)
+	stage := uint64(0)
+	switch {
+	case a.InProgress:
+		stage = 2
+	case a.Nested:
+		stage = 1
 	}
-	return key | hash
+	return (uint64(a.Priority.Importance())<<stageBits|stage)<<hashBits | hash
 }
 
 // pool stores entries by index, so that a decision allocates nothing once the pool
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -77,7 +77,7 @@
 	if g.draining {
 		return g.refuse(status.CodeDraining), out
 	}
-	if t.refuses(a.Priority, a.Nested) {
+	if t.refuses(a.Priority, a.Nested, a.judgedFrom(now)) {
 		return g.refuse(g.overloadReason(int(a.Tenant))), out
 	}
 	left := a.remaining(now)
@@ -162,7 +162,7 @@
 	if tenant != int(a.Tenant) {
 		return worst, true
 	}
-	return worst, g.pool.entries[worst].key < queueKey(a.Priority, a.Nested)
+	return worst, g.pool.entries[worst].key < queueKey(a)
 }
 
 // newEntry creates an entry for an arrival and returns its index.
@@ -171,10 +171,10 @@
 	e := &g.pool.entries[i]
 	g.seq++
 	e.seq = g.seq
-	e.key = queueKey(a.Priority, a.Nested)
+	e.key = queueKey(&a)
 	e.priority = a.Priority
 	e.tenant = int(a.Tenant)
-	e.deep = a.Nested
+	e.deep, e.judgedFrom = a.Nested, a.judgedFrom(now)
 	e.expected = expected
 	e.latestStart = now + g.cfg.MaxWait
 	if a.Deadline != 0 {
@@ -198,7 +198,7 @@
 
 // estimateWait estimates how long an arrival would wait for a slot.
 func (g *Gate) estimateWait(now time.Duration, a *Arrival, imp int) time.Duration {
-	ahead := g.queue.workAhead(int(a.Tenant), imp, queueKey(a.Priority, a.Nested))
+	ahead := g.queue.workAhead(int(a.Tenant), imp, queueKey(a))
 	if ahead == 0 {
 		return 0
 	}
--- a/internal/core/admission/gate_test.go
+++ b/internal/core/admission/gate_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -273,11 +274,11 @@
 	}
 	set(0, graceWindows)
 	set(prio(50, 0), 1)
-	is.True(tn.refuses(prio(40, 0), false))
-	is.True(!tn.refuses(prio(40, 0), true)) // still in the grace period
+	is.True(tn.refuses(prio(40, 0), false, math.MaxInt64))
+	is.True(!tn.refuses(prio(40, 0), true, math.MaxInt64)) // still in the grace period
 	set(prio(50, 0), graceWindows)
-	is.True(tn.refuses(prio(40, 0), true))
-	is.True(!tn.refuses(prio(50, 0), false))
+	is.True(tn.refuses(prio(40, 0), true, math.MaxInt64))
+	is.True(!tn.refuses(prio(50, 0), false, math.MaxInt64))
 }
 
 func TestLevelForFitsDemandToCapacity(t *testing.T) {
@@ -353,10 +354,44 @@
 			set(prio(50, 0), nil, pacedGraceWindows)
 			set(tt.started, tt.exempt, 1)
 			set(prio(50, 0), nil, pacedGraceWindows-1)
-			is.True(tn.refuses(prio(40, 0), false))
-			is.True(!tn.refuses(prio(40, 0), true))
+			is.True(tn.refuses(prio(40, 0), false, math.MaxInt64))
+			is.True(!tn.refuses(prio(40, 0), true, math.MaxInt64))
 			set(prio(50, 0), nil, 1)
-			is.True(tn.refuses(prio(40, 0), true))
+			is.True(tn.refuses(prio(40, 0), true, math.MaxInt64))
+		})
+	}
+}
+
+// Guards against requests that fail halfway: a further call of a request that the target has
+// served before was refused by a level that had risen after the request was let in.
+func TestRequestInProgressIsJudgedByTheLevelsSinceItStarted(t *testing.T) {
+	const started = time.Second
+	g := newGate(4)
+	l, tn := g.levels, g.levels.tenant(0)
+	high := request.Level(prio(50, 0))
+	for now := time.Duration(0); now <= 2*started; now += 50 * ms {
+		tn.level = high
+		if now == started {
+			tn.level = 0
+		}
+		l.now = now
+		l.recordLevels(true)
+	}
+	tn.level = high
+	for _, tt := range []struct {
+		name       string
+		age        time.Duration
+		inProgress bool
+		want       Verdict
+	}{
+		{"started under a lower level", started, true, Admit},
+		{"the same, not served here before", started, false, Refuse},
+		{"started under this level", 500 * ms, true, Refuse},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			d, _ := g.Arrive(2*started, Arrival{Ticket: Ticket(tt.age) + 1, Priority: prio(40, 0), Nested: true, Age: tt.age, InProgress: tt.inProgress}, nil)
+			is.Equal(d.Verdict, tt.want)
 		})
 	}
 }
--- a/internal/core/admission/level.go
+++ b/internal/core/admission/level.go
@@ -37,11 +37,12 @@
 // tenantLevel is the admission level of one tenant and the demand it is derived
 // from.
 type tenantLevel struct {
-	demand demand
-	level  request.Level
-	exempt exemptions
-	recent [pacedGraceWindows]recentLevel // the first graceWindows of them without paced
-	paced  bool
+	demand  demand
+	level   request.Level
+	exempt  exemptions
+	recent  [pacedGraceWindows]recentLevel // the first graceWindows of them without paced
+	paced   bool
+	history levelHistory
 }
 
 // graceWindows returns the number of windows of the grace period.
@@ -81,9 +82,10 @@
 	return p >= t.level || t.exempt.admit(p)
 }
 
-// refuses reports whether the level refuses a request.
-func (t *tenantLevel) refuses(p request.Priority, deep bool) bool {
-	return !t.admits(p) && (!deep || !t.admittedRecently(p))
+// refuses reports whether the level refuses a request. judgedFrom is the time from which
+// on a level that admitted it suffices.
+func (t *tenantLevel) refuses(p request.Priority, deep bool, judgedFrom time.Duration) bool {
+	return !t.admits(p) && (!deep || !t.admittedRecently(p)) && !t.history.admittedSince(p, judgedFrom)
 }
 
 // levels sets the tenants' admission levels once per window.
@@ -94,7 +96,8 @@
 
 	weights, demands, allocations []float64 // by tenant, reused
 	window                        int
-	paced                         bool // Config.Paced
+	now                           time.Duration // end of the window
+	paced                         bool          // Config.Paced
 }
 
 func newLevels(paced bool) *levels { return &levels{capacityFactor: 1, paced: paced} }
@@ -139,6 +142,7 @@
 // endWindow closes a window and sets the levels. It reports whether a level has
 // risen.
 func (l *levels) endWindow(m windowStats, ledger *share.Ledger, idleBelow float64) bool {
+	l.now = m.now
 	keep := float32(1)
 	if l.active && !m.standingQueue && m.utilization < idleBelow {
 		keep = float32(m.perWindow(idleRetention))
@@ -241,6 +245,7 @@
 		n := t.graceWindows()
 		rose = rose || t.level > t.recent[last%n].level
 		r := &t.recent[l.window%n]
+		t.history.add(l.now, t.level, t.exempt)
 		r.level = t.level
 		if l.paced {
 			r.exempt = t.exempt
--- a/internal/core/admission/model_test.go
+++ b/internal/core/admission/model_test.go
@@ -138,7 +138,7 @@
 		m.t.Fatalf("admitted past its deadline: %+v", a)
 	}
 	for _, w := range m.queued {
-		if w.Tenant == a.Tenant && queueKey(w.Priority, w.Nested) > queueKey(a.Priority, a.Nested) {
+		if w.Tenant == a.Tenant && queueKey(&w) > queueKey(&a) {
 			m.t.Fatalf("admitted %+v while %+v is queued", a, w)
 		}
 	}
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -156,7 +156,6 @@
 	for i := importances - 1; i > imp; i-- {
 		sum += ln.backlog[i]
 	}
-	const span = 1 << 17 // keys of one importance
-	above := span - 1 - key%span
-	return sum + time.Duration(float64(ln.backlog[imp])*float64(above)/span)
+	above := keySpan - 1 - key%keySpan
+	return sum + time.Duration(float64(ln.backlog[imp])*float64(above)/keySpan)
 }
--- a/internal/core/admission/window.go
+++ b/internal/core/admission/window.go
@@ -132,7 +132,7 @@
 	g.evictions = g.evictions[:0]
 	for _, i := range g.queue.expiry.idx {
 		e := &g.pool.entries[i]
-		if g.levels.tenants[e.tenant].refuses(e.priority, e.deep) {
+		if g.levels.tenants[e.tenant].refuses(e.priority, e.deep, e.judgedFrom) {
 			g.evictions = append(g.evictions, i)
 		}
 	}
--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -129,7 +129,7 @@
 	e.resends.ended(out, r)
 	e.recordFinished(out, r)
 	if out.parent != nil {
-		out.parent.callEnded(r)
+		out.parent.callEnded(out.key(), r)
 	}
 	hop.fill(out, r)
 	e.answer(ctx, &c.Response, resp, out, r, hop)
@@ -291,6 +291,7 @@
 	if x.isFirstCall(out.key()) {
 		e.levels.recordCall(x.work(), out)
 	}
+	out.meta.InProgress = x.inProgressAt(out.key())
 	out.meta.Depth++
 	out.meta.Origin = e.self.Service
 	e.setRoute(v, out)
--- a/internal/dataplane/inflight.go
+++ b/internal/dataplane/inflight.go
@@ -32,17 +32,23 @@
 
 	mu           sync.Mutex
 	allowance    retry.RequestAllowance
-	openAttempts int                // downstream attempts in flight
-	hasUnknown   bool               // a downstream call may have run without a known result
-	hasFailed    bool               // the target has answered that it failed
-	calledKeys   []earlyrefusal.Key // services called so far
-	lastFailure  status.Code        // of the last downstream call that failed; empty if none
-	blockedSince time.Duration      // when the first of the attempts in flight began
-	blocked      time.Duration      // total time in which the target could only wait for others
+	openAttempts int             // downstream attempts in flight
+	hasUnknown   bool            // a downstream call may have run without a known result
+	hasFailed    bool            // the target has answered that it failed
+	called       []calledService // services called so far
+	lastFailure  status.Code     // of the last downstream call that failed; empty if none
+	blockedSince time.Duration   // when the first of the attempts in flight began
+	blocked      time.Duration   // total time in which the target could only wait for others
 
 	next *runningRequest // earlier run with the same identity; guarded by registry.mu
 }
 
+// calledService is a service and class that a running request has called.
+type calledService struct {
+	key       earlyrefusal.Key
+	completed bool // a call has completed
+}
+
 func (x *runningRequest) start(c *retry.Call, below int) (retry.Grant, bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -65,13 +71,32 @@
 func (x *runningRequest) isFirstCall(k earlyrefusal.Key) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if slices.Contains(x.calledKeys, k) {
+	if x.find(k) != nil {
 		return false
 	}
-	x.calledKeys = append(x.calledKeys, k)
+	x.called = append(x.called, calledService{key: k})
 	return true
 }
 
+// find returns what is known of a called service, nil if it was not called. Called with mu
+// held.
+func (x *runningRequest) find(k earlyrefusal.Key) *calledService {
+	i := slices.IndexFunc(x.called, func(s calledService) bool { return s.key == k })
+	if i < 0 {
+		return nil
+	}
+	return &x.called[i]
+}
+
+// inProgressAt reports whether the request has been served by a service and class before, or
+// by all services of its chain.
+func (x *runningRequest) inProgressAt(k earlyrefusal.Key) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	s := x.find(k)
+	return x.meta.InProgress || s != nil && s.completed
+}
+
 // beginAttempt records the start of a downstream attempt; it returns false if the
 // request has ended and the attempt must not start.
 func (x *runningRequest) beginAttempt(now time.Duration) bool {
@@ -99,12 +124,18 @@
 }
 
 // callEnded records the result of a downstream call after all its attempts.
-func (x *runningRequest) callEnded(r *result) {
-	if r.outcome == request.Completed || r.code == status.CodeCanceled {
+func (x *runningRequest) callEnded(k earlyrefusal.Key, r *result) {
+	if r.code == status.CodeCanceled {
 		return
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if r.outcome == request.Completed {
+		if s := x.find(k); s != nil {
+			s.completed = true
+		}
+		return
+	}
 	x.lastFailure = r.cause()
 	if x.lastFailure == "" {
 		x.lastFailure = status.CodeTargetFailed
--- a/internal/dataplane/inflight_test.go
+++ b/internal/dataplane/inflight_test.go
@@ -5,6 +5,10 @@
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/matryer/is"
+
+	"peardrift/internal/core/earlyrefusal"
+	"peardrift/internal/core/request"
+	"peardrift/internal/wire"
 )
 
 // Guards against the end of one run removing other runs of the same request, which end
@@ -50,3 +54,22 @@
 		is.True(!tc.span.matches([]byte(newSpan().String())) && !tc.span.matches(nil))
 	}
 }
+
+// Guards against a request's first call to an overloaded service that passes as one of a
+// request in progress: only a service that has served the request before, or each service of
+// a chain that it runs through again, has work to lose.
+func TestCallsAreInProgressAfterOneOfTheirServiceHasCompleted(t *testing.T) {
+	is := is.New(t)
+	archive, media := earlyrefusal.Key{Service: "archive.khaosan"}, earlyrefusal.Key{Service: "media.khaosan"}
+	x := &runningRequest{}
+	x.isFirstCall(archive)
+	x.isFirstCall(media)
+	is.True(!x.inProgressAt(archive))
+	x.callEnded(archive, &result{outcome: request.Refused})
+	is.True(!x.inProgressAt(archive))
+	x.callEnded(archive, &result{outcome: request.Completed})
+	is.True(x.inProgressAt(archive))
+	is.True(!x.inProgressAt(media))
+	again := &runningRequest{meta: wire.Meta{InProgress: true}}
+	is.True(again.inProgressAt(media))
+}
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -175,11 +175,12 @@
 // enterGate passes the call through the gate.
 func (e *Engine) enterGate(ctx context.Context, s *inboundCall) *status.Error {
 	t, fault := e.gate.acquire(ctx, admission.Arrival{
-		Priority: s.running.priority,
-		Tenant:   s.tenant,
-		Deadline: s.running.deadline,
-		Nested:   s.meta.Depth > 0,
-		Age:      s.meta.Age,
+		Priority:   s.running.priority,
+		Tenant:     s.tenant,
+		Deadline:   s.running.deadline,
+		Nested:     s.meta.Depth > 0,
+		InProgress: s.meta.InProgress,
+		Age:        s.meta.Age,
 	})
 	s.ticket = t
 	s.hop.Queued = time.Since(s.hop.Start)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -85,6 +85,7 @@
 	Repeat     bool          // an earlier attempt of the same call may have run
 	Depth      int           // 0 for the entry's call
 	Age        time.Duration // since the request started at its entry; 0 from nodes of earlier versions
+	InProgress bool          // an earlier call of the request like this one, or like one above it, has completed
 	RootKey    string        // idempotency key of the root request; may be empty
 	Origin     request.Service
 	Service    request.Service // called service; empty if Host names it
@@ -111,6 +112,7 @@
 	callRoute
 	callOrganisation
 	callAge
+	callInProgress
 	callFields
 	// callRequired is the number of fields that nodes of every version send.
 	callRequired = callOrganisation
@@ -134,6 +136,9 @@
 	b = appendEscaped(append(b, separator), string(m.Route))
 	b = appendEscaped(append(b, separator), string(m.Organisation))
 	b = strconv.AppendInt(append(b, separator), max(m.Age, 0).Milliseconds(), 10)
+	if m.InProgress {
+		b = append(b, separator, '1')
+	}
 	h.SetArgBytes([]byte(HeaderCall), b, protocol.ArgsHasValue)
 	if m.RootKey != "" {
 		h.Set(HeaderRootKey, m.RootKey)
@@ -204,6 +209,7 @@
 		Route:      request.Class(unescape(r.fields[callRoute])),
 
 		Organisation: request.Organisation(unescape(r.fields[callOrganisation])),
+		InProgress:   len(r.fields[callInProgress]) > 0,
 	}
 	if len(r.fields[callAge]) > 0 {
 		m.Age = time.Duration(r.int(callAge, 0, maxMillis)) * time.Millisecond
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -18,7 +18,7 @@
 	in := Meta{
 		Tenant: "khaosan", Class: "morning-feed", Importance: 40, Remaining: 1500 * time.Millisecond,
 		Allowance: 2, Repeat: true, Depth: 3, RootKey: "k", Origin: "feed.khaosan",
-		Service: "archive.khaosan", Route: "a;b%c d", Age: 250 * time.Millisecond,
+		Service: "archive.khaosan", Route: "a;b%c d", Age: 250 * time.Millisecond, InProgress: true,
 	}
 	var h protocol.RequestHeader
 	SetMeta(&h, &in)
