Charge no extra attempt to calls that reached no target

Cause: where refusals are free (nodes on the users' platform), an attempt that reached no target took nothing from the service's budget, but the attempt after it was charged to the request's allowance as an extra one, which a call made by a target seldom has. Two bounds on the same attempts disagreed about what is free.

TestAttemptsThatReachNoTargetCostNothing failed before.

--- a/internal/core/retry/allowance.go
+++ b/internal/core/retry/allowance.go
@@ -36,6 +36,7 @@
 // without attempts.
 type Call struct {
 	attempts   int
+	free       int // attempts that cost nothing, see Answer.Free
 	runs       int
 	mayHaveRun bool
 }
@@ -74,7 +75,8 @@
 	Free bool
 }
 
-// Start charges the next attempt of c and returns what it carries. It returns false,
+// Start charges the next attempt of c, unless no earlier one reached a target, and returns
+// what it carries. It returns false,
 // and changes nothing, if the attempt costs an extra attempt and none is left, or if
 // the allowance is closed; the call is then refused with status.CodeRetriesExhausted.
 // below is the expected number of calls that the callee makes (CallCount.Below); a callee
@@ -83,7 +85,7 @@
 	if p.closed {
 		return Grant{}, false
 	}
-	paid := c.attempts > 0 || p.repeat
+	paid := c.attempts > c.free || p.repeat
 	if paid {
 		if p.left == 0 {
 			return Grant{}, false
@@ -129,12 +131,15 @@
 		c.mayHaveRun = true
 		c.runs++
 	}
+	if a.Free {
+		c.free++ // Config.PerCall still bounds the attempts of the call
+	}
 	if p.closed {
 		return
 	}
 	p.left += min(max(a.Unspent, 0), g.Allowance)
 	if a.Free && g.charged {
-		p.left++ // Config.PerCall still bounds the attempts of the call
+		p.left++
 	}
 	p.made += max(a.AttemptsMade, 0)
 }
--- a/internal/core/retry/allowance_test.go
+++ b/internal/core/retry/allowance_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"peardrift/internal/core/request"
+	"peardrift/internal/status"
 )
 
 // call is a node of a call graph: a call and the calls it makes.
@@ -195,3 +196,27 @@
 	entry.Settle(&call, &again, Answer{Outcome: request.Completed, Unspent: run.Close()})
 	is.Equal(entry.Left(), 0) // 4, minus the lost grant, the repeat and its two calls
 }
+
+// Guards against calls that fail although no attempt of theirs reached a target: the next
+// attempt was charged as an extra one, and a call made by a target seldom has any.
+func TestAttemptsThatReachNoTargetCostNothing(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig()
+	cfg.FreeRefusals = true
+	d, b := NewDecider(&cfg, rand.New(rand.NewPCG(1, 2))), ServiceBudget{cfg: &cfg}
+	p := NewRequestAllowance(0, false)
+	var c Call
+	for c.Attempts() < cfg.PerCall {
+		g, ok := p.Start(&c, 0)
+		is.True(ok)
+		p.Settle(&c, &g, Answer{Outcome: request.Refused, Free: cfg.Free(request.Refused, status.CodeConnectFailed)})
+		got := d.Decide(0, &Result{Outcome: request.Refused, Code: status.CodeConnectFailed, Attempts: c.Attempts(), AllowanceLeft: p.Left()}, &b)
+		is.Equal(got.Retry(), c.Attempts() < cfg.PerCall)
+	}
+	var shed Call // the target itself refuses: the attempt has reached it
+	g, ok := p.Start(&shed, 0)
+	is.True(ok)
+	p.Settle(&shed, &g, Answer{Outcome: request.Refused, Free: cfg.Free(request.Refused, status.CodeTargetShed)})
+	_, ok = p.Start(&shed, 0)
+	is.True(!ok)
+}
