Leave only attempts that could reach no target out of the allowance

A refusal for load that is tried at another target takes the slot of another request there; it counts as an extra attempt again.

What is left out now is what no target could have taken, whatever its priority: a node that can't be reached, that is not ready, draining or misdirected, or whose target accepts no connection.

--- a/bench/replay/outbound.go
+++ b/bench/replay/outbound.go
@@ -129,7 +129,7 @@
 		o.node.levels.Learn(o.node.sim.now, o.key(c), earlyrefusal.Report{Target: a.callee.id, Own: r.feedback.level, Exempt: r.feedback.exempt, Chain: r.feedback.chainLevel, Slots: r.feedback.limit})
 	}
 	c.allowance.Settle(&c.retryState, &a.grant, retry.Answer{Outcome: r.outcome, Unspent: r.unspentAllowance, AttemptsMade: r.callsMade,
-		Free: o.node.sim.cfg.Retry.Free(r.outcome, r.code)})
+		Free: o.node.sim.cfg.Retry.Free(r.outcome, r.code), Unreached: o.node.sim.cfg.Retry.Unreached(r.outcome, r.code)})
 	if r.outcome == request.Completed {
 		o.cost(c).Observe(&o.node.sim.cfg.Retry, r.callsMade)
 	}
--- a/internal/core/retry/allowance.go
+++ b/internal/core/retry/allowance.go
@@ -36,7 +36,7 @@
 // without attempts.
 type Call struct {
 	attempts   int
-	free       int // attempts that cost nothing, see Answer.Free
+	unreached  int // attempts that reached no target, see Answer.Unreached
 	runs       int
 	mayHaveRun bool
 }
@@ -73,6 +73,9 @@
 	// Free is set if the attempt was refused before it reached a target and such
 	// attempts cost nothing (Config.FreeRefusals).
 	Free bool
+	// Unreached is set if there was no target that could have taken the attempt
+	// (Config.Unreached). It is then not counted as the call's first one.
+	Unreached bool
 }
 
 // Start charges the next attempt of c, unless no earlier one reached a target, and returns
@@ -85,7 +88,7 @@
 	if p.closed {
 		return Grant{}, false
 	}
-	paid := c.attempts > c.free || p.repeat
+	paid := c.attempts > c.unreached || p.repeat
 	if paid {
 		if p.left == 0 {
 			return Grant{}, false
@@ -131,8 +134,8 @@
 		c.mayHaveRun = true
 		c.runs++
 	}
-	if a.Free {
-		c.free++ // Config.PerCall still bounds the attempts of the call
+	if a.Unreached {
+		c.unreached++ // Config.PerCall still bounds the attempts of the call
 	}
 	if p.closed {
 		return
--- a/internal/core/retry/allowance_test.go
+++ b/internal/core/retry/allowance_test.go
@@ -209,14 +209,17 @@
 	for c.Attempts() < cfg.PerCall {
 		g, ok := p.Start(&c, 0)
 		is.True(ok)
-		p.Settle(&c, &g, Answer{Outcome: request.Refused, Free: cfg.Free(request.Refused, status.CodeConnectFailed)})
+		p.Settle(&c, &g, Answer{Outcome: request.Refused,
+			Free: cfg.Free(request.Refused, status.CodeConnectFailed), Unreached: cfg.Unreached(request.Refused, status.CodeConnectFailed)})
 		got := d.Decide(0, &Result{Outcome: request.Refused, Code: status.CodeConnectFailed, Attempts: c.Attempts(), AllowanceLeft: p.Left()}, &b)
 		is.Equal(got.Retry(), c.Attempts() < cfg.PerCall)
 	}
-	var shed Call // the target itself refuses: the attempt has reached it
-	g, ok := p.Start(&shed, 0)
-	is.True(ok)
-	p.Settle(&shed, &g, Answer{Outcome: request.Refused, Free: cfg.Free(request.Refused, status.CodeTargetShed)})
-	_, ok = p.Start(&shed, 0)
-	is.True(!ok)
+	for _, code := range []status.Code{status.CodeTargetShed, status.CodeOverloaded} { // refused for load
+		var c Call
+		g, ok := p.Start(&c, 0)
+		is.True(ok)
+		p.Settle(&c, &g, Answer{Outcome: request.Refused, Free: cfg.Free(request.Refused, code), Unreached: cfg.Unreached(request.Refused, code)})
+		_, ok = p.Start(&c, 0)
+		is.True(!ok)
+	}
 }
--- a/internal/core/retry/config.go
+++ b/internal/core/retry/config.go
@@ -74,6 +74,13 @@
 	return c.FreeRefusals && o == request.Refused && code != status.CodeTargetShed
 }
 
+// Unreached reports whether an attempt with this result is left out of the request's
+// allowance: it could not have reached a target, whatever its priority. A refusal for load is
+// not, since a further attempt may displace other requests at another target.
+func (c *Config) Unreached(o request.Outcome, code status.Code) bool {
+	return c.FreeRefusals && o == request.Refused && code.TakesNoCalls()
+}
+
 // RatioAt returns how much one success of a call at a depth of its chain adds to the
 // service's retry budget.
 func (c *Config) RatioAt(depth int) float64 {
--- a/internal/core/retry/decide.go
+++ b/internal/core/retry/decide.go
@@ -130,7 +130,7 @@
 	if r.Attempts >= d.cfg.PerCall || r.MaxRuns > 0 && r.Runs >= r.MaxRuns {
 		return PerCall
 	}
-	if r.AllowanceLeft < d.attemptCost(r) && !d.cfg.Free(r.Outcome, r.Code) {
+	if r.AllowanceLeft < d.attemptCost(r) && !d.cfg.Unreached(r.Outcome, r.Code) {
 		return Allowance
 	}
 	if overloaded(now, r, b) {
--- a/internal/core/retry/doc.go
+++ b/internal/core/retry/doc.go
@@ -7,8 +7,8 @@
 //     entry node starts with A of them (the class's Attempts). Each call carries a part
 //     down (Grant), and its answer returns the unspent part. An attempt is free only if
 //     it is the first one of its call in an execution that isn't itself a repeat; all
-//     others cost one. With Config.FreeRefusals, attempts that reach no target are left
-//     out of this count. Therefore
+//     others cost one. With Config.FreeRefusals, attempts that could reach no target are
+//     left out of this count. Therefore
 //
 //     attempts over the whole chain <= calls of the graph made once + A
 //
--- a/internal/dataplane/call.go
+++ b/internal/dataplane/call.go
@@ -113,16 +113,6 @@
 	}
 }
 
-// targetTakesNoCalls reports whether the attempt's target, or the node beside it, can take
-// no calls at present, whatever their priority.
-func (r *result) targetTakesNoCalls() bool {
-	switch r.code {
-	case status.CodeNotReady, status.CodeNoTarget, status.CodeDraining, status.CodeMisdirected, status.CodeConnectFailed:
-		return true
-	}
-	return false
-}
-
 // cause returns why the call failed: the node's own code or, if the target itself
 // answered with a failure, the code of the downstream call that failed.
 func (r *result) cause() status.Code {
@@ -199,7 +189,7 @@
 	}
 	c.allowance.settle(sub, &c.grant, retry.Answer{
 		Outcome: r.outcome, Unspent: r.answer.Unspent, AttemptsMade: r.answer.AttemptsMade,
-		Free: e.cfg.Retry.Free(r.outcome, r.code),
+		Free: e.cfg.Retry.Free(r.outcome, r.code), Unreached: e.cfg.Retry.Unreached(r.outcome, r.code),
 	})
 	cl.record(ch, c, r)
 	e.levels.learn(c, r)
--- a/internal/dataplane/levels.go
+++ b/internal/dataplane/levels.go
@@ -46,7 +46,7 @@
 // learn records the levels that an answer reported. A target that takes no calls has none:
 // the level of its gate, which nothing passes, would count as capacity that admits all.
 func (l *levels) learn(c *outboundCall, r *result) {
-	takesNone := r.targetTakesNoCalls()
+	takesNone := r.code.TakesNoCalls()
 	if !r.answered && !takesNone {
 		return
 	}
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -75,6 +75,16 @@
 // moduleTag marks errors of this module in wrapped chains.
 const moduleTag = errs.Tag("peardrift")
 
+// TakesNoCalls reports whether a call failed because its target, or the node beside it, can
+// take no calls at present, whatever their priority.
+func (c Code) TakesNoCalls() bool {
+	switch c {
+	case CodeNotReady, CodeNoTarget, CodeDraining, CodeMisdirected, CodeConnectFailed:
+		return true
+	}
+	return false
+}
+
 // Error is a typed failure. The zero Outcome is Unknown, so that a failure reports
 // "not run" only where the code sets it explicitly.
 type Error struct {
