Try a higher limit soon after a target has stopped rejecting calls

Cause: each window of 50 ms with rejections cut the limit and also doubled the pause before a higher one is tried, as if it were a trial that had failed. Five windows make it 30 s. That mattered only if the rejections ended while the limit was cut; a cut that proves futile is undone.

The pause now begins, and doubles, once for a run of such windows, and a run that proves futile takes it back.

--- a/internal/core/limit/probe.go
+++ b/internal/core/limit/probe.go
@@ -57,6 +57,7 @@
 // shedRun is the state of a series of windows in which the target sheds.
 type shedRun struct {
 	limit      int           // limit at its start; 0: no run
+	cut        bool          // the limit has been cut in this run
 	fraction   float64       // fraction of requests shed at its start
 	sinceShed  time.Duration // time since the last such window
 	ignoreFor  time.Duration // remaining time during which sheds are ignored
@@ -97,6 +98,7 @@
 	s.nextIgnore = min(2*s.ignoreFor, p.cfg.MaxBackoff)
 	s.limit = 0
 	p.measurement, p.settling = Window{}, 0
+	p.trialPause, p.nextBackoff = 0, p.cfg.Backoff
 	return true
 }
 
@@ -105,7 +107,7 @@
 	s.ignoreFor = max(0, s.ignoreFor-d)
 	s.sinceShed += d
 	if s.sinceShed >= shedRunTimeout {
-		s.limit = 0
+		s.limit, s.cut = 0, false
 	}
 	if s.sinceShed >= shedRunTimeout && s.ignoreFor == 0 {
 		s.nextIgnore = 0
@@ -377,7 +379,10 @@
 	p.phase = steady
 	p.measurement = Window{}
 	p.settling = min(w.timeInTarget(), p.cfg.MaxMeasure)
-	p.backOff()
+	if !p.sheds.cut {
+		p.backOff() // once a run: its cuts are no trials that have failed
+	}
+	p.sheds.cut = true
 }
 
 // backOff pauses the trials: exponentially longer each time, or for raisePause after
--- a/internal/core/limit/sheds_test.go
+++ b/internal/core/limit/sheds_test.go
@@ -83,3 +83,26 @@
 	p.SetMax(200)
 	is.Equal(p.Limit(), 200)
 }
+
+// Guards against a limit that stays cut for up to 30 s after a target has stopped to reject
+// half of its requests: each window with sheds doubled the pause before a higher limit is
+// tried, as if it were a trial that had failed.
+func TestLimitReturnsAfterSheddingEndsDuringACut(t *testing.T) {
+	const window = 50 * time.Millisecond
+	for shedFor := window; shedFor <= 8*time.Second; shedFor += window {
+		cfg := DefaultConfig()
+		cfg.InitialFraction = 1
+		p := NewProbe(cfg, 100)
+		for at := time.Duration(0); at < shedFor; at += window {
+			p.Observe(shedWindow(p.Limit(), 0.5))
+		}
+		cut := p.Limit()
+		for range 4 * time.Second / window {
+			n := p.Limit() // each takes a window
+			p.Observe(Window{Length: window, Saturated: window, Completed: n, Busy: time.Duration(n) * window})
+		}
+		if p.Limit() < 90 {
+			t.Errorf("4 s after %v of sheds: limit %d, cut to %d", shedFor, p.Limit(), cut)
+		}
+	}
+}
