--- a/bench/replay/call.go
+++ b/bench/replay/call.go
@@ -16,7 +16,7 @@
 	user              *user
 	class             *workload.Class
 	id                request.ID
-	startedAt         time.Duration
+	startedAt         time.Duration // when its entry node received it
 	callPaths         []uint64 // calls made so far, by position in the call tree
 	extraAttempts     int      // attempts beyond the first of each call
 	completedServices uint64   // bit set of services that completed a call
--- a/internal/core/admission/decision.go
+++ b/internal/core/admission/decision.go
@@ -22,7 +22,9 @@
 	// A level that has risen since the request started does not refuse it, since the calls
 	// made so far would have been in vain.
 	InProgress bool
-	Age        time.Duration // since the request started at its entry, where callers apply the level; 0 if unknown
+	// Age is the time since the request started at its entry, where callers apply the level; 0
+	// if unknown. A change of the level shows in the arrivals only after it.
+	Age time.Duration
 }
 
 // Verdict is the outcome of an arrival.
--- a/internal/core/admission/history.go
+++ b/internal/core/admission/history.go
@@ -16,8 +16,8 @@
 	reportDelay = 300 * time.Millisecond
 )
 
-// levelHistory holds the levels of the last windows, so that a request that has started is
-// judged by those under which it did.
+// levelHistory holds the levels of the last windows in a ring, so that a request in progress
+// is judged by those since it started.
 type levelHistory struct {
 	past [historyWindows]pastLevel
 	next int
