--- a/bench/replay/call.go
+++ b/bench/replay/call.go
@@ -17,9 +17,9 @@
 	class             *workload.Class
 	id                request.ID
 	startedAt         time.Duration // when its entry node received it
-	callPaths         []uint64 // calls made so far, by position in the call tree
-	extraAttempts     int      // attempts beyond the first of each call
-	completedServices uint64   // bit set of services that completed a call
+	callPaths         []uint64      // calls made so far, by position in the call tree
+	extraAttempts     int           // attempts beyond the first of each call
+	completedServices uint64        // bit set of services that completed a call
 }
 
 // addAttempt records an attempt that is about to be sent. It reports whether an
