Keep the past levels of a gate once

The history of levels that calls of requests in progress are judged by stood beside the ring of recent levels that nested calls were judged by already; both held level and exemptions of up to 30 windows. One ring serves both now, and the instant of a window is handed to recordLevels instead of being left in a field.

--- a/internal/core/admission/bench_test.go
+++ b/internal/core/admission/bench_test.go
@@ -86,7 +86,7 @@
 // it, with two tenants in overload.
 func BenchmarkWindow(b *testing.B) {
 	g := newGate(64)
-	m := windowStats{length: 50 * ms, limit: 64, utilization: 1, standingQueue: true, service: 0.01}
+	m := windowStats{length: 50 * ms, limit: 64, utilization: 1, standingQueue: true, service: 0.01, reaction: &g.reaction}
 	for t := range 2 {
 		d := &g.levels.tenant(t).demand
 		for i := range d.rate {
--- a/internal/core/admission/demand.go
+++ b/internal/core/admission/demand.go
@@ -70,9 +70,9 @@
 // endWindow closes a window during which the level and the exemptions were constant.
 // Admitted arrivals are measured. The rates of priorities that have been admitted for a
 // short time only can rise but not fall, since their calls may still be on the way. The
-// others are not visible, because callers that know the level send nothing there. An importance of which a part is admitted is
-// extrapolated from it, since hashes are uniformly distributed; the rates of importances
-// that are refused entirely are multiplied by keep.
+// others are not visible, because callers that know the level send nothing there. An
+// importance of which a part is admitted is extrapolated from it, since hashes are uniformly
+// distributed; the rates of importances that are refused entirely are multiplied by keep.
 func (d *demand) endWindow(length time.Duration, level request.Level, x exemptions, keep float32) {
 	w := windowSample{
 		weight: float32(1 - math.Pow(rateRetention, d.halvings(length))),
--- a/internal/core/admission/doc.go
+++ b/internal/core/admission/doc.go
@@ -13,7 +13,9 @@
 //   - an admission level per tenant: while a queue persists, requests below
 //     the level are refused on arrival, and callers that learn the level from
 //     responses refuse them earlier still. All gates order requests alike, so
-//     every hop of a call chain refuses the same requests;
+//     every hop of a call chain refuses the same requests. It changes no faster than
+//     its effect shows in the arrivals, and a further call of a request in progress is
+//     judged by the levels since the request started;
 //   - the rate of requests that the target says it accepts;
 //   - tenants' shares from package share: slots are first assigned to a
 //     tenant, then by importance within the tenant.
--- a/internal/core/admission/gate_test.go
+++ b/internal/core/admission/gate_test.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -269,16 +268,16 @@
 	set := func(level request.Level, windows int) {
 		for range windows {
 			tn.level = level
-			l.recordLevels(true)
+			l.recordLevels(0, true)
 		}
 	}
 	set(0, graceWindows)
 	set(prio(50, 0), 1)
-	is.True(tn.refuses(prio(40, 0), false, math.MaxInt64))
-	is.True(!tn.refuses(prio(40, 0), true, math.MaxInt64)) // still in the grace period
+	is.True(tn.refuses(prio(40, 0), false, onlyCurrent))
+	is.True(!tn.refuses(prio(40, 0), true, onlyCurrent)) // still in the grace period
 	set(prio(50, 0), graceWindows)
-	is.True(tn.refuses(prio(40, 0), true, math.MaxInt64))
-	is.True(!tn.refuses(prio(50, 0), false, math.MaxInt64))
+	is.True(tn.refuses(prio(40, 0), true, onlyCurrent))
+	is.True(!tn.refuses(prio(50, 0), false, onlyCurrent))
 }
 
 func TestLevelForFitsDemandToCapacity(t *testing.T) {
@@ -348,16 +347,16 @@
 			set := func(level request.Level, x exemptions, windows int) {
 				for range windows {
 					tn.level, tn.exempt = level, x
-					l.recordLevels(true)
+					l.recordLevels(0, true)
 				}
 			}
 			set(prio(50, 0), nil, pacedGraceWindows)
 			set(tt.started, tt.exempt, 1)
 			set(prio(50, 0), nil, pacedGraceWindows-1)
-			is.True(tn.refuses(prio(40, 0), false, math.MaxInt64))
-			is.True(!tn.refuses(prio(40, 0), true, math.MaxInt64))
+			is.True(tn.refuses(prio(40, 0), false, onlyCurrent))
+			is.True(!tn.refuses(prio(40, 0), true, onlyCurrent))
 			set(prio(50, 0), nil, 1)
-			is.True(tn.refuses(prio(40, 0), true, math.MaxInt64))
+			is.True(tn.refuses(prio(40, 0), true, onlyCurrent))
 		})
 	}
 }
@@ -374,8 +373,7 @@
 		if now == started {
 			tn.level = 0
 		}
-		l.now = now
-		l.recordLevels(true)
+		l.recordLevels(now, true)
 	}
 	tn.level = high
 	for _, tt := range []struct {
--- a/internal/core/admission/level.go
+++ b/internal/core/admission/level.go
@@ -40,33 +40,17 @@
 	demand  demand
 	level   request.Level
 	exempt  exemptions
-	recent  [pacedGraceWindows]recentLevel // the first graceWindows of them without paced
-	paced   bool
+	paced   bool // Config.Paced
 	history levelHistory
 }
 
-// graceWindows returns the number of windows of the grace period.
-func (t *tenantLevel) graceWindows() int {
-	if t.paced {
-		return pacedGraceWindows
-	}
-	return graceWindows
-}
-
-// recentLevel is the level of one window. The exemptions are kept with Config.Paced only.
-type recentLevel struct {
-	level  request.Level
-	exempt exemptions
-}
-
 // admittedRecently reports whether a level of the grace period admits a request.
+// Exemptions of that time count with Config.Paced only.
 func (t *tenantLevel) admittedRecently(p request.Priority) bool {
-	for i := range t.graceWindows() {
-		if r := &t.recent[i]; p >= r.level || r.exempt.admit(p) {
-			return true
-		}
+	if t.paced {
+		return t.history.admitted(p, pacedGraceWindows)
 	}
-	return false
+	return t.history.levelAdmitted(p, graceWindows)
 }
 
 // total returns the tenant's demand; t may be nil.
@@ -82,8 +66,8 @@
 	return p >= t.level || t.exempt.admit(p)
 }
 
-// refuses reports whether the level refuses a request. judgedFrom is the time from which
-// on a level that admitted it suffices.
+// refuses reports whether the level refuses a request. A level since judgedFrom that admits it
+// suffices; with onlyCurrent there is none.
 func (t *tenantLevel) refuses(p request.Priority, deep bool, judgedFrom time.Duration) bool {
 	return !t.admits(p) && (!deep || !t.admittedRecently(p)) && !t.history.admittedSince(p, judgedFrom)
 }
@@ -95,9 +79,7 @@
 	capacityFactor float64        // ratio of admitted demand to measured capacity
 
 	weights, demands, allocations []float64 // by tenant, reused
-	window                        int
-	now                           time.Duration // end of the window
-	paced                         bool          // Config.Paced
+	paced                         bool      // Config.Paced
 }
 
 func newLevels(paced bool) *levels { return &levels{capacityFactor: 1, paced: paced} }
@@ -142,7 +124,6 @@
 // endWindow closes a window and sets the levels. It reports whether a level has
 // risen.
 func (l *levels) endWindow(m windowStats, ledger *share.Ledger, idleBelow float64) bool {
-	l.now = m.now
 	keep := float32(1)
 	if l.active && !m.standingQueue && m.utilization < idleBelow {
 		keep = float32(m.perWindow(idleRetention))
@@ -155,10 +136,10 @@
 	}
 	l.active = l.active || m.rateExceeded
 	if !l.active && !m.standingQueue {
-		return l.recordLevels(false)
+		return l.recordLevels(m.now, false)
 	}
 	l.adjustCapacityFactor(m, idleBelow)
-	return l.recordLevels(l.divideCapacity(m, ledger))
+	return l.recordLevels(m.now, l.divideCapacity(m, ledger))
 }
 
 // adjustCapacityFactor moves the factor towards a queue that is short but seldom
@@ -229,27 +210,19 @@
 	return above
 }
 
-// recordLevels stores the levels for the grace period of nested calls and reports
-// whether a level has risen.
-func (l *levels) recordLevels(active bool) bool {
+// recordLevels stores the levels of the window that ends now, for calls of requests that
+// have been admitted, and reports whether a level has risen.
+func (l *levels) recordLevels(now time.Duration, active bool) bool {
 	if !active {
 		l.active, l.capacityFactor = false, 1
 	}
 	rose := false
-	last := l.window
-	l.window++
 	for _, t := range l.tenants {
 		if t == nil {
 			continue
 		}
-		n := t.graceWindows()
-		rose = rose || t.level > t.recent[last%n].level
-		r := &t.recent[l.window%n]
-		t.history.add(l.now, t.level, t.exempt)
-		r.level = t.level
-		if l.paced {
-			r.exempt = t.exempt
-		}
+		rose = rose || t.level > t.history.latest().level
+		t.history.add(pastLevel{at: now, level: t.level, exempt: t.exempt})
 	}
 	return rose
 }
--- a/internal/core/limit/probe.go
+++ b/internal/core/limit/probe.go
@@ -380,7 +380,7 @@
 	p.measurement = Window{}
 	p.settling = min(w.timeInTarget(), p.cfg.MaxMeasure)
 	if !p.sheds.cut {
-		p.backOff() // once a run: its cuts are no trials that have failed
+		p.backOff() // further cuts of the same run don't lengthen the pause
 	}
 	p.sheds.cut = true
 }
--- a/internal/core/limit/sheds_test.go
+++ b/internal/core/limit/sheds_test.go
@@ -84,9 +84,8 @@
 	is.Equal(p.Limit(), 200)
 }
 
-// Guards against a limit that stays cut for up to 30 s after a target has stopped to reject
-// half of its requests: each window with sheds doubled the pause before a higher limit is
-// tried, as if it were a trial that had failed.
+// Guards against a limit that stays cut for up to 30 s after its target has stopped shedding:
+// each window with sheds doubled the pause before a higher limit is tried.
 func TestLimitReturnsAfterSheddingEndsDuringACut(t *testing.T) {
 	const window = 50 * time.Millisecond
 	for shedFor := window; shedFor <= 8*time.Second; shedFor += window {
--- a/internal/core/retry/allowance.go
+++ b/internal/core/retry/allowance.go
@@ -79,9 +79,9 @@
 }
 
 // Start charges the next attempt of c, unless it is the first that may reach a target, and
-// returns what it carries. It returns false,
-// and changes nothing, if the attempt costs an extra attempt and none is left, or if
-// the allowance is closed; the call is then refused with status.CodeRetriesExhausted.
+// returns what it carries. It returns false, and changes nothing, if the attempt costs an
+// extra attempt and none is left, or if the allowance is closed; the call is then refused
+// with status.CodeRetriesExhausted.
 // below is the expected number of calls that the callee makes (CallCount.Below); a callee
 // that makes none gets no allowance.
 func (p *RequestAllowance) Start(c *Call, below int) (Grant, bool) {
