Record a target's call under one lock

Each call that a target makes took its request's lock twice to learn whether it is the first of its service and class and whether one has completed before, and the clock was read twice for each root request. callBegins answers both at once. What the gate is told of a call is built by inboundCall.arrival, so that a test can hold it to the message. No decision changes.

--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -204,16 +204,16 @@
 			return nil, err
 		}
 	}
-	stated := e.statedTimeout(c)
+	stated, now := e.statedTimeout(c), e.now()
 	out := &outboundCall{
 		info:      info,
 		class:     class,
 		id:        id,
 		sampled:   e.cfg.Sampled(id),
 		priority:  request.PriorityOf(class.Importance, id),
-		deadline:  e.now() + limitTimeout(stated, class.Deadline),
+		deadline:  now + limitTimeout(stated, class.Deadline),
 		stated:    stated,
-		startedAt: e.now(),
+		startedAt: now,
 		index:     v.Index,
 		entry:     entryAllowance{allowance: retry.NewRequestAllowance(class.Attempts, false)},
 		meta: wire.Meta{
@@ -288,10 +288,11 @@
 		startedAt: x.startedAt,
 		meta:      x.meta,
 	}
-	if x.isFirstCall(out.key()) {
+	first, inProgress := x.callBegins(out.key())
+	if first {
 		e.levels.recordCall(x.work(), out)
 	}
-	out.meta.InProgress = x.inProgressAt(out.key())
+	out.meta.InProgress = inProgress
 	out.meta.Depth++
 	out.meta.Origin = e.self.Service
 	e.setRoute(v, out)
--- a/internal/dataplane/inflight.go
+++ b/internal/dataplane/inflight.go
@@ -67,15 +67,18 @@
 	return x.allowance.Left()
 }
 
-// isFirstCall reports whether this is the request's first call with the key.
-func (x *runningRequest) isFirstCall(k earlyrefusal.Key) bool {
+// callBegins records a call with the key. first reports whether it is the request's first
+// one, inProgress whether the request has been served by the service and class before, or by
+// all services of its chain.
+func (x *runningRequest) callBegins(k earlyrefusal.Key) (first, inProgress bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.find(k) != nil {
-		return false
+	s := x.find(k)
+	if s == nil {
+		x.called = append(x.called, calledService{key: k})
+		return true, x.meta.InProgress
 	}
-	x.called = append(x.called, calledService{key: k})
-	return true
+	return false, x.meta.InProgress || s.completed
 }
 
 // find returns what is known of a called service, nil if it was not called. Called with mu
@@ -88,15 +91,6 @@
 	return &x.called[i]
 }
 
-// inProgressAt reports whether the request has been served by a service and class before, or
-// by all services of its chain.
-func (x *runningRequest) inProgressAt(k earlyrefusal.Key) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	s := x.find(k)
-	return x.meta.InProgress || s != nil && s.completed
-}
-
 // beginAttempt records the start of a downstream attempt; it returns false if the
 // request has ended and the attempt must not start.
 func (x *runningRequest) beginAttempt(now time.Duration) bool {
--- a/internal/dataplane/inflight_test.go
+++ b/internal/dataplane/inflight_test.go
@@ -62,14 +62,19 @@
 	is := is.New(t)
 	archive, media := earlyrefusal.Key{Service: "archive.khaosan"}, earlyrefusal.Key{Service: "media.khaosan"}
 	x := &runningRequest{}
-	x.isFirstCall(archive)
-	x.isFirstCall(media)
-	is.True(!x.inProgressAt(archive))
+	begins := func(k earlyrefusal.Key, wantFirst, wantInProgress bool) {
+		t.Helper()
+		first, inProgress := x.callBegins(k)
+		is.Equal(first, wantFirst)
+		is.Equal(inProgress, wantInProgress)
+	}
+	begins(archive, true, false)
+	begins(archive, false, false) // the first one has not ended
 	x.callEnded(archive, &result{outcome: request.Refused})
-	is.True(!x.inProgressAt(archive))
+	begins(archive, false, false)
 	x.callEnded(archive, &result{outcome: request.Completed})
-	is.True(x.inProgressAt(archive))
-	is.True(!x.inProgressAt(media))
-	again := &runningRequest{meta: wire.Meta{InProgress: true}}
-	is.True(again.inProgressAt(media))
+	begins(archive, false, true)
+	begins(media, true, false)
+	x = &runningRequest{meta: wire.Meta{InProgress: true}}
+	begins(media, true, true)
 }
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -172,16 +172,21 @@
 	return nil
 }
 
-// enterGate passes the call through the gate.
-func (e *Engine) enterGate(ctx context.Context, s *inboundCall) *status.Error {
-	t, fault := e.gate.acquire(ctx, admission.Arrival{
+// arrival describes the call to the gate.
+func (s *inboundCall) arrival() admission.Arrival {
+	return admission.Arrival{
 		Priority:   s.running.priority,
 		Tenant:     s.tenant,
 		Deadline:   s.running.deadline,
 		Nested:     s.meta.Depth > 0,
 		InProgress: s.meta.InProgress,
 		Age:        s.meta.Age,
-	})
+	}
+}
+
+// enterGate passes the call through the gate.
+func (e *Engine) enterGate(ctx context.Context, s *inboundCall) *status.Error {
+	t, fault := e.gate.acquire(ctx, s.arrival())
 	s.ticket = t
 	s.hop.Queued = time.Since(s.hop.Start)
 	return fault
