--- a/internal/core/admission/gate_test.go
+++ b/internal/core/admission/gate_test.go
@@ -40,7 +40,7 @@
 	fill(g, 0, 1)
 	for i, a := range []Arrival{
 		{Priority: prio(10, 9)}, {Priority: prio(90, 1)}, {Priority: prio(10, 1), Nested: true},
-		{Priority: prio(90, 2)}, {Priority: prio(90, 1)},
+		{Priority: prio(90, 2)}, {Priority: prio(90, 1)}, {Priority: prio(10, 0), Nested: true, InProgress: true},
 	} {
 		a.Ticket = Ticket(i)
 		d, _ := g.Arrive(0, a, nil)
@@ -48,14 +48,14 @@
 	}
 	var got []Ticket
 	last := Ticket(1000)
-	for range 5 {
+	for range 6 {
 		out := g.Finish(ms, last, OK, 0, nil)
 		is.Equal(len(out), 1)
 		is.Equal(out[0].Verdict, Admit)
 		last = out[0].Ticket
 		got = append(got, last)
 	}
-	is.Equal(got, []Ticket{3, 1, 4, 2, 0})
+	is.Equal(got, []Ticket{3, 1, 4, 5, 2, 0})
 }
 
 func TestFullQueueEvictsLeastImportant(t *testing.T) {
@@ -383,6 +383,7 @@
 		want       Verdict
 	}{
 		{"started under a lower level", started, true, Admit},
+		{"started while its entry still applied the lower level", 800 * ms, true, Admit},
 		{"the same, not served here before", started, false, Refuse},
 		{"started under this level", 500 * ms, true, Refuse},
 	} {
@@ -393,3 +394,26 @@
 		})
 	}
 }
+
+// Guards against requests that start with their call to the target and whose demand is judged
+// as late as that of requests that call it in the end.
+func TestDemandSettlesByTheAgeOfItsImportance(t *testing.T) {
+	const late, direct = 10, 20
+	is := is.New(t)
+	var d demand
+	r := &reactionTimes{mean: time.Second}
+	for range 1000 {
+		r.arrive(late, time.Second)
+		r.arrive(direct, 0)
+	}
+	d.settle(50*ms, r, prio(30, 0), nil)
+	for now := 100 * ms; now <= 200*ms; now += 50 * ms {
+		d.settle(now, r, 0, nil)
+	}
+	is.Equal(d.settledFrom(direct), importanceStart(direct))
+	is.Equal(d.settledFrom(late), importanceStart(late+1))
+	for now := 250 * ms; now <= 3*time.Second; now += 50 * ms {
+		d.settle(now, r, 0, nil)
+	}
+	is.Equal(d.settledFrom(late), importanceStart(late))
+}
--- a/internal/dataplane/call_test.go
+++ b/internal/dataplane/call_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/common/ut"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/matryer/is"
 
@@ -264,3 +265,69 @@
 	e.SetTargetState(TargetState{Instance: "a", StartedAt: 2, Slots: 10, AcceptsCalls: true})
 	is.True(admitted())
 }
+
+// Guards against gates that don't learn how old a request is and whether they have served it
+// before: they would take the calls of requests let in a moment ago for missing demand.
+func TestCallsCarryAgeAndProgressOfTheirRequest(t *testing.T) {
+	const age = 300 * time.Millisecond
+	is := is.New(t)
+	var sent []wire.Meta
+	node := fakeNode(t, func(_ context.Context, c *app.RequestContext) {
+		m, err := wire.GetMeta(&c.Request.Header)
+		is.NoErr(err)
+		sent = append(sent, m)
+		wire.SetAnswer(&c.Response.Header, &wire.Answer{Outcome: request.Completed})
+	})
+	e, info := newCaller(t, node)
+	x := &runningRequest{id: newID(), meta: wire.Meta{Tenant: "t"}, deadline: e.now() + time.Minute, startedAt: e.now() - age}
+	for range 2 {
+		c := ut.CreateUtRequestContext("GET", "/", nil, ut.Header{Key: "Host", Value: string(info.Name)})
+		c.Request.Header.SetRawHeaders([]byte("\r\n"))
+		out, fault := e.subCall(e.view.Load(), c, x)
+		if fault != nil {
+			t.Fatal(fault)
+		}
+		r := e.call(context.Background(), out, protocol.AcquireResponse())
+		is.Equal(r.outcome, request.Completed)
+		x.callEnded(out.key(), r)
+	}
+	is.Equal(len(sent), 2)
+	is.True(!sent[0].InProgress)
+	is.True(sent[1].InProgress)
+	for _, m := range sent {
+		is.True(m.Age >= age)
+		s := &inboundCall{c: ut.CreateUtRequestContext("GET", "/", nil), class: &info.Classes[0], meta: m}
+		s.c.Request.Header.SetRawHeaders([]byte("\r\n"))
+		e.nodeCalls.add(newSpan(), &s.tracked)
+		if fault := e.prepare(s); fault != nil {
+			t.Fatal(fault)
+		}
+		is.True(e.now()-s.running.startedAt >= m.Age)
+		is.Equal(s.arrival().Age, m.Age)
+		is.Equal(s.arrival().InProgress, m.InProgress)
+	}
+}
+
+// Guards against a call that is not sent to another target because one that could take no
+// calls has used up the request's allowance.
+func TestTargetThatIsNotReadyUsesNoAllowance(t *testing.T) {
+	is := is.New(t)
+	var notReady atomic.Int32
+	starting := fakeNode(t, func(_ context.Context, c *app.RequestContext) {
+		notReady.Add(1)
+		wire.SetAnswer(&c.Response.Header, &wire.Answer{Outcome: request.Refused, Code: status.CodeNotReady})
+		c.SetStatusCode(http.StatusServiceUnavailable)
+	})
+	ready := fakeNode(t, func(_ context.Context, c *app.RequestContext) {
+		wire.SetAnswer(&c.Response.Header, &wire.Answer{Outcome: request.Completed})
+	})
+	for range 20 { // the first target is drawn
+		e, info := newCaller(t, starting, ready)
+		e.cfg.Retry.FreeRefusals = true
+		out := outgoingTo(e, info)
+		x := &runningRequest{id: out.id}
+		out.parent, out.allowance = x, x
+		is.Equal(e.call(context.Background(), out, protocol.AcquireResponse()).outcome, request.Completed)
+	}
+	is.True(notReady.Load() > 0)
+}
--- a/internal/dataplane/levels_test.go
+++ b/internal/dataplane/levels_test.go
@@ -51,7 +51,7 @@
 // others, which have a high level.
 func TestTargetsThatTakeNoCallsDoNotOpenTheirService(t *testing.T) {
 	const high = request.Level(50 << 16)
-	for _, code := range []status.Code{status.CodeNoTarget, status.CodeNotReady, status.CodeDraining, status.CodeMisdirected} {
+	for _, code := range []status.Code{status.CodeNoTarget, status.CodeNotReady, status.CodeDraining, status.CodeMisdirected, status.CodeConnectFailed} {
 		t.Run(string(code), func(t *testing.T) {
 			is := is.New(t)
 			e, info := newCaller(t)
@@ -63,7 +63,7 @@
 				if code == "" {
 					outcome = request.Completed
 				}
-				e.levels.learn(c, &result{target: id, answered: true, outcome: outcome, code: code,
+				e.levels.learn(c, &result{target: id, answered: code != status.CodeConnectFailed, outcome: outcome, code: code,
 					answer: wire.Answer{Outcome: outcome, Code: code, Level: level, Limit: 10}})
 			}
 			for id := range request.TargetID(4) {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -27,6 +27,24 @@
 	is.Equal(out, in)
 }
 
+// Guards against a call that a node of an earlier version can't send or read: the fields up
+// to the organisation are the same, and the later ones may be missing.
+func TestAgeAndProgressAreCompatible(t *testing.T) {
+	is := is.New(t)
+	var h protocol.RequestHeader
+	SetMeta(&h, &Meta{Tenant: "khaosan", Class: "morning-feed", Organisation: "acme", Age: 250 * time.Millisecond, InProgress: true})
+	sent := string(h.Peek(HeaderCall))
+	earlier, ok := strings.CutSuffix(sent, ";250;1")
+	is.True(ok)
+	h.Set(HeaderCall, earlier)
+	m, err := GetMeta(&h)
+	is.NoErr(err)
+	is.Equal(m, Meta{Tenant: "khaosan", Class: "morning-feed", Organisation: "acme"})
+	h.Set(HeaderCall, earlier+";-1")
+	_, err = GetMeta(&h)
+	is.Equal(status.CodeOf(err), status.CodeProtocol)
+}
+
 func TestAnswerRoundTrip(t *testing.T) {
 	is := is.New(t)
 	in := Answer{
