review: a fleet whose machines were replaced doesn't find itself again

Cause: the 16 seed rows name the first machines for ten minutes, whether or not they are still there, and nothing frees a row.

--- a/review/standin/lib/lib.go
+++ b/review/standin/lib/lib.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -80,33 +81,40 @@
 	End(2)
 }
 
-// FreePort returns a port of 127.0.0.1 that nothing listens on.
-func FreePort() int {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		Cannot("%v", err)
-	}
-	defer ln.Close()
-	return ln.Addr().(*net.TCPAddr).Port
-}
+var (
+	portMu sync.Mutex
+	used   = map[int]bool{}
+)
+
+// FreePort returns a port of 127.0.0.1 that nothing listens on, below the ports that the
+// kernel gives to outgoing connections.
+func FreePort() int { return freeRange(1) }
 
 func freeAddr() string { return fmt.Sprintf("127.0.0.1:%d", FreePort()) }
 
 // freeRange returns the first of n free ports in a row.
 func freeRange(n int) int {
-	for {
-		first := FreePort()
+	portMu.Lock()
+	defer portMu.Unlock()
+	for range 10000 {
+		first := 10000 + rand.IntN(20000)
 		ok := true
 		for p := first; p < first+n && ok; p++ {
 			ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
-			if ok = err == nil; ok {
+			if ok = err == nil && !used[p]; err == nil {
 				ln.Close()
 			}
 		}
-		if ok {
-			return first
+		if !ok {
+			continue
+		}
+		for p := first; p < first+n; p++ {
+			used[p] = true
 		}
+		return first
 	}
+	Cannot("no free ports")
+	return 0
 }
 
 // Node is a peardriftd process on a machine of its own, which here is a set of ports.
@@ -114,6 +122,8 @@
 	Name, Service, App                        string
 	Inbound, Outbound, ReadyAddr, ControlAddr string
 	settings                                  string
+	lines                                     []string
+	control                                   string
 	logPath                                   string
 	cmd                                       *exec.Cmd
 	exited                                    chan struct{}
@@ -145,6 +155,7 @@
 	}
 	n.settings = filepath.Join(tempDir, name+".conf")
 	n.logPath = filepath.Join(tempDir, name+".log")
+	n.lines, n.control = lines, fmt.Sprintf("127.0.0.1:%d", first)
 	n.write(lines)
 	nodes = append(nodes, n)
 	return n
@@ -164,8 +175,23 @@
 	return "."
 }
 
+// Set changes a field of the settings, before the next start.
+func (n *Node) Set(field, value string) {
+	kept := n.lines[:0:0]
+	for _, l := range n.lines {
+		if !strings.HasPrefix(l, field+"=") {
+			kept = append(kept, l)
+		}
+	}
+	n.lines = append(kept, field+"="+value)
+	n.write(n.lines)
+}
+
 // Start starts the process with the command of the deploy file.
 func (n *Node) Start() {
+	if n.cmd != nil {
+		n.Set("self.bootstrap", "false") // true only when the whole system starts for the first time
+	}
 	log, err := os.OpenFile(n.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		Cannot("%v", err)
@@ -207,6 +233,20 @@
 	Log("node %s gets %v", n.Name, sig)
 }
 
+// Wait waits until the process has ended by itself.
+func (n *Node) Wait(limit time.Duration) bool {
+	select {
+	case <-n.exited:
+		Log("node %s has ended", n.Name)
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// Control returns the first address of the node's port range.
+func (n *Node) Control() string { return n.control }
+
 // Exited returns a channel that is closed when the process has ended.
 func (n *Node) Exited() <-chan struct{} { return n.exited }
 
--- a/review/standin/lib/store.go
+++ b/review/standin/lib/store.go
@@ -77,6 +77,20 @@
 	s.history = append(s.history, r)
 }
 
+// Rows returns the values of a table's rows by key.
+func (s *Store) Rows(table string) map[string]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]string{}
+	for k, v := range s.rows {
+		if k.table == table {
+			b, _ := base64.StdEncoding.DecodeString(v.Value)
+			out[k.key] = string(b)
+		}
+	}
+	return out
+}
+
 func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
