--- a/review/standin/lib/backend.go
+++ b/review/standin/lib/backend.go
@@ -19,6 +19,7 @@
 	ID, Method, URI, Caller string
 	Body                    int
 	Sum                     string
+	Tenant, Authorization   string
 }
 
 // Backend is a sound application backend of a service.
@@ -151,7 +152,8 @@
 		return
 	}
 	sum := sha256.Sum256(body)
-	run := Run{At: at, Instance: b.ID, Service: b.Service, ID: id, Method: r.Method, URI: r.RequestURI, Caller: r.Header.Get("Peardrift-Caller-Service"), Body: len(body), Sum: hex.EncodeToString(sum[:8])}
+	run := Run{At: at, Instance: b.ID, Service: b.Service, ID: id, Method: r.Method, URI: r.RequestURI, Caller: r.Header.Get("Peardrift-Caller-Service"), Body: len(body), Sum: hex.EncodeToString(sum[:8]),
+		Tenant: r.Header.Get("Peardrift-Tenant"), Authorization: r.Header.Get("Authorization")}
 	b.mu.Lock()
 	b.runs = append(b.runs, run)
 	b.mu.Unlock()
