--- a/review/standin/mix/main.go
+++ b/review/standin/mix/main.go
@@ -1,3 +1,7 @@
+// Command mix sends requests of many forms through nodes that are killed, stopped and
+// frozen, to backends that answer soundly and not, and prints each request that ran twice,
+// was changed, was refused although it ran, or got a foreign answer. With "term" as second
+// argument backends are sound and nodes get SIGTERM only.
 package main
 
 import (
@@ -338,7 +342,7 @@
 	for _, n := range ns {
 		if strings.Contains(n.Output(), "panic") || strings.Contains(n.Output(), "fatal error") {
 			fmt.Println("PANIC in", n.Name)
-			os.WriteFile("/tmp/rv/panic-"+n.Name, []byte(n.Output()), 0o600)
+			Log("output of %s: %s", n.Name, n.Output())
 		}
 	}
 	End(0)
