--- a/review/standin/lib/backend.go
+++ b/review/standin/lib/backend.go
@@ -42,7 +42,7 @@
 // NewBackend starts a backend at addr; an empty one stands for a free port.
 func NewBackend(service, id, zone, addr string) *Backend {
 	if addr == "" {
-		addr = "127.0.0.1:0"
+		addr = freeAddr()
 	}
 	b := &Backend{Service: service, ID: id, Zone: zone, Slots: 50, Work: 5 * time.Millisecond, stop: make(chan struct{})}
 	var err error
